--- /dev/null
+++ b/crates/agent/src/app.rs
@@ -0,0 +1,205 @@
+//! What the parts of the agent share.
+
+use std::{net, sync, sync::atomic, time};
+
+use arc_swap::ArcSwap;
+use cadence::StatsdClient;
+use pimentohook_core::{
+    admission,
+    burst::activation,
+    clock::{self, Clock},
+    id, intent, limits, membership,
+};
+use pimentohook_platform::{engine, weights};
+use pimentohook_runtime::{client, metrics, pacer};
+
+use crate::{answers, settings, transfer};
+
+const ACTIVE_WINDOW: time::Duration = time::Duration::from_secs(2);
+const FIRST_BYTE_SHARE: u64 = 8;
+
+/// The agent's state.
+#[derive(Debug)]
+pub struct App {
+    /// The settings.
+    pub settings: settings::AgentSettings,
+    /// The time.
+    pub clock: clock::SystemClock,
+    /// Calls to other processes of the system.
+    pub client: sync::Arc<client::Client>,
+    /// The engine or plain service.
+    pub engine: engine::EngineClient,
+    /// The weight store; engines only.
+    pub store: Option<weights::StoreClient>,
+    /// The table of requests.
+    pub table: sync::Mutex<admission::Table>,
+    /// The answers.
+    pub answers: answers::Answers,
+    /// The activation of weights.
+    pub activation: sync::Mutex<activation::Activation>,
+    /// The weights held and under way.
+    pub transfers: transfer::Transfers,
+    /// What comes in.
+    pub incoming: pacer::Pacer,
+    /// What goes out.
+    pub outgoing: pacer::Pacer,
+    /// The configuration in force.
+    pub config: ArcSwap<intent::Config>,
+    /// Metrics.
+    pub metrics: StatsdClient,
+    address: net::SocketAddr,
+    leaving: atomic::AtomicBool,
+    first_byte_mean_ms: atomic::AtomicU64,
+}
+
+/// Locks a mutex; a panic while it was held has left a whole value.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+impl App {
+    /// Creates the state of an agent that listens on `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`metrics::MetricsError`] where metrics can't be sent.
+    pub fn new(
+        settings: settings::AgentSettings,
+        address: net::SocketAddr,
+    ) -> Result<sync::Arc<Self>, metrics::MetricsError> {
+        let clock = clock::SystemClock;
+        let client = sync::Arc::new(client::Client::new(settings.listen.ip()));
+        let engine = engine::EngineClient::new(
+            client.clone(),
+            settings.upstream,
+            settings.upstream_silence_max,
+        );
+        let store = settings
+            .weight_store
+            .map(|address| weights::StoreClient::new(client.clone(), address));
+        let table = admission::Table::new(
+            new_incarnation(),
+            clock.now(),
+            admission::TableLimits {
+                window: settings.window,
+                entries_max: settings.remembered_max,
+                view_age_max: settings.view_age_max,
+            },
+            limits::FairSlots::new(settings.slot_count, ACTIVE_WINDOW),
+        );
+        let app = Self {
+            clock,
+            client,
+            engine,
+            store,
+            table: sync::Mutex::new(table),
+            answers: answers::Answers::new(settings.answers_max, settings.window),
+            activation: sync::Mutex::new(activation::Activation::new()),
+            transfers: transfer::Transfers::new(),
+            incoming: pacer::Pacer::new(settings.weights_rate),
+            outgoing: pacer::Pacer::new(settings.weights_rate),
+            config: ArcSwap::from_pointee(intent::Config::default()),
+            metrics: metrics::start("pimentohook.agent", settings.metrics)?,
+            address: settings.advertise.unwrap_or(address),
+            leaving: atomic::AtomicBool::new(false),
+            first_byte_mean_ms: atomic::AtomicU64::new(0),
+            settings,
+        };
+        Ok(sync::Arc::new(app))
+    }
+
+    /// Takes no new work from now on.
+    pub fn leave(&self) {
+        self.leaving.store(true, atomic::Ordering::SeqCst);
+    }
+
+    /// Returns how many requests run.
+    #[must_use]
+    pub fn running_count(&self) -> usize {
+        lock(&self.table).running_count()
+    }
+
+    /// Returns whether nothing runs and every answer was passed on.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running_count() == 0 && self.answers.unfetched_count() == 0
+    }
+
+    /// Returns the service that the configuration wants here.
+    #[must_use]
+    pub fn service(&self) -> id::ServiceName {
+        let config = self.config.load();
+        config
+            .service_of(&self.settings.vm, &self.settings.service)
+            .clone()
+    }
+
+    /// Returns what a dispatch is decided by.
+    #[must_use]
+    pub fn gate(&self) -> admission::Gate {
+        let first_byte_ms = self.first_byte_mean_ms.load(atomic::Ordering::Relaxed);
+        let (openness, weights) = match self.settings.kind {
+            settings::UpstreamKind::Plain => (admission::Openness::Open, None),
+            settings::UpstreamKind::Engine => {
+                let activation = lock(&self.activation);
+                let weights = activation.serving().map(|weights| weights.content);
+                (activation.openness(), weights)
+            }
+        };
+        let openness = if self.is_leaving() {
+            admission::Openness::Leaving
+        } else {
+            openness
+        };
+        admission::Gate {
+            openness,
+            weights,
+            expected: time::Duration::from_millis(first_byte_ms),
+        }
+    }
+
+    /// Returns what is told to entries.
+    #[must_use]
+    pub fn report(&self) -> membership::AgentReport {
+        let gate = self.gate();
+        let table = lock(&self.table);
+        let fencing_seen = lock(&self.activation).fencing_seen();
+        membership::AgentReport {
+            vm: self.settings.vm.clone(),
+            service: self.service(),
+            address: self.address,
+            failure_domain: self.settings.failure_domain.clone(),
+            incarnation: table.incarnation(),
+            view_stamp: table.view_stamp(self.clock.now()),
+            openness: gate.openness,
+            weights: gate.weights,
+            slot_count: u32::try_from(self.settings.slot_count).unwrap_or(u32::MAX),
+            running_count: u32::try_from(table.running_count()).unwrap_or(u32::MAX),
+            config_version: self.config.load().version,
+            fencing: fencing_seen.unwrap_or_default(),
+            burst: self.transfers.progress(),
+        }
+    }
+
+    /// Records how long an answer took to begin.
+    pub fn record_first_byte(&self, latency: time::Duration) {
+        let latency_ms = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+        let mean_ms = self.first_byte_mean_ms.load(atomic::Ordering::Relaxed);
+        let moved = (mean_ms * (FIRST_BYTE_SHARE - 1) + latency_ms) / FIRST_BYTE_SHARE;
+        self.first_byte_mean_ms
+            .store(moved, atomic::Ordering::Relaxed);
+    }
+
+    fn is_leaving(&self) -> bool {
+        let told = self.leaving.load(atomic::Ordering::SeqCst);
+        told || self.config.load().draining.contains(&self.settings.vm)
+    }
+}
+
+/// Returns a number that is higher for each later start on this VM.
+fn new_incarnation() -> id::Incarnation {
+    let since_epoch = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .unwrap_or_default();
+    id::Incarnation::new(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/agent/src/heartbeat.rs
@@ -0,0 +1,77 @@
+//! Heartbeats: what the agent tells an entry, and what it learns in answer.
+
+use std::{net, sync, time};
+
+use pimentohook_core::{burst::receiver, intent};
+use pimentohook_runtime::process;
+use pimentohook_wire::messages;
+
+use crate::app::{self, lock};
+
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// Sends heartbeats to one entry until the agent stops.
+pub async fn run(app: sync::Arc<app::App>, entry: net::SocketAddr, stop: process::Stop) {
+    let mut reachable = true;
+    loop {
+        let heartbeat = messages::Heartbeat {
+            report: app.report(),
+        };
+        let call = app
+            .client
+            .call(entry, "/v1/heartbeats", &heartbeat, CALL_TIMEOUT);
+        let reply: Result<messages::HeartbeatReply, _> = call.await;
+        match reply {
+            Ok(reply) => {
+                if !reachable {
+                    log::info!("heartbeat: entry {entry} answers again.");
+                }
+                reachable = true;
+                apply(&app, reply);
+            }
+            Err(error) => {
+                if reachable {
+                    log::warn!("heartbeat: {error}.");
+                }
+                reachable = false;
+                app.client.renew();
+            }
+        }
+        if !stop.sleep(app.settings.heartbeat_every).await {
+            return;
+        }
+    }
+}
+
+fn apply(app: &app::App, reply: messages::HeartbeatReply) {
+    if let Some(config) = reply.config {
+        apply_config(app, &config);
+    }
+    if let Some(fencing) = reply.fencing {
+        lock(&app.activation).record_fencing(fencing);
+    }
+    if reply.leaving {
+        app.leave();
+    }
+    for peer in reply.peers {
+        let info = receiver::PeerInfo {
+            address: peer.address,
+            failure_domain: peer.failure_domain,
+            held: peer.held,
+            given_count: peer.given_count,
+        };
+        app.transfers.record_peer(peer.vm, info);
+    }
+    for grant in reply.grants {
+        app.transfers.record_grant(grant.chunk, grant.serial);
+    }
+}
+
+fn apply_config(app: &app::App, offered: &intent::Config) {
+    app.config.rcu(|present| {
+        let mut config = intent::Config::clone(present);
+        intent::commands::accept(&mut config, offered);
+        config
+    });
+    log::info!("heartbeat: configuration {} is in force.", offered.version);
+}
--- /dev/null
+++ b/crates/agent/src/settings.rs
@@ -0,0 +1,159 @@
+//! The agent's settings.
+
+use std::{net, path, time};
+
+use pimentohook_core::{id, size};
+use pimentohook_runtime::settings;
+use strum::{Display, EnumString};
+
+/// What stands behind the agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum UpstreamKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// The settings.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// The VM.
+    pub vm: id::VmId,
+    /// The service.
+    pub service: id::ServiceName,
+    /// The failure domain.
+    pub failure_domain: id::FailureDomain,
+    /// Where to listen.
+    pub listen: net::SocketAddr,
+    /// The address that others use; the one listened on where it is not given.
+    pub advertise: Option<net::SocketAddr>,
+    /// The entries.
+    pub entries: Vec<net::SocketAddr>,
+    /// What stands behind.
+    pub kind: UpstreamKind,
+    /// Where that listens.
+    pub upstream: net::SocketAddr,
+    /// The weight store.
+    pub weight_store: Option<net::SocketAddr>,
+    /// How many requests may run at once.
+    pub slot_count: usize,
+    /// How long requests are remembered.
+    pub window: time::Duration,
+    /// How many requests are remembered.
+    pub remembered_max: usize,
+    /// Bytes of finished answers that are kept.
+    pub answers_max: size::ByteCount,
+    /// How old an entry's view may be when it dispatches.
+    pub view_age_max: time::Duration,
+    /// How often entries are told.
+    pub heartbeat_every: time::Duration,
+    /// How long an upstream may be silent within an answer.
+    pub upstream_silence_max: time::Duration,
+    /// How long an answer nobody reads runs on.
+    pub orphan_max: time::Duration,
+    /// What the link carries for weights, each way.
+    pub weights_rate: size::ByteRate,
+    /// How long a chunk may stall.
+    pub stall_max: time::Duration,
+    /// How long leaving may take.
+    pub drain_max: time::Duration,
+    /// Where metrics go.
+    pub metrics: Option<net::SocketAddr>,
+    /// The level of logs.
+    pub log_level: String,
+}
+
+const ADDRESS: &str = "an IP address and port, such as 10.0.0.7:7000";
+const NAME: &str = "1 to 64 of letters, digits, '-', '_' and '.'";
+const RATE: &str = "a rate such as 100MiB/s";
+const SIZE: &str = "a size such as 64MiB";
+const HOUR_MS: u64 = 3_600_000;
+
+impl AgentSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// [`settings::SettingsError`] with every fault.
+    pub fn from_file(path: &path::Path) -> Result<Self, settings::SettingsError> {
+        Self::check(settings::Checker::from_file(path))
+    }
+
+    /// Checks what a checker has read.
+    ///
+    /// # Errors
+    ///
+    /// [`settings::SettingsError`] with every fault.
+    pub fn check(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
+        let parsed = Self::read(&mut checker);
+        match checker.finish() {
+            Ok(()) => parsed.ok_or_else(|| settings::SettingsError {
+                file: String::new(),
+                faults: Vec::new(),
+            }),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn read(checker: &mut settings::Checker) -> Option<Self> {
+        let vm = checker.required("vm", NAME);
+        let service = checker.required("service", NAME);
+        let failure_domain = checker.required("failure_domain", NAME);
+        let listen = checker.required("listen", ADDRESS);
+        let advertise = checker.optional("advertise", ADDRESS);
+        let entries = checker.list("entries", ADDRESS);
+        if entries.is_empty() && checker.has("entries") {
+            checker.push("entries", None, "at least one address");
+        } else if entries.is_empty() {
+            checker.push("entries", None, &format!("a list of {ADDRESS}"));
+        }
+        let kind = checker.required("kind", "engine or plain");
+        let upstream = checker.required("upstream", ADDRESS);
+        let weight_store = checker.optional("weight_store", ADDRESS);
+        if kind == Some(UpstreamKind::Engine) && !checker.has("weight_store") {
+            checker.push("weight_store", None, ADDRESS);
+        }
+        let slots = checker.number("slot_count", 8, 1..=4_096);
+        let window = checker.millis("window_ms", 60_000, 1_000..=HOUR_MS);
+        let remembered = checker.number("remembered_max", 100_000, 100..=10_000_000);
+        let answers_max = checker.optional("answers_max", SIZE);
+        let view_age_max = checker.millis("view_age_max_ms", 3_000, 100..=60_000);
+        let heartbeat_every = checker.millis("heartbeat_every_ms", 250, 20..=10_000);
+        let upstream_silence_max = checker.millis("upstream_silence_max_ms", 10_000, 100..=HOUR_MS);
+        let orphan_max = checker.millis("orphan_max_ms", 5_000, 0..=HOUR_MS);
+        let weights_rate = checker.optional("weights_rate", RATE);
+        let stall_max = checker.millis("stall_max_ms", 3_000, 100..=HOUR_MS);
+        let drain_max = checker.millis("drain_max_ms", 60_000, 0..=HOUR_MS);
+        let metrics = checker.optional("metrics", ADDRESS);
+        let log_level = checker.optional("log_level", "error, warn, info, debug or trace");
+        Some(Self {
+            vm: vm?,
+            service: service?,
+            failure_domain: failure_domain?,
+            listen: listen?,
+            advertise,
+            entries,
+            kind: kind?,
+            upstream: upstream?,
+            weight_store,
+            slot_count: usize::try_from(slots).ok()?,
+            window,
+            remembered_max: usize::try_from(remembered).ok()?,
+            answers_max: answers_max.unwrap_or(ANSWERS_MAX_DEFAULT),
+            view_age_max,
+            heartbeat_every,
+            upstream_silence_max,
+            orphan_max,
+            weights_rate: weights_rate.unwrap_or(WEIGHTS_RATE_DEFAULT),
+            stall_max,
+            drain_max,
+            metrics,
+            log_level: log_level.unwrap_or_else(|| String::from("info")),
+        })
+    }
+}
+
+const ANSWERS_MAX_DEFAULT: size::ByteCount = size::ByteCount::new(32 << 20);
+const WEIGHTS_RATE_DEFAULT: size::ByteRate = size::ByteRate::new(100 << 20);
--- /dev/null
+++ b/crates/core/src/burst/ledger.rs
@@ -0,0 +1,254 @@
+//! The origin ledger: which machine may pull which chunk from the origin.
+//!
+//! Each grant allows one pull. The ledger is one object of the platform, changed by conditional
+//! update, so the bound on grants holds whoever makes them and whoever dies. A grant counts as
+//! used from the moment that it is recorded, whatever becomes of it.
+
+use std::time;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::{ORIGIN_LIMIT_PERCENT, Policy};
+use crate::id;
+
+const HUNDRED: u64 = 100;
+
+/// One permission to pull one chunk from the origin.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The chunk.
+    pub chunk: u32,
+    /// The machine that may pull it.
+    pub vm: id::VmId,
+    /// The life of its agent; a restarted one has forgotten what it pulled.
+    pub incarnation: id::Incarnation,
+    /// How many grants of this chunk came before.
+    pub serial: u32,
+}
+
+/// All grants for one manifest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    chunk_count: u32,
+    policy: Policy,
+    grants: Vec<Grant>,
+}
+
+/// What the fleet holds, as the grantor sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Supply {
+    /// The machines that take part, in a fixed order, with whether each lacks the chunk.
+    pub receivers: Vec<Receiver>,
+    /// For each chunk, how many live machines hold it.
+    pub holder_counts: Vec<u32>,
+}
+
+/// One machine that takes part.
+#[derive(Clone, Debug)]
+pub struct Receiver {
+    /// The machine.
+    pub vm: id::VmId,
+    /// The life of its agent.
+    pub incarnation: id::Incarnation,
+    /// Whether no peer can give it what it lacks.
+    pub starved: bool,
+    /// The chunks that it holds.
+    pub held: super::chunks::ChunkSet,
+}
+
+/// When grants were made, known only to the present grantor; a new one starts anew.
+#[derive(Clone, Debug, Default)]
+pub struct GrantClock {
+    granted_at: IndexMap<u32, time::Instant>,
+}
+
+impl Ledger {
+    /// Creates a ledger without grants.
+    #[must_use]
+    pub const fn new(chunk_count: u32, policy: Policy) -> Self {
+        Self {
+            chunk_count,
+            policy,
+            grants: Vec::new(),
+        }
+    }
+
+    /// Returns all grants in their order.
+    #[must_use]
+    pub fn grants(&self) -> &[Grant] {
+        &self.grants
+    }
+
+    /// Returns the grants of one life of a machine's agent.
+    pub fn grants_of<'a>(
+        &'a self,
+        vm: &'a id::VmId,
+        incarnation: id::Incarnation,
+    ) -> impl Iterator<Item = &'a Grant> {
+        let mine = move |grant: &&Grant| grant.vm == *vm && grant.incarnation == incarnation;
+        self.grants.iter().filter(mine)
+    }
+
+    /// Returns how many chunks may be granted in all.
+    #[must_use]
+    pub fn grant_max(&self) -> usize {
+        let percent = self.policy.origin_percent().min(ORIGIN_LIMIT_PERCENT);
+        let max = u64::from(self.chunk_count) * u64::from(percent) / HUNDRED;
+        usize::try_from(max).unwrap_or(usize::MAX)
+    }
+
+    /// Adds the grants that the supply calls for; returns how many were added.
+    ///
+    /// A chunk is granted where nobody holds it, again where its grant has not led to a holder
+    /// within `patience`, and, once every chunk has its grants, to machines that are starved.
+    pub fn extend(
+        &mut self,
+        now: time::Instant,
+        supply: &Supply,
+        clock: &mut GrantClock,
+        patience: time::Duration,
+    ) -> usize {
+        let before = self.grants.len();
+        let counts = self.counts();
+        let mut open = self.open_count(now, supply, clock, &counts, patience);
+        for chunk in 0..self.chunk_count {
+            if open >= self.policy.open_grants_max() || self.grants.len() >= self.grant_max() {
+                break;
+            }
+            if self.needs_grant(now, chunk, supply, clock, &counts, patience)
+                && let Some(receiver) = self.choose_receiver(chunk, supply)
+            {
+                self.push(now, chunk, receiver, clock);
+                open += 1;
+            }
+        }
+        self.relieve_starved(now, supply, clock, patience);
+        self.grants.len() - before
+    }
+
+    fn push(
+        &mut self,
+        now: time::Instant,
+        chunk: u32,
+        receiver: &Receiver,
+        clock: &mut GrantClock,
+    ) {
+        let earlier = self.grants.iter().filter(|grant| grant.chunk == chunk);
+        let serial = u32::try_from(earlier.count()).unwrap_or(u32::MAX);
+        clock.granted_at.insert(chunk, now);
+        self.grants.push(Grant {
+            chunk,
+            vm: receiver.vm.clone(),
+            incarnation: receiver.incarnation,
+            serial,
+        });
+    }
+
+    fn counts(&self) -> Vec<u32> {
+        let mut counts = vec![0; self.chunk_count as usize];
+        for grant in &self.grants {
+            if let Some(count) = counts.get_mut(grant.chunk as usize) {
+                *count += 1;
+            }
+        }
+        counts
+    }
+
+    fn needs_grant(
+        &self,
+        now: time::Instant,
+        chunk: u32,
+        supply: &Supply,
+        clock: &mut GrantClock,
+        counts: &[u32],
+        patience: time::Duration,
+    ) -> bool {
+        let index = chunk as usize;
+        let granted = counts.get(index).copied().unwrap_or(0);
+        let holders = supply.holder_counts.get(index).copied().unwrap_or(0);
+        if holders > 0 {
+            return granted > 0 && granted < self.policy.grants_per_chunk();
+        }
+        if granted == 0 {
+            return true;
+        }
+        // A grantor that took over does not know the time of earlier grants and waits once more.
+        let at = *clock.granted_at.entry(chunk).or_insert(now);
+        now.duration_since(at) > patience
+    }
+
+    fn open_count(
+        &self,
+        now: time::Instant,
+        supply: &Supply,
+        clock: &mut GrantClock,
+        counts: &[u32],
+        patience: time::Duration,
+    ) -> u32 {
+        let waiting = |chunk: &u32| {
+            let index = *chunk as usize;
+            let granted = counts.get(index).copied().unwrap_or(0);
+            let holders = supply.holder_counts.get(index).copied().unwrap_or(0);
+            let at = *clock.granted_at.entry(*chunk).or_insert(now);
+            granted > holders && now.duration_since(at) <= patience
+        };
+        let count = (0..self.chunk_count).filter(waiting).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Spreads grants evenly: the machine with the fewest, by rendezvous among equals.
+    fn choose_receiver<'a>(&self, chunk: u32, supply: &'a Supply) -> Option<&'a Receiver> {
+        let key = format!("origin-{chunk}");
+        let mut granted: IndexMap<&id::VmId, u32> = IndexMap::new();
+        let mut here: Vec<&id::VmId> = Vec::new();
+        for grant in &self.grants {
+            *granted.entry(&grant.vm).or_insert(0) += 1;
+            if grant.chunk == chunk {
+                here.push(&grant.vm);
+            }
+        }
+        let lacking =
+            |receiver: &&Receiver| !receiver.held.contains(chunk) && !here.contains(&&receiver.vm);
+        let lacking = supply.receivers.iter().filter(lacking);
+        lacking.min_by_key(|receiver| {
+            let count = granted.get(&receiver.vm).copied().unwrap_or(0);
+            let score = id::rendezvous_score(&key, receiver.vm.as_str());
+            (count, std::cmp::Reverse(score))
+        })
+    }
+
+    /// Grants one missing chunk to each starved machine, within the limit.
+    fn relieve_starved(
+        &mut self,
+        now: time::Instant,
+        supply: &Supply,
+        clock: &mut GrantClock,
+        patience: time::Duration,
+    ) {
+        for receiver in supply.receivers.iter().filter(|one| one.starved) {
+            if self.grants.len() >= self.grant_max() {
+                return;
+            }
+            let granted_lately = |chunk: u32| {
+                let at = clock.granted_at.get(&chunk);
+                let lately = at.is_some_and(|at| now.duration_since(*at) <= patience);
+                let mine = self.grants.iter().rev();
+                lately
+                    && mine
+                        .clone()
+                        .any(|one| one.chunk == chunk && one.vm == receiver.vm)
+            };
+            let full = super::chunks::ChunkSet::full(self.chunk_count);
+            let missing: Vec<u32> = full.difference(&receiver.held).collect();
+            if missing.iter().any(|chunk| granted_lately(*chunk)) {
+                continue;
+            }
+            let held = |chunk: &&u32| supply.holder_counts.get(**chunk as usize) > Some(&0);
+            let next = missing.iter().find(held).copied();
+            if let Some(chunk) = next {
+                self.push(now, chunk, receiver, clock);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/burst/receiver.rs
@@ -0,0 +1,294 @@
+//! What a machine pulls next, and from whom.
+//!
+//! A receiver knows a sample of peers, from heartbeats that are late and from each peer it has
+//! dealt with. Of the peers that hold something it lacks it takes the one that has passed on
+//! least, which spreads uploads evenly, and from it the chunk that is rarest in the sample.
+//! Chunks that the origin ledger granted to it come first, since others wait for them.
+
+use std::{net, time};
+
+use indexmap::{IndexMap, IndexSet};
+use rand::{Rng, RngExt};
+
+use super::{chunks, giver};
+use crate::id;
+
+/// How long a source is left alone.
+#[derive(Clone, Copy, Debug)]
+pub struct ReceiverLimits {
+    /// After it refused because of other uploads.
+    pub busy_pause: time::Duration,
+    /// After it stalled, broke off or sent corrupt bytes.
+    pub fault_pause: time::Duration,
+    /// How many chunks are pulled at once.
+    pub open_max: usize,
+    /// How many peers are kept.
+    pub peers_max: usize,
+}
+
+/// What is known of a peer.
+#[derive(Clone, Debug)]
+pub struct PeerInfo {
+    /// Where its agent listens.
+    pub address: net::SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: id::FailureDomain,
+    /// The chunks that it holds, as far as is known.
+    pub held: chunks::ChunkSet,
+    /// How many chunks it has passed on, as far as is known.
+    pub given_count: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    info: PeerInfo,
+    paused_until: Option<time::Instant>,
+    spent: bool,
+    open: bool,
+}
+
+/// Where a chunk is pulled from.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// The origin, under a grant.
+    Origin,
+    /// Another machine.
+    Peer(id::VmId),
+}
+
+/// A pull to be started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fetch {
+    /// The chunk.
+    pub chunk: u32,
+    /// The source.
+    pub source: Source,
+}
+
+/// How a pull ended without its chunk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FetchFailure {
+    /// The peer refused.
+    Denied(giver::Denial),
+    /// The source stalled, broke off or could not be reached.
+    Stalled,
+    /// The bytes are not those of the chunk.
+    Corrupt,
+}
+
+/// The download side of one machine for one manifest.
+#[derive(Clone, Debug)]
+pub struct Receiver {
+    limits: ReceiverLimits,
+    failure_domain: id::FailureDomain,
+    held: chunks::ChunkSet,
+    open: chunks::ChunkSet,
+    peers: IndexMap<id::VmId, Peer>,
+    grants: IndexSet<u32>,
+    used_grants: IndexSet<(u32, u32)>,
+    open_count: usize,
+}
+
+impl Receiver {
+    /// Creates the download side of a machine that holds nothing yet.
+    #[must_use]
+    pub fn new(
+        limits: ReceiverLimits,
+        failure_domain: id::FailureDomain,
+        chunk_count: u32,
+    ) -> Self {
+        Self {
+            limits,
+            failure_domain,
+            held: chunks::ChunkSet::new(chunk_count),
+            open: chunks::ChunkSet::new(chunk_count),
+            peers: IndexMap::new(),
+            grants: IndexSet::new(),
+            used_grants: IndexSet::new(),
+            open_count: 0,
+        }
+    }
+
+    /// Returns the chunks held.
+    #[must_use]
+    pub const fn held(&self) -> &chunks::ChunkSet {
+        &self.held
+    }
+
+    /// Returns whether every chunk is held.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.held.is_full()
+    }
+
+    /// Returns where a peer listens.
+    #[must_use]
+    pub fn peer_address(&self, vm: &id::VmId) -> Option<net::SocketAddr> {
+        self.peers.get(vm).map(|peer| peer.info.address)
+    }
+
+    /// Takes in what is said of a peer.
+    pub fn record_peer(&mut self, vm: id::VmId, info: PeerInfo) {
+        if info.held.range() != self.held.range() {
+            return;
+        }
+        if let Some(known) = self.peers.get_mut(&vm) {
+            known.info.address = info.address;
+            self.record_progress(&vm, &info.held, info.given_count);
+            return;
+        }
+        if self.peers.len() >= self.limits.peers_max {
+            self.drop_idle_peer();
+        }
+        let peer = Peer {
+            info,
+            paused_until: None,
+            spent: false,
+            open: false,
+        };
+        self.peers.insert(vm, peer);
+    }
+
+    /// Takes in how far a known peer has come; older news changes nothing.
+    pub fn record_progress(&mut self, vm: &id::VmId, held: &chunks::ChunkSet, given_count: u32) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.info.given_count = peer.info.given_count.max(given_count);
+            held.iter().for_each(|chunk| peer.info.held.insert(chunk));
+        }
+    }
+
+    /// Takes in a grant of the origin ledger; `serial` tells repeated grants of a chunk apart.
+    ///
+    /// The same grant said again changes nothing, so each is used at most once.
+    pub fn record_grant(&mut self, chunk: u32, serial: u32) {
+        if self.used_grants.insert((chunk, serial)) && !self.held.contains(chunk) {
+            self.grants.insert(chunk);
+        }
+    }
+
+    /// Chooses the next pull and marks it as open; `None` where nothing can be pulled now.
+    pub fn start_next<R>(&mut self, now: time::Instant, rng: &mut R) -> Option<Fetch>
+    where
+        R: Rng,
+    {
+        if self.open_count >= self.limits.open_max {
+            return None;
+        }
+        let fetch = match self.next_granted() {
+            Some(fetch) => fetch,
+            None => self.next_from_peers(now, rng)?,
+        };
+        self.open.insert(fetch.chunk);
+        self.open_count += 1;
+        if let Source::Peer(vm) = &fetch.source
+            && let Some(peer) = self.peers.get_mut(vm)
+        {
+            peer.open = true;
+        }
+        Some(fetch)
+    }
+
+    /// Records that a chunk came and was verified.
+    pub fn record_verified(&mut self, fetch: &Fetch) {
+        self.close(fetch);
+        self.held.insert(fetch.chunk);
+        if let Source::Peer(vm) = &fetch.source
+            && let Some(peer) = self.peers.get_mut(vm)
+        {
+            peer.info.given_count += 1;
+        }
+    }
+
+    /// Records that a pull ended without its chunk.
+    pub fn record_failure(&mut self, now: time::Instant, fetch: &Fetch, failure: FetchFailure) {
+        self.close(fetch);
+        let Source::Peer(vm) = &fetch.source else {
+            return;
+        };
+        let limits = self.limits;
+        let Some(peer) = self.peers.get_mut(vm) else {
+            return;
+        };
+        match failure {
+            FetchFailure::Denied(giver::Denial::NotHeld) => peer.info.held.remove(fetch.chunk),
+            FetchFailure::Denied(giver::Denial::Spent) => peer.spent = true,
+            FetchFailure::Denied(giver::Denial::Busy) => {
+                peer.paused_until = Some(now + limits.busy_pause);
+            }
+            FetchFailure::Stalled | FetchFailure::Corrupt => {
+                peer.paused_until = Some(now + limits.fault_pause);
+            }
+        }
+    }
+
+    /// Returns whether chunks are missing that no known peer can give.
+    #[must_use]
+    pub fn is_starved(&self) -> bool {
+        let can_give = |peer: &Peer| !peer.spent && peer.info.held.exceeds(&self.held);
+        !self.is_complete() && self.open_count == 0 && !self.peers.values().any(can_give)
+    }
+
+    fn close(&mut self, fetch: &Fetch) {
+        self.open.remove(fetch.chunk);
+        self.open_count = self.open_count.saturating_sub(1);
+        if let Source::Peer(vm) = &fetch.source
+            && let Some(peer) = self.peers.get_mut(vm)
+        {
+            peer.open = false;
+        }
+    }
+
+    fn next_granted(&mut self) -> Option<Fetch> {
+        while let Some(chunk) = self.grants.shift_remove_index(0) {
+            if !self.held.contains(chunk) && !self.open.contains(chunk) {
+                let source = Source::Origin;
+                return Some(Fetch { chunk, source });
+            }
+        }
+        None
+    }
+
+    fn next_from_peers<R>(&self, now: time::Instant, rng: &mut R) -> Option<Fetch>
+    where
+        R: Rng,
+    {
+        let mut wanted_not = self.held.clone();
+        self.open.iter().for_each(|chunk| wanted_not.insert(chunk));
+        let usable = |peer: &&Peer| {
+            let paused = peer.paused_until.is_some_and(|until| until > now);
+            !peer.spent && !peer.open && !paused && peer.info.held.exceeds(&wanted_not)
+        };
+        let candidates = self.peers.iter().filter(|(_, peer)| usable(peer));
+        let (vm, peer) = candidates.min_by_key(|(_, peer)| {
+            let elsewhere = peer.info.failure_domain != self.failure_domain;
+            (peer.info.given_count, elsewhere, rng.random::<u32>())
+        })?;
+        let chunk = self.rarest_of(peer, &wanted_not, rng)?;
+        let source = Source::Peer(vm.clone());
+        Some(Fetch { chunk, source })
+    }
+
+    fn rarest_of<R>(&self, peer: &Peer, wanted_not: &chunks::ChunkSet, rng: &mut R) -> Option<u32>
+    where
+        R: Rng,
+    {
+        let holders = |chunk: u32| {
+            let holds = |peer: &&Peer| peer.info.held.contains(chunk);
+            self.peers.values().filter(holds).count()
+        };
+        let wanted = peer.info.held.difference(wanted_not);
+        wanted.min_by_key(|chunk| (holders(*chunk), rng.random::<u32>()))
+    }
+
+    /// Makes room by dropping the peer that offers least.
+    fn drop_idle_peer(&mut self) {
+        let idle = self.peers.iter().filter(|(_, peer)| !peer.open);
+        let least = idle.min_by_key(|(_, peer)| {
+            let useful = !peer.spent && peer.info.held.exceeds(&self.held);
+            (useful, peer.info.held.len())
+        });
+        if let Some(vm) = least.map(|(vm, _)| vm.clone()) {
+            self.peers.swap_remove(&vm);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,31 @@
+//! The decisions of pimentohook, free of I/O, threads, clocks and global randomness.
+//!
+//! Every module here is a state machine: it takes the state, the present instant and an event,
+//! and returns what is to be done. The binaries perform it. The same code can therefore be driven
+//! by property tests over orders of events, by benchmarks, and by real sockets.
+//!
+//! A way through the crate, in the order of a request and then of a rollout:
+//!
+//! * [`id`], [`size`], [`clock`]: the vocabulary.
+//! * [`membership`]: which agents an entry knows, and how old that knowledge is.
+//! * [`routing`]: which agent gets a request, and what may be done when that fails.
+//! * [`admission`]: whether a request starts at an agent, and the proof that it did not.
+//! * [`answer`]: a streamed answer put together whole.
+//! * [`limits`]: shares of organisations and the budget for retries.
+//! * [`burst`]: how weights spread from few origin copies.
+//! * [`intent`]: what operators ask for, the configuration, and the steps of a rollout.
+//! * [`lease`]: which entry performs those steps.
+//! * [`report`]: how service levels burn their budgets.
+
+pub mod admission;
+pub mod answer;
+pub mod burst;
+pub mod clock;
+pub mod id;
+pub mod intent;
+pub mod lease;
+pub mod limits;
+pub mod membership;
+pub mod report;
+pub mod routing;
+pub mod size;
--- /dev/null
+++ b/crates/core/src/limits/commands.rs
@@ -0,0 +1,73 @@
+//! Changes to slots and budgets.
+
+use std::{sync::atomic::Ordering, time};
+
+use super::{Denied, FairSlots, RetryBudget, Usage, queries};
+use crate::id;
+
+impl FairSlots {
+    /// Takes a slot for an organisation.
+    ///
+    /// # Errors
+    ///
+    /// [`Denied`] says whether the engine is full or the organisation is over its share.
+    pub fn try_take(
+        &mut self,
+        now: time::Instant,
+        organisation: &id::OrganisationName,
+    ) -> Result<(), Denied> {
+        self.forget_idle(now);
+        let usage = Usage {
+            taken: 0,
+            asked_at: now,
+        };
+        let asking = self.users.entry(organisation.clone()).or_insert(usage);
+        asking.asked_at = now;
+        let taken = asking.taken;
+        if self.taken_count() >= self.slot_count {
+            return Err(Denied::Full);
+        }
+        if taken >= self.share() {
+            return Err(Denied::OverShare);
+        }
+        if let Some(usage) = self.users.get_mut(organisation) {
+            usage.taken += 1;
+        }
+        Ok(())
+    }
+
+    /// Gives a slot back.
+    pub fn give_back(&mut self, organisation: &id::OrganisationName) {
+        if let Some(usage) = self.users.get_mut(organisation) {
+            usage.taken = usage.taken.saturating_sub(1);
+        }
+    }
+
+    fn forget_idle(&mut self, now: time::Instant) {
+        let window = self.active_window;
+        self.users
+            .retain(|_, usage| usage.taken > 0 || now.duration_since(usage.asked_at) <= window);
+    }
+}
+
+impl RetryBudget {
+    /// Earns the share of a retry that a first attempt brings.
+    pub fn earn(&self) {
+        let max = self.balance_max_hundredths;
+        let earned = self.per_request_hundredths;
+        self.balance_hundredths
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
+                Some((balance + earned).min(max))
+            })
+            .ok();
+    }
+
+    /// Spends one retry; false where the budget is used up.
+    pub fn try_spend(&self) -> bool {
+        self.balance_hundredths
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
+                balance.checked_sub(queries::HUNDREDTHS)
+            })
+            .is_ok()
+    }
+}
--- /dev/null
+++ b/crates/core/src/limits/mod.rs
@@ -0,0 +1,72 @@
+//! Limits: the share of slots that each organisation gets, and the budget for retries.
+//!
+//! [`FairSlots`] is used by the agent at admission. It lets an organisation use every free slot
+//! while nobody else asks, and holds it to its weighted share as soon as others do.
+//! [`RetryBudget`] is used by the entry and bounds attempts per request when everything is slow.
+
+pub mod commands;
+pub mod queries;
+
+use std::{sync::atomic, time};
+
+use indexmap::IndexMap;
+
+use crate::id;
+
+/// Why no slot was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// Every slot is taken.
+    Full,
+    /// The organisation has its share already while others are active.
+    OverShare,
+}
+
+/// Slots of one engine, shared fairly among organisations.
+#[derive(Debug)]
+pub struct FairSlots {
+    slot_count: usize,
+    active_window: time::Duration,
+    users: IndexMap<id::OrganisationName, Usage>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    taken: usize,
+    asked_at: time::Instant,
+}
+
+impl FairSlots {
+    /// Creates slots; an organisation counts as active for `active_window` after it last asked.
+    #[must_use]
+    pub fn new(slot_count: usize, active_window: time::Duration) -> Self {
+        Self {
+            slot_count,
+            active_window,
+            users: IndexMap::new(),
+        }
+    }
+}
+
+/// A budget of retries as a share of first attempts.
+#[derive(Debug)]
+pub struct RetryBudget {
+    /// Hundredths of a retry that may still be spent.
+    balance_hundredths: atomic::AtomicU64,
+    per_request_hundredths: u64,
+    balance_max_hundredths: u64,
+}
+
+impl RetryBudget {
+    /// Creates a budget that earns `percent` of a retry with each first attempt and saves up at
+    /// most `burst_count` retries.
+    #[must_use]
+    pub fn new(percent: u64, burst_count: u64) -> Self {
+        let balance_max_hundredths = burst_count * queries::HUNDREDTHS;
+        Self {
+            balance_hundredths: atomic::AtomicU64::new(balance_max_hundredths),
+            per_request_hundredths: percent,
+            balance_max_hundredths,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/size.rs
@@ -0,0 +1,117 @@
+//! Amounts of data and rates, with their units in the type.
+//!
+//! ```
+//! use pimentohook_core::size;
+//!
+//! let weights: size::ByteCount = "64MiB".parse()?;
+//! assert_eq!(weights.get(), 64 * 1024 * 1024);
+//! assert_eq!(weights.to_string(), "64MiB");
+//! # Ok::<(), size::ParseError>(())
+//! ```
+
+use std::{fmt, str, time};
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+const UNITS: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+/// A text that is not an amount of data.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is not a size: write a whole number and B, KiB, MiB or GiB"))]
+pub struct ParseError {
+    text: String,
+}
+
+/// A number of bytes.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ByteCount(u64);
+
+impl ByteCount {
+    /// Wraps a number of bytes.
+    #[must_use]
+    pub const fn new(bytes: u64) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the number of bytes.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ByteCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = |unit: &&(&str, u64)| self.0 != 0 && self.0.is_multiple_of(unit.1);
+        let (name, bytes) = UNITS.iter().find(whole).unwrap_or(&("B", 1));
+        write!(f, "{}{name}", self.0 / bytes)
+    }
+}
+
+impl str::FromStr for ByteCount {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let parsed = UNITS.iter().find_map(|(name, bytes)| {
+            let count: u64 = text.strip_suffix(name)?.trim_end().parse().ok()?;
+            count.checked_mul(*bytes)
+        });
+        parsed.map(Self).ok_or_else(|| ParseError {
+            text: String::from(text),
+        })
+    }
+}
+
+/// A rate in bytes per second.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ByteRate(u64);
+
+impl ByteRate {
+    /// Wraps a number of bytes per second.
+    #[must_use]
+    pub const fn new(bytes_per_s: u64) -> Self {
+        Self(bytes_per_s)
+    }
+
+    /// Returns the number of bytes per second.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// Returns how long `amount` takes at this rate.
+    #[must_use]
+    pub fn duration_of(self, amount: ByteCount) -> time::Duration {
+        let micros = u128::from(amount.0) * 1_000_000 / u128::from(self.0.max(1));
+        time::Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
+impl fmt::Display for ByteRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", ByteCount(self.0))
+    }
+}
+
+impl str::FromStr for ByteRate {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let amount = text.strip_suffix("/s").ok_or_else(|| ParseError {
+            text: String::from(text),
+        })?;
+        amount.parse().map(|ByteCount(bytes)| Self(bytes))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,339 @@
+//! Operators: intents, plans, confirmations, status and the burn report.
+
+use std::{sync, time};
+
+use gotham::helpers::http::Body;
+use hyper::{Response, StatusCode, header};
+use indexmap::IndexMap;
+use pimentohook_core::{clock::Clock as _, id, intent, report};
+use pimentohook_platform::{objects, weights};
+use pimentohook_runtime::server;
+use pimentohook_wire::public;
+use rand::RngExt as _;
+use snafu::{ResultExt, Snafu};
+use subtle::ConstantTimeEq as _;
+
+use crate::{
+    app::{self, lock},
+    configuration, peers,
+};
+
+const BODY_MAX_BYTES: usize = 256 << 10;
+const ACTIVATION_ESTIMATE: time::Duration = time::Duration::from_secs(1);
+const CONFIRM_TRIES: usize = 4;
+const CONFIRMATIONS_SHOWN: usize = 20;
+
+/// An operator's request that can't be granted.
+#[derive(Debug, Snafu)]
+pub enum OperatorError {
+    /// No operator has this token.
+    #[snafu(display("an operator's token is needed: send `Authorization: Bearer TOKEN`"))]
+    Unauthorised,
+    /// The body can't be read.
+    #[snafu(display("{source}"))]
+    Body {
+        /// The cause.
+        source: server::BodyError,
+    },
+    /// The intent can't be planned.
+    #[snafu(display("{source}"))]
+    Intent {
+        /// The cause.
+        source: intent::IntentError,
+    },
+    /// The weight store does not help.
+    #[snafu(display("{source}; check the version's name, or try again"))]
+    Store {
+        /// The cause.
+        source: weights::StoreError,
+    },
+    /// The platform does not answer; nothing is accepted meanwhile.
+    #[snafu(display(
+        "{source}; nothing is accepted until it does, what is in force stays in force; \
+         confirming again later is safe"
+    ))]
+    Platform {
+        /// The cause.
+        source: objects::ObjectError,
+    },
+    /// The platform holds no configuration yet.
+    #[snafu(display("the platform holds no configuration; see docs/OPERATORS.md, `First start`"))]
+    NoConfig,
+    /// Another operator was faster.
+    #[snafu(display("{message}"))]
+    Conflict {
+        /// What happened.
+        message: String,
+        /// The same intent, planned anew.
+        fresh_plan: Option<Box<intent::Plan>>,
+    },
+}
+
+impl OperatorError {
+    /// Makes the response.
+    #[must_use]
+    pub fn into_response(self) -> Response<Body> {
+        let error = self.to_string();
+        let status = match &self {
+            Self::Unauthorised => StatusCode::UNAUTHORIZED,
+            Self::Body { source } => source.status(),
+            Self::Intent { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Store { .. } => StatusCode::BAD_GATEWAY,
+            Self::Platform { .. } | Self::NoConfig => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Conflict { .. } => StatusCode::CONFLICT,
+        };
+        if let Self::Conflict { fresh_plan, .. } = self {
+            let conflict = public::Conflict {
+                error,
+                fresh_plan: fresh_plan.map(|plan| *plan),
+            };
+            return server::respond_json(status, &conflict);
+        }
+        let body = public::ErrorBody {
+            error,
+            outcome: None,
+            retry_after_ms: None,
+        };
+        server::respond_json(status, &body)
+    }
+}
+
+/// Returns the operator whose token this is.
+///
+/// Every token is compared, each in constant time, so the time taken tells nothing.
+///
+/// # Errors
+///
+/// [`OperatorError::Unauthorised`] where there is none.
+pub fn operator_of(app: &app::App, token: &str) -> Result<id::OperatorName, OperatorError> {
+    let given = id::Digest::of(token.as_bytes());
+    let mut found = None;
+    for (name, expected) in &app.settings.operators {
+        let same = expected.digest().as_bytes().ct_eq(given.as_bytes());
+        if bool::from(same) {
+            found = Some(name.clone());
+        }
+    }
+    found.ok_or(OperatorError::Unauthorised)
+}
+
+fn authorise(app: &app::App, call: &server::Call) -> Result<id::OperatorName, OperatorError> {
+    let header = call.header(header::AUTHORIZATION.as_str());
+    let token = header.and_then(|text| text.strip_prefix("Bearer "));
+    operator_of(app, token.unwrap_or(""))
+}
+
+/// Handles an intent; answers with a plan.
+pub async fn intent(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    let planned = async {
+        authorise(&app, &call)?;
+        let intent = call.read_json(BODY_MAX_BYTES).await.context(BodySnafu)?;
+        plan(&app, intent).await
+    };
+    match planned.await {
+        Ok(plan) => server::respond_json(StatusCode::OK, &plan),
+        Err(error) => error.into_response(),
+    }
+}
+
+/// Handles a confirmation.
+pub async fn confirm(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    let confirmed = async {
+        let operator = authorise(&app, &call)?;
+        let plan = call.read_json(BODY_MAX_BYTES).await.context(BodySnafu)?;
+        confirm_plan(&app, &plan, &operator).await
+    };
+    match confirmed.await {
+        Ok(config_version) => {
+            server::respond_json(StatusCode::OK, &public::Confirmed { config_version })
+        }
+        Err(error) => error.into_response(),
+    }
+}
+
+/// Computes a plan against the configuration at the platform.
+///
+/// # Errors
+///
+/// [`OperatorError`] says what keeps it from being planned.
+pub async fn plan(app: &app::App, intent: intent::Intent) -> Result<intent::Plan, OperatorError> {
+    let present = read_config(app).await?;
+    plan_against(app, &present.value, intent).await
+}
+
+async fn plan_against(
+    app: &app::App,
+    config: &intent::Config,
+    intent: intent::Intent,
+) -> Result<intent::Plan, OperatorError> {
+    let weights = weights_of(app, &intent).await?;
+    let costs = intent::queries::Costs {
+        link_rate: app.settings.weights_rate,
+        activation: ACTIVATION_ESTIMATE,
+    };
+    let view = app.view.load();
+    config
+        .plan(new_plan_id(), intent, weights.as_ref(), &view, &costs)
+        .context(IntentSnafu)
+}
+
+/// Puts a plan in force by a conditional update on the version that it was computed against.
+///
+/// # Errors
+///
+/// [`OperatorError::Conflict`] where the configuration has changed since.
+pub async fn confirm_plan(
+    app: &app::App,
+    plan: &intent::Plan,
+    operator: &id::OperatorName,
+) -> Result<id::ConfigVersion, OperatorError> {
+    let weights = weights_of(app, &plan.intent).await?;
+    let mut lost: Option<objects::ObjectError> = None;
+    for _ in 0..CONFIRM_TRIES {
+        let present = read_config(app).await?;
+        let mut config = present.value.clone();
+        match config.confirm(plan, operator, weights.as_ref()) {
+            Ok(()) => {}
+            Err(error @ intent::IntentError::Superseded { .. }) => {
+                return Err(conflict(app, &present.value, plan, &error).await);
+            }
+            Err(source) => return Err(OperatorError::Intent { source }),
+        }
+        if config.version == present.value.version {
+            configuration::take(app, &present);
+            return Ok(confirmed_version(&config, &plan.id));
+        }
+        let name = configuration::CONFIG_OBJECT;
+        match app.objects.put(name, present.version, &config).await {
+            Ok(version) => {
+                let value = config;
+                let config_version = value.version;
+                configuration::take(app, &objects::Versioned { version, value });
+                log::info!("operators: {operator} confirmed plan {}.", plan.id);
+                return Ok(config_version);
+            }
+            // What is read back next tells whether the write took effect or another was faster.
+            Err(
+                error @ (objects::ObjectError::Conflict { .. }
+                | objects::ObjectError::Unreachable { .. }),
+            ) => lost = Some(error),
+            Err(source) => return Err(OperatorError::Platform { source }),
+        }
+    }
+    match lost {
+        Some(source) => Err(OperatorError::Platform { source }),
+        None => Err(OperatorError::NoConfig),
+    }
+}
+
+fn confirmed_version(config: &intent::Config, plan: &id::PlanId) -> id::ConfigVersion {
+    let confirmation = config.confirmations.iter().find(|one| one.plan == *plan);
+    confirmation.map_or(config.version, |one| one.config_version)
+}
+
+async fn conflict(
+    app: &app::App,
+    present: &intent::Config,
+    plan: &intent::Plan,
+    error: &intent::IntentError,
+) -> OperatorError {
+    let fresh = plan_against(app, present, plan.intent.clone()).await;
+    let message = match &fresh {
+        Ok(_) => error.to_string(),
+        Err(reason) => format!("{error}; planned anew: {reason}"),
+    };
+    OperatorError::Conflict {
+        message,
+        fresh_plan: fresh.ok().map(Box::new),
+    }
+}
+
+async fn read_config(app: &app::App) -> Result<objects::Versioned<intent::Config>, OperatorError> {
+    let read = app.objects.get(configuration::CONFIG_OBJECT).await;
+    let read = read.context(PlatformSnafu)?;
+    read.ok_or(OperatorError::NoConfig)
+}
+
+async fn weights_of(
+    app: &app::App,
+    intent: &intent::Intent,
+) -> Result<Option<intent::WeightsRef>, OperatorError> {
+    let intent::Intent::RollOut { version, .. } = intent else {
+        return Ok(None);
+    };
+    let manifest = app.store.manifest(version).await.context(StoreSnafu)?;
+    Ok(Some(intent::WeightsRef {
+        version: manifest.version.clone(),
+        manifest: manifest.digest(),
+        content: manifest.content,
+        total_bytes: manifest.total_bytes,
+    }))
+}
+
+fn new_plan_id() -> id::PlanId {
+    let number: u64 = rand::rng().random();
+    let text = format!("plan-{number:016x}");
+    match text.parse() {
+        Ok(plan_id) => plan_id,
+        Err(_) => unreachable!("a plan id made here is valid"),
+    }
+}
+
+/// Handles the question how things stand.
+pub async fn status(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    match authorise(&app, &call) {
+        Ok(_) => server::respond_json(StatusCode::OK, &status_of(&app)),
+        Err(error) => error.into_response(),
+    }
+}
+
+/// Returns how things stand, as far as this entry knows.
+#[must_use]
+pub fn status_of(app: &app::App) -> public::Status {
+    let config = app.config.load();
+    let view = app.view.load();
+    let services = config.services.iter().map(|(service, service_config)| {
+        let standing = intent::rollout::standing(&config, service, &view);
+        let weights = service_config.weights.as_ref();
+        let status = public::ServiceStatus {
+            version: weights.map(|weights| weights.version.clone()),
+            replica_count: standing.replica_count,
+            live_count: standing.live_count,
+            holding_count: standing.holding_count,
+            open_count: standing.open_count,
+        };
+        (service.clone(), status)
+    });
+    let confirmations = config.confirmations.iter().rev();
+    public::Status {
+        entry: app.settings.entry.clone(),
+        config_version: config.version,
+        platform_reachable: app.is_platform_reachable(),
+        duty_holder: lock(&app.lease).holder_seen().cloned(),
+        services: services.collect(),
+        draining: config.draining.clone(),
+        confirmations: confirmations.take(CONFIRMATIONS_SHOWN).cloned().collect(),
+    }
+}
+
+/// Handles another entry's question for counts.
+pub async fn counts(app: sync::Arc<app::App>, _call: server::Call) -> Response<Body> {
+    let counts = lock(&app.counter).to_counts(app.clock.now());
+    server::respond_json(StatusCode::OK, &counts)
+}
+
+/// Handles the question how service levels burn.
+pub async fn burn(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    match authorise(&app, &call) {
+        Ok(_) => server::respond_json(StatusCode::OK, &burn_of(&app).await),
+        Err(error) => error.into_response(),
+    }
+}
+
+async fn burn_of(app: &sync::Arc<app::App>) -> report::BurnReport {
+    let (others, missing) = peers::counts(app).await;
+    let mine = lock(&app.counter).to_counts(app.clock.now());
+    let mut heard = IndexMap::from([(app.settings.entry.to_string(), mine)]);
+    heard.extend(others);
+    report::queries::burn(&app.settings.objectives, &heard, &missing)
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,15 @@
+//! What the binaries share beside decisions: HTTP, settings, logs, metrics and signals.
+//!
+//! * [`server`]: the accept loop in front of a gotham router, with graceful shutdown.
+//! * [`client`]: an HTTP client that never sends a request twice by itself.
+//! * [`settings`]: YAML files checked whole.
+//! * [`pacer`]: bytes held to a rate.
+//! * [`logs`], [`metrics`], [`process`]: the rest of a binary's shell.
+
+pub mod client;
+pub mod logs;
+pub mod metrics;
+pub mod pacer;
+pub mod process;
+pub mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/runtime/src/process.rs
@@ -0,0 +1,68 @@
+//! Signals and the end of a process.
+
+use std::{io, sync, time};
+
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+
+/// Tells every part of a process to stop.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    sender: sync::Arc<watch::Sender<bool>>,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Stop {
+    /// Creates a switch that is not set.
+    #[must_use]
+    pub fn new() -> Self {
+        let sender = sync::Arc::new(watch::Sender::new(false));
+        Self { sender }
+    }
+
+    /// Sets the switch.
+    pub fn set(&self) {
+        self.sender.send_replace(true);
+    }
+
+    /// Returns whether the switch is set.
+    #[must_use]
+    pub fn is_set(&self) -> bool {
+        *self.sender.borrow()
+    }
+
+    /// Waits until the switch is set.
+    pub async fn wait(&self) {
+        let _ = self.sender.subscribe().wait_for(|stop| *stop).await;
+    }
+
+    /// Sleeps; returns false as soon as the switch is set.
+    pub async fn sleep(&self, duration: time::Duration) -> bool {
+        tokio::select! {
+            () = self.wait() => false,
+            () = tokio::time::sleep(duration) => true,
+        }
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// [`io::Error`] where the handlers can't be installed.
+pub async fn wait_for_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/runtime/src/settings.rs
@@ -0,0 +1,280 @@
+//! Settings in YAML, checked whole.
+//!
+//! A [`Checker`] reads one value after the other and collects every fault with its key path, the
+//! value found and what is allowed. [`Checker::finish`] adds the keys that nobody asked for, and
+//! returns either nothing or all faults.
+//!
+//! ```
+//! use pimentohook_runtime::settings;
+//!
+//! let mut checker = settings::Checker::from_text("entry.yaml", "listen: 127.0.0.1:80\nlsten: 1");
+//! let listen: Option<std::net::SocketAddr> = checker.required("listen", "an IP address and port");
+//! assert!(listen.is_some());
+//! let faults = checker.finish().unwrap_err().to_string();
+//! assert!(faults.contains("lsten"));
+//! ```
+
+use std::{fmt, fs, ops, path, str, time};
+
+use indexmap::IndexSet;
+use serde_yaml_ng::{Mapping, Value};
+use snafu::Snafu;
+
+/// One thing wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The key path, such as `limits.window_s`.
+    pub key: String,
+    /// The value found, where there is one.
+    pub value: Option<String>,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.value {
+            Some(value) => write!(f, "{}: {value}; allowed: {}", self.key, self.allowed),
+            None => write!(f, "{}: missing; allowed: {}", self.key, self.allowed),
+        }
+    }
+}
+
+/// Everything wrong with a settings file.
+#[derive(Debug, Snafu)]
+#[snafu(display("{file} has {} fault(s):{}", faults.len(), list(faults)))]
+pub struct SettingsError {
+    /// The file.
+    pub file: String,
+    /// The faults, in the order of checking.
+    pub faults: Vec<Fault>,
+}
+
+fn list(faults: &[Fault]) -> String {
+    faults.iter().map(|fault| format!("\n  {fault}")).collect()
+}
+
+/// Reads values from one mapping and collects faults.
+#[derive(Debug)]
+pub struct Checker {
+    file: String,
+    prefix: String,
+    mapping: Mapping,
+    asked: IndexSet<String>,
+    faults: Vec<Fault>,
+}
+
+const VALUE_TEXT_MAX: usize = 80;
+
+impl Checker {
+    /// Reads a file.
+    ///
+    /// A file that can't be read or is no YAML mapping is a fault like any other.
+    #[must_use]
+    pub fn from_file(path: &path::Path) -> Self {
+        let name = path.display().to_string();
+        match fs::read_to_string(path) {
+            Ok(text) => Self::from_text(&name, &text),
+            Err(error) => {
+                let mut checker = Self::new(&name, "", Mapping::new());
+                checker.push("(file)", Some(error.to_string()), "a readable file");
+                checker
+            }
+        }
+    }
+
+    /// Reads a text; `file` is named in faults.
+    #[must_use]
+    pub fn from_text(file: &str, text: &str) -> Self {
+        match serde_yaml_ng::from_str(text) {
+            Ok(Value::Mapping(mapping)) => Self::new(file, "", mapping),
+            Ok(other) => {
+                let mut checker = Self::new(file, "", Mapping::new());
+                checker.push("(file)", Some(to_text(&other)), "a YAML mapping");
+                checker
+            }
+            Err(error) => {
+                let mut checker = Self::new(file, "", Mapping::new());
+                checker.push("(file)", Some(error.to_string()), "valid YAML");
+                checker
+            }
+        }
+    }
+
+    fn new(file: &str, prefix: &str, mapping: Mapping) -> Self {
+        Self {
+            file: String::from(file),
+            prefix: String::from(prefix),
+            mapping,
+            asked: IndexSet::new(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// Returns whether a key is present.
+    #[must_use]
+    pub fn has(&self, key: &str) -> bool {
+        self.mapping.contains_key(key)
+    }
+
+    /// Reads a value that has to be there.
+    pub fn required<T>(&mut self, key: &str, allowed: &str) -> Option<T>
+    where
+        T: str::FromStr,
+    {
+        if !self.has(key) {
+            self.asked.insert(String::from(key));
+            self.push(key, None, allowed);
+            return None;
+        }
+        self.optional(key, allowed)
+    }
+
+    /// Reads a value that may be missing.
+    pub fn optional<T>(&mut self, key: &str, allowed: &str) -> Option<T>
+    where
+        T: str::FromStr,
+    {
+        self.asked.insert(String::from(key));
+        let value = self.mapping.get(key)?.clone();
+        let parsed = scalar(&value).and_then(|text| text.parse().ok());
+        if parsed.is_none() {
+            self.push(key, Some(to_text(&value)), allowed);
+        }
+        parsed
+    }
+
+    /// Reads a whole number within a range, or takes the default.
+    pub fn number(&mut self, key: &str, default: u64, range: ops::RangeInclusive<u64>) -> u64 {
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        match self.optional::<u64>(key, &allowed) {
+            Some(number) if !range.contains(&number) => {
+                self.push(key, Some(number.to_string()), &allowed);
+                default
+            }
+            Some(number) => number,
+            None => default,
+        }
+    }
+
+    /// Reads a duration in milliseconds within a range, or takes the default.
+    pub fn millis(
+        &mut self,
+        key: &str,
+        default: u64,
+        range: ops::RangeInclusive<u64>,
+    ) -> time::Duration {
+        time::Duration::from_millis(self.number(key, default, range))
+    }
+
+    /// Reads a list of values; a missing one is empty.
+    pub fn list<T>(&mut self, key: &str, allowed: &str) -> Vec<T>
+    where
+        T: str::FromStr,
+    {
+        self.asked.insert(String::from(key));
+        let Some(value) = self.mapping.get(key).cloned() else {
+            return Vec::new();
+        };
+        let Value::Sequence(items) = &value else {
+            self.push(key, Some(to_text(&value)), &format!("a list of {allowed}"));
+            return Vec::new();
+        };
+        let mut parsed = Vec::new();
+        for (index, item) in items.iter().enumerate() {
+            match scalar(item).and_then(|text| text.parse().ok()) {
+                Some(one) => parsed.push(one),
+                None => self.push(&format!("{key}[{index}]"), Some(to_text(item)), allowed),
+            }
+        }
+        parsed
+    }
+
+    /// Reads the keys and mappings under a key; `check` reads each.
+    pub fn sections<T, F>(&mut self, key: &str, mut check: F) -> Vec<(String, T)>
+    where
+        F: FnMut(&str, &mut Self) -> Option<T>,
+    {
+        self.asked.insert(String::from(key));
+        let Some(value) = self.mapping.get(key).cloned() else {
+            return Vec::new();
+        };
+        let Value::Mapping(mapping) = &value else {
+            self.push(key, Some(to_text(&value)), "a mapping");
+            return Vec::new();
+        };
+        let mut sections = Vec::new();
+        for (name, section) in mapping {
+            let name = scalar(name).unwrap_or_default();
+            let Value::Mapping(section) = section else {
+                self.push(
+                    &format!("{key}.{name}"),
+                    Some(to_text(section)),
+                    "a mapping",
+                );
+                continue;
+            };
+            let prefix = format!("{}{key}.{name}.", self.prefix);
+            let mut checker = Self::new(&self.file, &prefix, section.clone());
+            if let Some(checked) = check(&name, &mut checker) {
+                sections.push((name, checked));
+            }
+            checker.check_unknown();
+            self.faults.append(&mut checker.faults);
+        }
+        sections
+    }
+
+    /// Adds a fault.
+    pub fn push(&mut self, key: &str, value: Option<String>, allowed: &str) {
+        self.faults.push(Fault {
+            key: format!("{}{key}", self.prefix),
+            value,
+            allowed: String::from(allowed),
+        });
+    }
+
+    /// Ends the check.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with every fault, keys that nobody asked for included.
+    pub fn finish(mut self) -> Result<(), SettingsError> {
+        self.check_unknown();
+        if self.faults.is_empty() {
+            return Ok(());
+        }
+        Err(SettingsError {
+            file: self.file,
+            faults: self.faults,
+        })
+    }
+
+    fn check_unknown(&mut self) {
+        let known = self.asked.iter().cloned().collect::<Vec<_>>().join(", ");
+        let keys: Vec<Value> = self.mapping.keys().cloned().collect();
+        for key in keys {
+            let name = scalar(&key).unwrap_or_else(|| to_text(&key));
+            if !self.asked.contains(&name) {
+                let value = self.mapping.get(&key).map(to_text);
+                self.push(&name, value, &format!("one of the keys {known}"));
+            }
+        }
+    }
+}
+
+fn scalar(value: &Value) -> Option<String> {
+    match value {
+        Value::String(text) => Some(text.clone()),
+        Value::Number(number) => Some(number.to_string()),
+        Value::Bool(flag) => Some(flag.to_string()),
+        _ => None,
+    }
+}
+
+fn to_text(value: &Value) -> String {
+    let text = scalar(value)
+        .or_else(|| serde_yaml_ng::to_string(value).ok())
+        .unwrap_or_default();
+    text.trim().chars().take(VALUE_TEXT_MAX).collect()
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,380 @@
+//! An engine that batches in steps, and a plain service.
+
+use std::{sync, sync::atomic, time};
+
+use bytes::Bytes;
+use futures_util::stream;
+use gotham::{
+    helpers::http::Body,
+    prelude::{DefineSingleRoute as _, DrawRoutes as _},
+    router,
+};
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::{Response, StatusCode, body::Frame};
+use indexmap::IndexMap;
+use pimentohook_core::id;
+use pimentohook_platform::engine;
+use pimentohook_runtime::server;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+
+use crate::lock;
+
+const BODY_MAX_BYTES: usize = 1 << 20;
+const TOKENS_DEFAULT: u32 = 16;
+const QUEUE_MAX: usize = 64;
+
+/// What really happened at an engine or service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Runs {
+    /// How many times each request was started.
+    pub started: IndexMap<String, u32>,
+    /// How many times each request ran to its end.
+    pub completed: IndexMap<String, u32>,
+    /// How many requests ran while the weights changed or were not whole.
+    pub mixed_count: u32,
+    /// Orders refused for their fencing number.
+    pub fenced_count: u32,
+    /// Loads taken.
+    pub load_count: u32,
+}
+
+/// Switches for faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Each step takes this many times as long.
+    pub slow_factor: u32,
+    /// Old fencing numbers are refused.
+    pub checks_fencing: bool,
+    /// Answers stop without an end.
+    pub silent: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            slow_factor: 1,
+            checks_fencing: true,
+            silent: false,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    weights: Option<id::Digest>,
+    fencing: id::FencingNumber,
+    running_count: u32,
+    runs: Runs,
+    faults: Faults,
+}
+
+/// The engine.
+#[derive(Debug)]
+pub struct Engine {
+    state: sync::Mutex<State>,
+    slots: sync::Arc<Semaphore>,
+    queued_count: atomic::AtomicUsize,
+    step: watch::Sender<u64>,
+}
+
+impl Engine {
+    /// Creates an engine that serves weights with this digest, or none yet.
+    #[must_use]
+    pub fn new(
+        slot_count: usize,
+        step: time::Duration,
+        weights: Option<id::Digest>,
+    ) -> sync::Arc<Self> {
+        let state = State {
+            weights,
+            ..State::default()
+        };
+        let engine = sync::Arc::new(Self {
+            state: sync::Mutex::new(state),
+            slots: sync::Arc::new(Semaphore::new(slot_count)),
+            queued_count: atomic::AtomicUsize::new(0),
+            step: watch::Sender::new(0),
+        });
+        tokio::spawn(run_steps(sync::Arc::downgrade(&engine), step));
+        engine
+    }
+
+    /// Returns what happened so far.
+    #[must_use]
+    pub fn runs(&self) -> Runs {
+        lock(&self.state).runs.clone()
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// Returns the digest that it serves.
+    #[must_use]
+    pub fn weights(&self) -> Option<id::Digest> {
+        lock(&self.state).weights
+    }
+}
+
+async fn run_steps(engine: sync::Weak<Engine>, step: time::Duration) {
+    let mut ticks = tokio::time::interval(step);
+    let mut count: u64 = 0;
+    loop {
+        ticks.tick().await;
+        let Some(engine) = engine.upgrade() else {
+            return;
+        };
+        count += 1;
+        let slow_factor = u64::from(lock(&engine.state).faults.slow_factor.max(1));
+        if count.is_multiple_of(slow_factor) {
+            engine.step.send_modify(|steps| *steps += 1);
+        }
+    }
+}
+
+/// Returns the router of an engine.
+#[must_use]
+pub fn router(engine: &sync::Arc<Engine>) -> router::Router {
+    router::build_simple_router(|route| {
+        route
+            .get("/status")
+            .to_new_handler(server::endpoint(engine, status));
+        route
+            .put("/load")
+            .to_new_handler(server::endpoint(engine, load));
+        route
+            .post("/generate")
+            .to_new_handler(server::endpoint(engine, generate));
+        route
+            .post("/call")
+            .to_new_handler(server::endpoint(engine, call));
+        route
+            .get("/runs")
+            .to_new_handler(server::endpoint(engine, runs));
+        route
+            .post("/faults")
+            .to_new_handler(server::endpoint(engine, set_faults));
+    })
+}
+
+async fn status(engine: sync::Arc<Engine>, _call: server::Call) -> Response<Body> {
+    let state = lock(&engine.state);
+    let status = engine::EngineStatus {
+        weights: state.weights,
+        running_count: state.running_count,
+    };
+    server::respond_json(StatusCode::OK, &status)
+}
+
+async fn runs(engine: sync::Arc<Engine>, _call: server::Call) -> Response<Body> {
+    server::respond_json(StatusCode::OK, &engine.runs())
+}
+
+async fn set_faults(engine: sync::Arc<Engine>, call: server::Call) -> Response<Body> {
+    match call.read_json::<Faults>(BODY_MAX_BYTES).await {
+        Ok(faults) => {
+            engine.set_faults(faults);
+            server::respond_text(StatusCode::OK, "set")
+        }
+        Err(error) => server::respond_text(error.status(), &error.to_string()),
+    }
+}
+
+async fn load(engine: sync::Arc<Engine>, call: server::Call) -> Response<Body> {
+    let fencing = call.query("fencing").and_then(|text| text.parse().ok());
+    let content: Option<id::Digest> = call.query("content").and_then(|text| text.parse().ok());
+    let (Some(fencing), Some(content)) = (fencing, content) else {
+        return server::respond_text(StatusCode::BAD_REQUEST, "fencing and content are needed");
+    };
+    if !begin_load(&engine, fencing) {
+        return server::respond_text(StatusCode::CONFLICT, "old fencing number");
+    }
+    let mut body = call.into_body();
+    let mut hasher = id::Hasher::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        if let Some(bytes) = frame.data_ref() {
+            hasher.update(bytes);
+        }
+    }
+    let found = hasher.finish();
+    if found != content {
+        return server::respond_text(StatusCode::UNPROCESSABLE_ENTITY, "other content");
+    }
+    lock(&engine.state).weights = Some(found);
+    server::respond_text(StatusCode::OK, "loaded")
+}
+
+fn begin_load(engine: &Engine, fencing: id::FencingNumber) -> bool {
+    let mut state = lock(&engine.state);
+    if state.faults.checks_fencing && fencing < state.fencing {
+        state.runs.fenced_count += 1;
+        return false;
+    }
+    state.fencing = state.fencing.max(fencing);
+    state.runs.load_count += 1;
+    // Whatever runs now spans two sets of weights.
+    state.runs.mixed_count += state.running_count;
+    state.weights = None;
+    true
+}
+
+async fn generate(engine: sync::Arc<Engine>, call: server::Call) -> Response<Body> {
+    let request: engine::GenerateRequest = match call.read_json(BODY_MAX_BYTES).await {
+        Ok(request) => request,
+        Err(error) => return server::respond_text(error.status(), &error.to_string()),
+    };
+    let queued = engine.queued_count.fetch_add(1, atomic::Ordering::Relaxed);
+    let slot = if queued < QUEUE_MAX {
+        engine.slots.clone().acquire_owned().await.ok()
+    } else {
+        None
+    };
+    engine.queued_count.fetch_sub(1, atomic::Ordering::Relaxed);
+    let Some(slot) = slot else {
+        return server::respond_text(StatusCode::SERVICE_UNAVAILABLE, "full");
+    };
+    let Some(running) = Generation::start(&engine, &request, slot) else {
+        return server::respond_text(StatusCode::SERVICE_UNAVAILABLE, "no weights");
+    };
+    let lines = stream::unfold(running, |mut running| async move {
+        let line = running.next_line().await?;
+        Some((Ok::<_, std::io::Error>(Frame::data(line)), running))
+    });
+    Response::new(StreamBody::new(lines).boxed_unsync())
+}
+
+/// One request in the batch.
+struct Generation {
+    engine: sync::Arc<Engine>,
+    request_id: id::RequestId,
+    token_count: u32,
+    sent_count: u32,
+    step: watch::Receiver<u64>,
+    _slot: OwnedSemaphorePermit,
+}
+
+impl Generation {
+    fn start(
+        engine: &sync::Arc<Engine>,
+        request: &engine::GenerateRequest,
+        slot: OwnedSemaphorePermit,
+    ) -> Option<Self> {
+        let mut state = lock(&engine.state);
+        state.weights?;
+        let started = state.runs.started.entry(request.request_id.to_string());
+        *started.or_insert(0) += 1;
+        state.running_count += 1;
+        Some(Self {
+            engine: engine.clone(),
+            request_id: request.request_id.clone(),
+            token_count: token_count(&request.prompt),
+            sent_count: 0,
+            step: engine.step.subscribe(),
+            _slot: slot,
+        })
+    }
+
+    async fn next_line(&mut self) -> Option<Bytes> {
+        if self.sent_count > self.token_count {
+            return None;
+        }
+        self.step.changed().await.ok()?;
+        if lock(&self.engine.state).faults.silent {
+            std::future::pending::<()>().await;
+        }
+        let done = self.sent_count == self.token_count;
+        let text = if done {
+            String::new()
+        } else {
+            token(&self.request_id, self.sent_count)
+        };
+        self.sent_count += 1;
+        let weights = self.stamp();
+        if done {
+            let mut state = lock(&self.engine.state);
+            let completed = state.runs.completed.entry(self.request_id.to_string());
+            *completed.or_insert(0) += 1;
+        }
+        let line = engine::Line {
+            text,
+            weights,
+            done,
+        };
+        let mut bytes = serde_json::to_vec(&line).ok()?;
+        bytes.push(b'\n');
+        Some(Bytes::from(bytes))
+    }
+
+    /// The stamp is what is loaded now, so an answer over a change of weights shows it.
+    fn stamp(&self) -> id::Digest {
+        let state = lock(&self.engine.state);
+        state.weights.unwrap_or(id::Digest::new([0; 32]))
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        let mut state = lock(&self.engine.state);
+        state.running_count -= 1;
+    }
+}
+
+async fn call(engine: sync::Arc<Engine>, call: server::Call) -> Response<Body> {
+    let Some(request_id) = call.query("id").map(String::from) else {
+        return server::respond_text(StatusCode::BAD_REQUEST, "id is needed");
+    };
+    let mut steps = engine.step.subscribe();
+    *lock(&engine.state)
+        .runs
+        .started
+        .entry(request_id.clone())
+        .or_insert(0) += 1;
+    let body = match call.read_body(BODY_MAX_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return server::respond_text(error.status(), &error.to_string()),
+    };
+    let _ = steps.changed().await;
+    *lock(&engine.state)
+        .runs
+        .completed
+        .entry(request_id.clone())
+        .or_insert(0) += 1;
+    let answer = plain_answer(&request_id, &body);
+    server::respond(StatusCode::OK, "text/plain", Bytes::from(answer))
+}
+
+/// Returns the answer that a plain service gives.
+#[must_use]
+pub fn plain_answer(request_id: &str, body: &[u8]) -> String {
+    format!("done {request_id} {}", id::Digest::of(body))
+}
+
+/// Returns how many tokens a prompt asks for, written as `tokens=N` at its start.
+#[must_use]
+pub fn token_count(prompt: &str) -> u32 {
+    let stated = prompt.strip_prefix("tokens=");
+    let digits = stated.and_then(|rest| rest.split_whitespace().next());
+    digits
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(TOKENS_DEFAULT)
+}
+
+/// Returns one token of the answer to a request.
+#[must_use]
+pub fn token(request_id: &id::RequestId, index: u32) -> String {
+    let digest = id::Digest::of(format!("{request_id} {index}").as_bytes());
+    let mut text: String = digest.to_string().chars().take(7).collect();
+    text.push(' ');
+    text
+}
+
+/// Returns the whole answer to a request.
+#[must_use]
+pub fn whole_answer(request_id: &id::RequestId, prompt: &str) -> String {
+    (0..token_count(prompt))
+        .map(|index| token(request_id, index))
+        .collect()
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,60 @@
+//! Small stand-ins of what the platform gives, for tests and the demonstration.
+//!
+//! Each speaks the protocol that `docs/PLATFORM-PROTOCOLS.md` gives, keeps counts of what really
+//! happened, and has switches for its faults. The counts are what tests and the demonstration
+//! judge by, never what the system says of itself.
+//!
+//! * [`engine`]: an engine that batches in steps, and a plain service.
+//! * [`store`]: the rate-limited weight store and origin.
+//! * [`objects`]: the object API and the list of VMs.
+//! * [`relay`]: a byte relay that can fall silent.
+//! * [`fleet`]: a whole fleet in one process, on loopback.
+//! * [`caller`]: callers that check their answers.
+
+pub mod caller;
+pub mod engine;
+pub mod fleet;
+pub mod objects;
+pub mod relay;
+pub mod store;
+
+use std::{net, sync};
+
+use gotham::handler::NewHandler;
+use pimentohook_runtime::{process, server};
+
+/// A stand-in that listens.
+#[derive(Debug)]
+pub struct Running {
+    /// Where.
+    pub address: net::SocketAddr,
+    /// Ends it.
+    pub stop: process::Stop,
+}
+
+/// Locks a mutex; what a panicking holder left is still a whole value here.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Serves a router on an address; port 0 takes a free one.
+///
+/// # Errors
+///
+/// [`server::ServerError`] where the address can't be listened on.
+pub async fn start<H>(address: net::SocketAddr, router: H) -> Result<Running, server::ServerError>
+where
+    H: NewHandler + 'static,
+{
+    let listener = server::bind(address).await?;
+    let address = listener.local_addr().unwrap_or(address);
+    let stop = process::Stop::new();
+    tokio::spawn(server::serve(listener, router, stop.clone()));
+    Ok(Running { address, stop })
+}
+
+/// Returns loopback with a port that the system chooses.
+#[must_use]
+pub const fn any_port() -> net::SocketAddr {
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0)
+}
