Prove the promises over event orders, and add the command line and its checks

Cause: the whole path stood without tests and without a product's shell. Found: test sites took ephemeral ports that others had taken meanwhile (1 of 7 failed once); each process now has a loopback address of its own. The order of agents for a request moved from the entry's shell into the core, where the tests drive it.

--- a/crates/agent/src/answers.rs
+++ b/crates/agent/src/answers.rs
@@ -220,7 +220,7 @@
 pub struct Answers {
     kept_max: size::ByteCount,
     window: time::Duration,
-    answers: sync::Mutex<IndexMap<id::RequestId, sync::Arc<Answer>>>,
+    kept: sync::Mutex<IndexMap<id::RequestId, sync::Arc<Answer>>>,
 }
 
 impl Answers {
@@ -230,7 +230,7 @@
         Self {
             kept_max,
             window,
-            answers: sync::Mutex::new(IndexMap::new()),
+            kept: sync::Mutex::new(IndexMap::new()),
         }
     }
 
@@ -238,19 +238,19 @@
     #[must_use]
     pub fn open(&self, request_id: &id::RequestId) -> sync::Arc<Answer> {
         let answer = sync::Arc::new(Answer::new());
-        lock(&self.answers).insert(request_id.clone(), answer.clone());
+        lock(&self.kept).insert(request_id.clone(), answer.clone());
         answer
     }
 
     /// Returns an answer, where it is still kept.
     #[must_use]
     pub fn get(&self, request_id: &id::RequestId) -> Option<sync::Arc<Answer>> {
-        lock(&self.answers).get(request_id).cloned()
+        lock(&self.kept).get(request_id).cloned()
     }
 
     /// Drops an answer.
     pub fn forget(&self, request_id: &id::RequestId) {
-        lock(&self.answers).swap_remove(request_id);
+        lock(&self.kept).swap_remove(request_id);
     }
 
     /// Returns how many ended answers nobody has fetched whole.
@@ -260,14 +260,14 @@
             let content = lock(&answer.content);
             content.readers > 0 && !content.fetched
         };
-        lock(&self.answers).values().filter(unfetched).count()
+        lock(&self.kept).values().filter(unfetched).count()
     }
 
     /// Drops answers whose window has passed, and the oldest where too many bytes are kept.
     ///
     /// Those that were passed on go before those that were not.
     pub fn evict(&self, now: time::Instant) {
-        let mut answers = lock(&self.answers);
+        let mut answers = lock(&self.kept);
         answers.retain(|_, answer| {
             let ended_at = lock(&answer.content).ended_at;
             ended_at.is_none_or(|at| now.duration_since(at) <= self.window)
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -16,8 +16,8 @@
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 const POLL: time::Duration = time::Duration::from_millis(20);
-const READ_BACK_EVERY: time::Duration = time::Duration::from_millis(1_000);
-const LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(120);
+const READ_BACK_EVERY: time::Duration = time::Duration::from_secs(1);
+const LOAD_TIMEOUT: time::Duration = time::Duration::from_mins(2);
 
 /// Handles an order to bring weights into service.
 pub async fn activate(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -103,12 +103,7 @@
         let failure_domain = checker.required("failure_domain", NAME);
         let listen = checker.required("listen", ADDRESS);
         let advertise = checker.optional("advertise", ADDRESS);
-        let entries = checker.list("entries", ADDRESS);
-        if entries.is_empty() && checker.has("entries") {
-            checker.push("entries", None, "at least one address");
-        } else if entries.is_empty() {
-            checker.push("entries", None, &format!("a list of {ADDRESS}"));
-        }
+        let entries = checker.required_list("entries", ADDRESS);
         let kind = checker.required("kind", "engine or plain");
         let upstream = checker.required("upstream", ADDRESS);
         let weight_store = checker.optional("weight_store", ADDRESS);
--- /dev/null
+++ b/crates/cli/src/queries.rs
@@ -0,0 +1,83 @@
+//! Commands that read something.
+
+use std::{fs, path};
+
+use clap::ArgMatches;
+use pimentohook_agent::settings as agent_settings;
+use pimentohook_core::report;
+use pimentohook_entry::settings as entry_settings;
+use pimentohook_runtime::settings;
+use pimentohook_wire::public;
+
+use crate::{CliError, UsageSnafu, remote};
+
+/// Checks a settings file.
+pub fn check(matches: &ArgMatches) -> Result<(), CliError> {
+    let file = matches.get_one::<String>("file").map_or("", String::as_str);
+    let checker = settings::Checker::from_file(path::Path::new(file));
+    let kind = matches.get_one::<String>("kind").map(String::as_str);
+    let kind = kind.unwrap_or_else(|| if checker.has("vm") { "agent" } else { "entry" });
+    let result = if kind == "agent" {
+        agent_settings::AgentSettings::check(checker).map(|_| ())
+    } else {
+        entry_settings::EntrySettings::check(checker).map(|_| ())
+    };
+    match result {
+        Ok(()) => {
+            println!("{file}: good settings for an {kind}");
+            Ok(())
+        }
+        Err(error) => {
+            let message = error.to_string();
+            UsageSnafu { message }.fail()
+        }
+    }
+}
+
+/// Shows how the fleet stands.
+pub fn status(matches: &ArgMatches) -> Result<(), CliError> {
+    let remote = remote::Remote::from_matches(matches)?;
+    let status: public::Status = remote.get("/v1/status")?;
+    if matches.get_flag("json") {
+        println!("{}", serde_json::json!(status));
+        return Ok(());
+    }
+    let platform = if status.platform_reachable {
+        "reachable"
+    } else {
+        "not reachable: serving on, accepting nothing"
+    };
+    println!(
+        "{}: configuration {}, platform {platform}",
+        status.entry, status.config_version
+    );
+    for (service, one) in &status.services {
+        let version = one.version.as_ref().map_or("plain", |text| text.as_str());
+        println!(
+            "  {service}: {version} live on {} of {}, {} take work",
+            one.live_count, one.replica_count, one.open_count
+        );
+    }
+    for vm in &status.draining {
+        println!("  draining: {vm}");
+    }
+    Ok(())
+}
+
+/// Shows how service levels burn.
+pub fn burn(matches: &ArgMatches) -> Result<(), CliError> {
+    let remote = remote::Remote::from_matches(matches)?;
+    let report: report::BurnReport = remote.get("/v1/burn")?;
+    if let Some(file) = matches.get_one::<String>("html") {
+        let written = fs::write(file, report::page::to_html(&report));
+        written.map_err(|error| CliError::Usage {
+            message: format!("{file}: {error}"),
+        })?;
+    }
+    if matches.get_flag("json") {
+        println!("{}", serde_json::json!(report));
+    } else {
+        print!("{}", report::page::to_text(&report));
+    }
+    Ok(())
+}
--- a/crates/core/src/burst/activation.rs
+++ b/crates/core/src/burst/activation.rs
@@ -124,11 +124,9 @@
     #[must_use]
     pub const fn task(&self, running_count: usize) -> Task {
         match self.stage {
-            Stage::Unknown => Task::ReadBack,
-            Stage::Serving(_) => Task::Wait,
+            Stage::Unknown | Stage::Loading(_) => Task::ReadBack,
             Stage::Draining(weights) if running_count == 0 => Task::Load(weights),
-            Stage::Draining(_) => Task::Wait,
-            Stage::Loading(_) => Task::ReadBack,
+            Stage::Serving(_) | Stage::Draining(_) => Task::Wait,
         }
     }
 
--- a/crates/core/src/intent/queries.rs
+++ b/crates/core/src/intent/queries.rs
@@ -58,12 +58,12 @@
     pub fn plan(
         &self,
         plan_id: id::PlanId,
-        intent: Intent,
+        intent: &Intent,
         weights: Option<&WeightsRef>,
         view: &membership::View,
         costs: &Costs,
     ) -> Result<Plan, IntentError> {
-        check(self, &intent, weights)?;
+        check(self, intent, weights)?;
         let known = |vm: &id::VmId| view.member(vm).is_some();
         let mut plan = Plan {
             id: plan_id,
@@ -74,7 +74,7 @@
             estimated_ms: 0,
             serving_floor: 0,
         };
-        match &intent {
+        match intent {
             Intent::RollOut { services, version } => {
                 for service in services {
                     self.plan_rollout(&mut plan, service, version, weights, view, costs);
--- a/crates/core/src/limits/commands.rs
+++ b/crates/core/src/limits/commands.rs
@@ -53,20 +53,20 @@
 impl RetryBudget {
     /// Earns the share of a retry that a first attempt brings.
     pub fn earn(&self) {
-        let max = self.balance_max_hundredths;
-        let earned = self.per_request_hundredths;
-        self.balance_hundredths
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
-                Some((balance + earned).min(max))
+        let max = self.burst_count * queries::HUNDREDTHS;
+        let earned = self.earned_percent;
+        self.saved_hundredths
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |saved| {
+                Some((saved + earned).min(max))
             })
             .ok();
     }
 
     /// Spends one retry; false where the budget is used up.
     pub fn try_spend(&self) -> bool {
-        self.balance_hundredths
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
-                balance.checked_sub(queries::HUNDREDTHS)
+        self.saved_hundredths
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |saved| {
+                saved.checked_sub(queries::HUNDREDTHS)
             })
             .is_ok()
     }
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -51,10 +51,9 @@
 /// A budget of retries as a share of first attempts.
 #[derive(Debug)]
 pub struct RetryBudget {
-    /// Hundredths of a retry that may still be spent.
-    balance_hundredths: atomic::AtomicU64,
-    per_request_hundredths: u64,
-    balance_max_hundredths: u64,
+    saved_hundredths: atomic::AtomicU64,
+    earned_percent: u64,
+    burst_count: u64,
 }
 
 impl RetryBudget {
@@ -62,11 +61,10 @@
     /// most `burst_count` retries.
     #[must_use]
     pub fn new(percent: u64, burst_count: u64) -> Self {
-        let balance_max_hundredths = burst_count * queries::HUNDREDTHS;
         Self {
-            balance_hundredths: atomic::AtomicU64::new(balance_max_hundredths),
-            per_request_hundredths: percent,
-            balance_max_hundredths,
+            saved_hundredths: atomic::AtomicU64::new(burst_count * queries::HUNDREDTHS),
+            earned_percent: percent,
+            burst_count,
         }
     }
 }
--- a/crates/core/src/membership/queries.rs
+++ b/crates/core/src/membership/queries.rs
@@ -67,7 +67,7 @@
             .members_of(service)
             .map(|member| (score(member), member.clone()))
             .collect();
-        scored.sort_by(|left, right| right.0.cmp(&left.0));
+        scored.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
         scored.into_iter().map(|(_, member)| member).collect()
     }
 
--- a/crates/core/src/report/commands.rs
+++ b/crates/core/src/report/commands.rs
@@ -8,7 +8,7 @@
 use super::{EntryCounts, MINUTES_MAX, MinuteCount, Series};
 use crate::id;
 
-const MINUTE: time::Duration = time::Duration::from_secs(60);
+const MINUTE: time::Duration = time::Duration::from_mins(1);
 const LATENCY_MAX_MS: u64 = 3_600_000;
 const LATENCY_DIGITS: u8 = 2;
 
--- a/crates/entry/src/duties.rs
+++ b/crates/entry/src/duties.rs
@@ -18,8 +18,8 @@
 
 const POLL: time::Duration = time::Duration::from_millis(100);
 const READ_LEASE_EVERY: time::Duration = time::Duration::from_millis(500);
-const READ_VMS_EVERY: time::Duration = time::Duration::from_millis(1_000);
-const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const READ_VMS_EVERY: time::Duration = time::Duration::from_secs(1);
+const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// Takes part in the duties until the entry stops.
 pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -59,7 +59,7 @@
     serving: JoinHandle<()>,
 }
 
-const DRAIN_MAX: time::Duration = time::Duration::from_secs(120);
+const DRAIN_MAX: time::Duration = time::Duration::from_mins(2);
 
 impl Running {
     /// Drops out of the list of entries, serves on for as long as that list may be kept, then
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -173,7 +173,7 @@
     };
     let view = app.view.load();
     config
-        .plan(new_plan_id(), intent, weights.as_ref(), &view, &costs)
+        .plan(new_plan_id(), &intent, weights.as_ref(), &view, &costs)
         .context(IntentSnafu)
 }
 
--- a/crates/entry/src/origin.rs
+++ b/crates/entry/src/origin.rs
@@ -69,7 +69,7 @@
         let if_version = self.versions.get(&weights.manifest).copied().unwrap_or(0);
         let version = app.objects.put(&name, if_version, &ledger).await?;
         self.versions.insert(weights.manifest, version);
-        publish(app, weights.manifest, ledger);
+        publish(app, weights.manifest, &ledger);
         Ok(())
     }
 
@@ -81,7 +81,7 @@
     ) -> Result<(), objects::ObjectError> {
         let version = match app.objects.get::<ledger::Ledger>(name).await? {
             Some(object) => {
-                publish(app, manifest, object.value);
+                publish(app, manifest, &object.value);
                 object.version
             }
             None => 0,
@@ -96,7 +96,7 @@
     format!("origin.{digits}")
 }
 
-fn publish(app: &app::App, manifest: id::Digest, ledger: ledger::Ledger) {
+fn publish(app: &app::App, manifest: id::Digest, ledger: &ledger::Ledger) {
     app.ledgers.rcu(|ledgers| {
         let mut ledgers = IndexMap::clone(ledgers);
         ledgers.insert(manifest, ledger.clone());
--- a/crates/entry/src/phone.rs
+++ b/crates/entry/src/phone.rs
@@ -95,7 +95,7 @@
     page.push_str(notice);
     push_status(&mut page, &status);
     let token = escape(token);
-    let _ = write!(
+    let _ = writeln!(
         page,
         "<h2>New intent</h2><form method=\"post\">\
          <input type=\"hidden\" name=\"token\" value=\"{token}\">\
@@ -105,7 +105,7 @@
          <input name=\"service\" placeholder=\"service (roll out, move)\">\
          <input name=\"version\" placeholder=\"version (roll out)\">\
          <input name=\"vm\" placeholder=\"VM (drain, restore, move)\">\
-         <button>Show the plan</button></form>\n"
+         <button>Show the plan</button></form>"
     );
     page
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -9,9 +9,9 @@
 use pimentohook_core::{
     admission,
     clock::Clock as _,
-    id, intent, membership,
+    id, membership,
     report::commands::Outcome as Counted,
-    routing::{choice, score, walk},
+    routing::{path, score, walk},
 };
 use pimentohook_runtime::client;
 use pimentohook_wire::{messages, public};
@@ -92,7 +92,7 @@
 
 impl Relay {
     fn new(app: sync::Arc<app::App>, request: CallerRequest, begun_at: time::Instant) -> Self {
-        let (members, walk) = plan_walk(&app, &request);
+        let path::Path { members, walk } = plan(&app, &request);
         Self {
             app,
             request,
@@ -221,11 +221,7 @@
 
     async fn revoke(&mut self, position: usize, through: id::AttemptNumber) -> walk::Event {
         let member = self.members[position].clone();
-        // A frozen entry must not settle a dispatch that agents have forgotten since.
-        let too_old = self.sent_at.is_some_and(|at| {
-            self.app.clock.now().duration_since(at) > self.app.settings.window / 2
-        });
-        if too_old || member.departed_at.is_some() {
+        if member.departed_at.is_some() {
             return walk::Event::ReceiptLost;
         }
         let request = messages::RevokeRequest {
@@ -384,96 +380,27 @@
 }
 
 /// Chooses the agents that a request may go to, in order.
-fn plan_walk(
-    app: &app::App,
-    request: &CallerRequest,
-) -> (Vec<sync::Arc<membership::Member>>, walk::Walk) {
-    let view = app.view.load();
-    let config = app.config.load();
+fn plan(app: &app::App, request: &CallerRequest) -> path::Path {
     let now = app.clock.now();
-    let usable = |member: &membership::Member| is_usable(&config, request, member);
-    if request.idempotent {
-        let members = choose(app, &view, request, usable);
-        let stops = stops(&view, now, &members, usable);
-        return (members, walk::Walk::first(stops, request.attempt, true));
-    }
-    let (service, request_id) = (&request.service, &request.request_id);
-    let length = app.settings.chain_length;
-    let usable_members = view.first_attempt_chain(now, service, request_id, length);
-    if request.first {
-        let stops = stops(&view, now, &usable_members, usable);
-        let walk = walk::Walk::first(stops, request.attempt, false);
-        return (usable_members, walk);
-    }
-    let members = view.earlier_attempt_chain(now, service, request_id, length);
-    let in_chain = |member: &membership::Member| {
-        let same = |one: &sync::Arc<membership::Member>| one.report.vm == member.report.vm;
-        usable(member) && usable_members.iter().any(same)
-    };
-    let stops = stops(&view, now, &members, in_chain);
-    // This entry has not heard of agents that departed before it started.
-    let doubtful = now.duration_since(app.started_at) < app.settings.window;
-    let walk = walk::Walk::again(stops, request.attempt, doubtful);
-    (members, walk)
-}
-
-fn is_usable(
-    config: &intent::Config,
-    request: &CallerRequest,
-    member: &membership::Member,
-) -> bool {
-    let allowed = config.allowed_weights(&request.service);
-    let served = member.report.weights;
-    let weights_fit = if allowed.is_empty() {
-        served.is_none()
-    } else {
-        allowed
-            .iter()
-            .any(|weights| Some(weights.content) == served)
+    let planner = path::Planner {
+        view: &app.view.load(),
+        config: &app.config.load(),
+        now,
+        uptime: now.duration_since(app.started_at),
+        chain_length: app.settings.chain_length,
     };
-    member.is_open() && weights_fit && !config.draining.contains(&member.report.vm)
-}
-
-fn stops<F>(
-    view: &membership::View,
-    now: time::Instant,
-    members: &[sync::Arc<membership::Member>],
-    usable: F,
-) -> Vec<walk::Stop>
-where
-    F: Fn(&membership::Member) -> bool,
-{
-    let stop = |member: &sync::Arc<membership::Member>| walk::Stop {
-        vm: member.report.vm.clone(),
-        usable: usable(member),
-        whole_history: view.has_whole_history(now, member),
+    let query = path::Query {
+        request_id: request.request_id.clone(),
+        attempt: request.attempt,
+        first: request.first,
+        service: request.service.clone(),
+        idempotent: request.idempotent,
     };
-    members.iter().map(stop).collect()
-}
-
-/// Chooses up to three agents: each is the choice among those not chosen yet.
-fn choose<F>(
-    app: &app::App,
-    view: &membership::View,
-    request: &CallerRequest,
-    usable: F,
-) -> Vec<sync::Arc<membership::Member>>
-where
-    F: Fn(&membership::Member) -> bool,
-{
-    let records = app.records.load();
-    let mut candidates: Vec<_> = view
-        .members_of(&request.service)
-        .filter(|member| usable(member))
-        .filter_map(|member| Some((member.clone(), records.get(&member.report.vm)?.clone())))
-        .collect();
-    let mut chosen = Vec::new();
-    while chosen.len() <= RETRIES_MAX {
-        let scores: Vec<&score::Record> = candidates.iter().map(|(_, record)| &**record).collect();
-        let policy = choice::Policy::TwoChoices;
-        let picked = choice::choose(policy, &scores, app.now_ms(), 0, &mut rand::rng());
-        let Some(picked) = picked else { break };
-        chosen.push(candidates.swap_remove(picked).0);
+    if request.idempotent {
+        let records = app.records.load();
+        let record_of = |vm: &id::VmId| records.get(vm).cloned();
+        planner.plan_repeatable(&query, record_of, app.now_ms(), &mut rand::rng())
+    } else {
+        planner.plan_once(&query)
     }
-    chosen
 }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
 
-const STATUS_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+const STATUS_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 const LINE_MAX_BYTES: usize = 64 << 10;
 
 /// A call to an engine that failed.
@@ -136,13 +136,11 @@
         let path = format!("/load?fencing={fencing}&content={content}");
         let address = self.address;
         let sending = stream_put(address, &path, pieces);
-        let response = match tokio::time::timeout(timeout, sending).await {
-            Ok(response) => response?,
-            Err(_) => {
-                let timed_out = client::ClientError::Timeout { address, timeout };
-                return Err(timed_out).context(UnreachableSnafu);
-            }
+        let Ok(response) = tokio::time::timeout(timeout, sending).await else {
+            let timed_out = client::ClientError::Timeout { address, timeout };
+            return Err(timed_out).context(UnreachableSnafu);
         };
+        let response = response?;
         let status = response.status();
         if status != StatusCode::OK {
             return RefusedSnafu { status }.fail();
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -11,7 +11,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::Semaphore;
 
-const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 const OPEN_CALLS_MAX: usize = 4;
 
 /// A call to the object API that failed.
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-const LIST_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+const LIST_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// The list could not be read.
 #[derive(Debug, Snafu)]
--- a/crates/platform/src/weights.rs
+++ b/crates/platform/src/weights.rs
@@ -8,7 +8,7 @@
 use pimentohook_runtime::client;
 use snafu::{ResultExt, Snafu};
 
-const MANIFEST_TIMEOUT: time::Duration = time::Duration::from_millis(3_000);
+const MANIFEST_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// A call to the weight store that failed.
 #[derive(Debug, Snafu)]
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -20,7 +20,7 @@
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time as tokio_time;
 
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 const POOL_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
 /// A call that did not lead to a response.
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -51,7 +51,12 @@
 }
 
 fn list(faults: &[Fault]) -> String {
-    faults.iter().map(|fault| format!("\n  {fault}")).collect()
+    let mut text = String::new();
+    for fault in faults {
+        text.push_str("\n  ");
+        text.push_str(&fault.to_string());
+    }
+    text
 }
 
 /// Reads values from one mapping and collects faults.
@@ -190,6 +195,19 @@
         parsed
     }
 
+    /// Reads a list of at least one value.
+    pub fn required_list<T>(&mut self, key: &str, allowed: &str) -> Vec<T>
+    where
+        T: str::FromStr,
+    {
+        let before = self.faults.len();
+        let parsed = self.list(key, allowed);
+        if parsed.is_empty() && self.faults.len() == before {
+            self.push(key, None, &format!("a list of {allowed}"));
+        }
+        parsed
+    }
+
     /// Reads the keys and mappings under a key; `check` reads each.
     pub fn sections<T, F>(&mut self, key: &str, mut check: F) -> Vec<(String, T)>
     where
--- /dev/null
+++ b/crates/runtime/tests/settings.rs
@@ -0,0 +1,45 @@
+//! Settings: no text makes the checker panic, and every fault is reported at once.
+
+use std::net;
+
+use pimentohook_runtime::settings::Checker;
+use proptest::prelude::*;
+
+fn check(text: &str) -> Result<(), String> {
+    let mut checker = Checker::from_text("test.yaml", text);
+    let _: Option<net::SocketAddr> = checker.required("listen", "an IP address and port");
+    checker.number("count", 1, 1..=9);
+    checker.list::<u16>("ports", "a port");
+    checker.sections("parts", |_, part| {
+        part.number("size", 1, 1..=9);
+        Some(())
+    });
+    checker.finish().map_err(|error| error.to_string())
+}
+
+proptest! {
+    #[test]
+    fn no_text_makes_the_checker_panic(text in "[a-z:\\[\\]{}\\-#&*!|>'\"%@`0-9 \n]{0,200}") {
+        let _ = check(&text);
+    }
+}
+
+#[test]
+fn every_fault_is_reported_at_once() {
+    let text = "listen: here\ncount: 10\nports: [1, x]\nparts: {a: {size: big, sise: 1}}\nmore: 1";
+    insta::assert_snapshot!(check(text).expect_err("faults"), @r"
+    test.yaml has 6 fault(s):
+      listen: here; allowed: an IP address and port
+      count: 10; allowed: a whole number from 1 to 9
+      ports[1]: x; allowed: a port
+      parts.a.size: big; allowed: a whole number from 1 to 9
+      parts.a.sise: 1; allowed: one of the keys size
+      more: 1; allowed: one of the keys listen, count, ports, parts
+    ");
+}
+
+#[test]
+fn good_settings_pass() {
+    let text = "listen: 127.0.0.1:80\ncount: 9\nports: [1, 2]\nparts: {a: {size: 3}}";
+    assert_eq!(check(text), Ok(()));
+}
--- a/crates/standin/src/bin/pimentohook-demo.rs
+++ b/crates/standin/src/bin/pimentohook-demo.rs
@@ -15,11 +15,12 @@
 const TRIES_MAX: u64 = 40;
 const ORGANISATION_COUNT: u32 = 10;
 const POLL: time::Duration = time::Duration::from_millis(10);
-const SPREAD: time::Duration = time::Duration::from_millis(7_000);
+const SPREAD: time::Duration = time::Duration::from_secs(7);
 const FLAG_REPLICAS: &str = "replicas";
 
+/// What is printed.
 #[derive(Debug, Default, Serialize)]
-struct Outcome {
+struct Summary {
     replicas: usize,
     policy: burst::Policy,
     time_to_live_ms: u64,
@@ -41,7 +42,7 @@
     not_run_told: usize,
 }
 
-impl Outcome {
+impl Summary {
     fn is_right(&self) -> bool {
         let wrong = self.answered_wrong + self.doubled + self.lost;
         wrong == 0 && self.mixed_weights == 0 && self.time_to_live_ms > 0
@@ -97,7 +98,7 @@
     }
 }
 
-fn print_outcome(outcome: &Outcome, json: bool) {
+fn print_outcome(outcome: &Summary, json: bool) {
     if json {
         println!("{}", serde_json::to_string(outcome).unwrap_or_default());
         return;
@@ -128,7 +129,7 @@
 }
 
 #[tokio::main]
-async fn run(matches: &clap::ArgMatches) -> Result<Outcome, Box<dyn std::error::Error>> {
+async fn run(matches: &clap::ArgMatches) -> Result<Summary, Box<dyn std::error::Error>> {
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(0);
     let json = matches.get_flag("json");
     let link_rate = size::ByteRate::new(number("link-mib-s") << 20);
@@ -354,11 +355,11 @@
 
 /// Judges by what callers got and what the stand-ins saw.
 #[expect(clippy::cast_precision_loss, reason = "a ratio for people to read")]
-fn judge(fleet: &fleet::Fleet, calls: &[Option<CallResult>]) -> Outcome {
-    let mut outcome = Outcome {
+fn judge(fleet: &fleet::Fleet, calls: &[Option<CallResult>]) -> Summary {
+    let mut outcome = Summary {
         replicas: fleet.machines.len(),
         requests_sent: calls.len(),
-        ..Outcome::default()
+        ..Summary::default()
     };
     let mut totals = Vec::new();
     let (mut before, mut during) = (Vec::new(), Vec::new());
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -13,7 +13,7 @@
 
 const RESUMES_MAX: usize = 6;
 const RESUME_PAUSE: time::Duration = time::Duration::from_millis(50);
-const HEAD_GRACE: time::Duration = time::Duration::from_millis(2_000);
+const HEAD_GRACE: time::Duration = time::Duration::from_secs(2);
 
 /// What a caller asks.
 #[derive(Clone, Debug)]
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -107,6 +107,12 @@
         lock(&self.state).runs.clone()
     }
 
+    /// Returns how many requests run.
+    #[must_use]
+    pub fn running_count(&self) -> u32 {
+        lock(&self.state).running_count
+    }
+
     /// Sets the faults.
     pub fn set_faults(&self, faults: Faults) {
         lock(&self.state).faults = faults;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -164,12 +164,6 @@
     text.parse().context(NameSnafu)
 }
 
-fn address_of(index: usize) -> net::IpAddr {
-    let index = u32::try_from(index).unwrap_or(0);
-    let base = u32::from(net::Ipv4Addr::new(127, 77, 0, 1));
-    net::IpAddr::V4(net::Ipv4Addr::from(base + index))
-}
-
 fn weights_ref(manifest: &burst::manifest::Manifest) -> intent::WeightsRef {
     intent::WeightsRef {
         version: manifest.version.clone(),
@@ -211,13 +205,8 @@
         let api = api.context(ListenSnafu)?.address;
         let origin = crate::start(crate::any_port(), store::router(&store)).await;
         let origin = origin.context(ListenSnafu)?.address;
-        let mut entry_addresses = Vec::new();
-        for index in 0..options.entry_count {
-            let ip = address_of(index);
-            let listener = server::bind(net::SocketAddr::new(ip, 0)).await;
-            let listener = listener.context(ListenSnafu)?;
-            entry_addresses.push(listener.local_addr().context(RelaySnafu)?);
-        }
+        let addresses = (0..options.entry_count).map(|_| crate::new_address());
+        let entry_addresses: Vec<_> = addresses.collect();
         let mut entries = Vec::new();
         for index in 0..options.entry_count {
             let settings = entry_settings(options, index, &entry_addresses, api, origin)?;
@@ -254,18 +243,13 @@
         weights: Option<id::Digest>,
         origin: net::SocketAddr,
     ) -> Result<Machine, FleetError> {
-        let ip = address_of(MACHINES_FROM + index);
+        let listen = crate::new_address();
         let engine = engine::Engine::new(options.slot_count, options.step, weights);
         let upstream = crate::start(crate::any_port(), engine::router(&engine)).await;
         let upstream = upstream.context(ListenSnafu)?;
-        let listener = server::bind(net::SocketAddr::new(ip, 0)).await;
-        let listen = listener
-            .context(ListenSnafu)?
-            .local_addr()
-            .context(RelaySnafu)?;
         let relay = relay::Relay::start(listen).await.context(RelaySnafu)?;
         let mut machine = Machine {
-            ip,
+            ip: listen.ip(),
             engine,
             upstream,
             relay,
@@ -344,9 +328,8 @@
     }
 }
 
-const MACHINES_FROM: usize = 256;
 const READY_POLL: time::Duration = time::Duration::from_millis(50);
-const STATUS_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const STATUS_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// Reads the status of an entry with the fleet's token.
 pub async fn status(
@@ -455,7 +438,7 @@
         frame_silence_max: time::Duration::from_millis(800),
         retry_percent: 10,
         body_max: size::ByteCount::new(1 << 20),
-        lease_term: time::Duration::from_millis(1_000),
+        lease_term: time::Duration::from_secs(1),
         weights_rate: options.link_rate,
         grant_patience: time::Duration::from_secs(2),
         metrics: None,
@@ -491,12 +474,12 @@
         window: options.window,
         remembered_max: 100_000,
         answers_max: size::ByteCount::new(16 << 20),
-        view_age_max: time::Duration::from_millis(3_000),
+        view_age_max: time::Duration::from_secs(3),
         heartbeat_every: time::Duration::from_millis(200),
-        upstream_silence_max: time::Duration::from_millis(3_000),
-        orphan_max: time::Duration::from_millis(2_000),
+        upstream_silence_max: time::Duration::from_secs(3),
+        orphan_max: time::Duration::from_secs(2),
         weights_rate: options.link_rate,
-        stall_max: time::Duration::from_millis(2_000),
+        stall_max: time::Duration::from_secs(2),
         drain_max: time::Duration::from_secs(20),
         metrics: None,
         log_level: String::from("warn"),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod relay;
 pub mod store;
 
-use std::{net, sync};
+use std::{net, process as system, sync, sync::atomic};
 
 use gotham::handler::NewHandler;
 use pimentohook_runtime::{process, server};
@@ -53,6 +53,28 @@
     Ok(Running { address, stop })
 }
 
+static ADDRESS_COUNT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
+const PORT: u16 = 7_000;
+const HOSTS_PER_NET: u32 = 254;
+const NETS: u32 = 128;
+
+/// Returns an address on loopback that nobody else in this process gets.
+///
+/// Its port is below those that the system hands out, so no connection takes it meanwhile.
+#[must_use]
+pub fn new_address() -> net::SocketAddr {
+    let count = ADDRESS_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+    let octet = |number: u32| u8::try_from(number % 256).unwrap_or(0);
+    let ip = net::Ipv4Addr::new(
+        127,
+        octet(NETS / 2 + system::id() % NETS),
+        octet(count / HOSTS_PER_NET),
+        octet(1 + count % HOSTS_PER_NET),
+    );
+    net::SocketAddr::new(net::IpAddr::V4(ip), PORT)
+}
+
 /// Returns loopback with a port that the system chooses.
 #[must_use]
 pub const fn any_port() -> net::SocketAddr {
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -51,7 +51,7 @@
 /// The object API.
 #[derive(Debug)]
 pub struct Objects {
-    objects: sync::Mutex<IndexMap<String, Object>>,
+    kept: sync::Mutex<IndexMap<String, Object>>,
     vms: sync::Mutex<Vec<vms::Vm>>,
     faults: sync::Mutex<Faults>,
     counts: sync::Mutex<Counts>,
@@ -63,7 +63,7 @@
     #[must_use]
     pub fn new() -> sync::Arc<Self> {
         sync::Arc::new(Self {
-            objects: sync::Mutex::new(IndexMap::new()),
+            kept: sync::Mutex::new(IndexMap::new()),
             vms: sync::Mutex::new(Vec::new()),
             faults: sync::Mutex::new(Faults::default()),
             counts: sync::Mutex::new(Counts::default()),
@@ -89,7 +89,7 @@
 
     /// Writes an object regardless of its version.
     pub fn set(&self, name: &str, value: serde_json::Value) {
-        let mut objects = lock(&self.objects);
+        let mut objects = lock(&self.kept);
         let version = objects.get(name).map_or(1, |object| object.version + 1);
         objects.insert(String::from(name), Object { version, value });
         drop(objects);
@@ -99,13 +99,13 @@
     /// Returns the value of an object.
     #[must_use]
     pub fn value(&self, name: &str) -> Option<serde_json::Value> {
-        lock(&self.objects)
+        lock(&self.kept)
             .get(name)
             .map(|object| object.value.clone())
     }
 
     fn update(&self, name: &str, if_version: u64, value: serde_json::Value) -> Result<u64, u64> {
-        let mut objects = lock(&self.objects);
+        let mut objects = lock(&self.kept);
         let present = objects.get(name).map_or(0, |object| object.version);
         if present != if_version {
             return Err(present);
@@ -118,7 +118,7 @@
     }
 
     fn newer(&self, name: &str, after: u64) -> Option<Object> {
-        let objects = lock(&self.objects);
+        let objects = lock(&self.kept);
         let object = objects.get(name)?;
         (object.version > after).then(|| object.clone())
     }
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,63 @@
+//! The frame decoder: every cut of a stream gives the same frames, and no bytes make it panic.
+
+use bytes::Bytes;
+use pimentohook_wire::frames::{Decoder, FRAME_MAX_BYTES, Frame};
+use proptest::prelude::*;
+
+fn frame() -> impl Strategy<Value = Frame> {
+    prop_oneof![
+        Just(Frame::KeepAlive),
+        (any::<u64>(), prop::collection::vec(any::<u8>(), 0..100)).prop_map(
+            |(offset_bytes, bytes)| Frame::Data {
+                offset_bytes,
+                bytes: Bytes::from(bytes),
+            }
+        ),
+        ".{0,40}".prop_map(|reason| Frame::Failed { reason }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn any_cut_gives_the_same_frames(
+        frames in prop::collection::vec(frame(), 0..10),
+        cuts in prop::collection::vec(1_usize..50, 1..20),
+    ) {
+        let mut stream = Vec::new();
+        for frame in &frames {
+            stream.extend_from_slice(&frame.to_bytes().expect("frames encode"));
+        }
+        let mut decoder = Decoder::new();
+        let mut decoded = Vec::new();
+        let mut rest = &stream[..];
+        for cut in cuts.iter().cycle() {
+            let (piece, after) = rest.split_at((*cut).min(rest.len()));
+            decoder.push(piece);
+            while let Some(frame) = decoder.try_next::<Frame>().expect("frames decode") {
+                decoded.push(frame);
+            }
+            rest = after;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(decoded, frames);
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_refused_or_waited_for(
+        bytes in prop::collection::vec(any::<u8>(), 0..400),
+    ) {
+        let mut decoder = Decoder::new();
+        decoder.push(&bytes);
+        while let Ok(Some(_)) = decoder.try_next::<Frame>() {}
+    }
+}
+
+#[test]
+fn a_length_beyond_the_limit_is_refused_before_its_bytes_come() {
+    let mut decoder = Decoder::new();
+    let length = u32::try_from(FRAME_MAX_BYTES + 1).expect("fits");
+    decoder.push(&length.to_le_bytes());
+    assert!(decoder.try_next::<Frame>().is_err());
+}
