Keep origin grants for chunks that nobody holds yet

Cause: machines called themselves starved while they merely knew nobody yet, and the ledger spent its grants on them before every chunk had been granted once.

--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -123,7 +123,10 @@
                 open += 1;
             }
         }
-        self.relieve_starved(now, supply, clock, patience);
+        let everywhere = counts.iter().all(|count| *count > 0);
+        if everywhere {
+            self.relieve_starved(now, supply, clock, patience);
+        }
         self.grants.len() - before
     }
 
--- a/crates/core/src/burst/receiver.rs
+++ b/crates/core/src/burst/receiver.rs
@@ -221,11 +221,14 @@
         }
     }
 
-    /// Returns whether chunks are missing that no known peer can give.
+    /// Returns whether everybody known who holds a missing chunk has passed on all it may.
+    ///
+    /// A machine that knows nobody with a missing chunk is not starved: it waits for news.
     #[must_use]
     pub fn is_starved(&self) -> bool {
-        let can_give = |peer: &Peer| !peer.spent && peer.info.held.exceeds(&self.held);
-        !self.is_complete() && self.open_count == 0 && !self.peers.values().any(can_give)
+        let useful = |peer: &&Peer| peer.info.held.exceeds(&self.held);
+        let mut useful = self.peers.values().filter(useful).peekable();
+        self.open_count == 0 && useful.peek().is_some() && useful.all(|peer| peer.spent)
     }
 
     fn close(&mut self, fetch: &Fetch) {
