Spread pulls over peers heard of lately, and let origin pulls run beside them

Cause: receivers kept the 32 peers that held most, so all of them asked the same givers; a pull from the origin took up the slot for pulls from peers; repeated grants used up what first grants needed.

--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -13,6 +13,7 @@
 use crate::id;
 
 const HUNDRED: u64 = 100;
+const SPREAD_HOLDERS: u32 = 2;
 
 /// One permission to pull one chunk from the origin.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,17 +91,16 @@
         self.grants.iter().filter(mine)
     }
 
-    /// Returns how many chunks may be granted in all.
+    /// Returns how many chunks may be granted while each of them is held somewhere.
     #[must_use]
     pub fn grant_max(&self) -> usize {
         let percent = self.policy.origin_percent().min(ORIGIN_LIMIT_PERCENT);
-        let max = u64::from(self.chunk_count) * u64::from(percent) / HUNDRED;
-        usize::try_from(max).unwrap_or(usize::MAX)
+        self.percent_of_chunks(percent)
     }
 
     /// Adds the grants that the supply calls for; returns how many were added.
     ///
-    /// A chunk is granted where nobody holds it, again where its grant has not led to a holder
+    /// A chunk is granted where nobody holds it, again where its grant has not made it spread
     /// within `patience`, and, once every chunk has its grants, to machines that are starved.
     pub fn extend(
         &mut self,
@@ -113,10 +113,11 @@
         let counts = self.counts();
         let mut open = self.open_count(now, supply, clock, &counts, patience);
         for chunk in 0..self.chunk_count {
-            if open >= self.policy.open_grants_max() || self.grants.len() >= self.grant_max() {
+            if open >= self.policy.open_grants_max() {
                 break;
             }
             if self.needs_grant(now, chunk, supply, clock, &counts, patience)
+                && self.may_grant(chunk, supply, &counts)
                 && let Some(receiver) = self.choose_receiver(chunk, supply)
             {
                 self.push(now, chunk, receiver, clock);
@@ -130,6 +131,32 @@
         self.grants.len() - before
     }
 
+    /// Returns whether the limits leave room for a grant of a chunk.
+    ///
+    /// A repeated grant leaves room for the first one of each chunk. The policy's share gives way
+    /// to the hard limit only for a chunk that is held nowhere, which nobody could get otherwise.
+    fn may_grant(&self, chunk: u32, supply: &Supply, counts: &[u32]) -> bool {
+        let index = chunk as usize;
+        let repeated = counts.get(index) > Some(&0);
+        let held_nowhere = supply.holder_counts.get(index) == Some(&0);
+        let max = if repeated && held_nowhere {
+            self.percent_of_chunks(ORIGIN_LIMIT_PERCENT)
+        } else {
+            self.grant_max()
+        };
+        let reserved = if repeated {
+            counts.iter().filter(|count| **count == 0).count()
+        } else {
+            0
+        };
+        self.grants.len() + reserved < max
+    }
+
+    fn percent_of_chunks(&self, percent: u32) -> usize {
+        let max = u64::from(self.chunk_count) * u64::from(percent) / HUNDRED;
+        usize::try_from(max).unwrap_or(usize::MAX)
+    }
+
     fn push(
         &mut self,
         now: time::Instant,
@@ -170,15 +197,17 @@
         let index = chunk as usize;
         let granted = counts.get(index).copied().unwrap_or(0);
         let holders = supply.holder_counts.get(index).copied().unwrap_or(0);
-        if holders > 0 {
-            return granted > 0 && granted < self.policy.grants_per_chunk();
-        }
         if granted == 0 {
-            return true;
+            return holders == 0;
         }
         // A grantor that took over does not know the time of earlier grants and waits once more.
         let at = *clock.granted_at.entry(chunk).or_insert(now);
-        now.duration_since(at) > patience
+        let overdue = now.duration_since(at) > patience;
+        let receivers = u32::try_from(supply.receivers.len()).unwrap_or(u32::MAX);
+        // A single holder that passes nothing on after that long may never do so.
+        let stuck = holders < receivers.min(SPREAD_HOLDERS);
+        let planned = holders > 0 && granted < self.policy.grants_per_chunk();
+        planned || (overdue && stuck)
     }
 
     fn open_count(
--- a/crates/core/src/burst/receiver.rs
+++ b/crates/core/src/burst/receiver.rs
@@ -13,14 +13,16 @@
 use super::{chunks, giver};
 use crate::id;
 
+const FAULT_DOUBLINGS_MAX: u32 = 6;
+
 /// How long a source is left alone.
 #[derive(Clone, Copy, Debug)]
 pub struct ReceiverLimits {
     /// After it refused because of other uploads.
     pub busy_pause: time::Duration,
-    /// After it stalled, broke off or sent corrupt bytes.
+    /// After it stalled, broke off or sent corrupt bytes; doubled each time it does so again.
     pub fault_pause: time::Duration,
-    /// How many chunks are pulled at once.
+    /// How many chunks are pulled from peers at once; granted ones come in addition.
     pub open_max: usize,
     /// How many peers are kept.
     pub peers_max: usize,
@@ -43,6 +45,7 @@
 struct Peer {
     info: PeerInfo,
     paused_until: Option<time::Instant>,
+    fault_count: u32,
     spent: bool,
     open: bool,
 }
@@ -138,11 +141,12 @@
             return;
         }
         if self.peers.len() >= self.limits.peers_max {
-            self.drop_idle_peer();
+            self.drop_oldest_peer();
         }
         let peer = Peer {
             info,
             paused_until: None,
+            fault_count: 0,
             spent: false,
             open: false,
         };
@@ -171,13 +175,14 @@
     where
         R: Rng,
     {
+        if let Some(fetch) = self.next_granted() {
+            self.open.insert(fetch.chunk);
+            return Some(fetch);
+        }
         if self.open_count >= self.limits.open_max {
             return None;
         }
-        let fetch = match self.next_granted() {
-            Some(fetch) => fetch,
-            None => self.next_from_peers(now, rng)?,
-        };
+        let fetch = self.next_from_peers(now, rng)?;
         self.open.insert(fetch.chunk);
         self.open_count += 1;
         if let Source::Peer(vm) = &fetch.source
@@ -196,6 +201,7 @@
             && let Some(peer) = self.peers.get_mut(vm)
         {
             peer.info.given_count += 1;
+            peer.fault_count = 0;
         }
     }
 
@@ -216,7 +222,11 @@
                 peer.paused_until = Some(now + limits.busy_pause);
             }
             FetchFailure::Stalled | FetchFailure::Corrupt => {
-                peer.paused_until = Some(now + limits.fault_pause);
+                // A dead peer is known to have passed on little, so it would be chosen again at
+                // the end of each pause; doubling the pause keeps that from taking all the time.
+                let doublings = peer.fault_count.min(FAULT_DOUBLINGS_MAX);
+                peer.fault_count += 1;
+                peer.paused_until = Some(now + limits.fault_pause * (1 << doublings));
             }
         }
     }
@@ -233,10 +243,11 @@
 
     fn close(&mut self, fetch: &Fetch) {
         self.open.remove(fetch.chunk);
+        let Source::Peer(vm) = &fetch.source else {
+            return;
+        };
         self.open_count = self.open_count.saturating_sub(1);
-        if let Source::Peer(vm) = &fetch.source
-            && let Some(peer) = self.peers.get_mut(vm)
-        {
+        if let Some(peer) = self.peers.get_mut(vm) {
             peer.open = false;
         }
     }
@@ -283,15 +294,12 @@
         wanted.min_by_key(|chunk| (holders(*chunk), rng.random::<u32>()))
     }
 
-    /// Makes room by dropping the peer that offers least.
-    fn drop_idle_peer(&mut self) {
-        let idle = self.peers.iter().filter(|(_, peer)| !peer.open);
-        let least = idle.min_by_key(|(_, peer)| {
-            let useful = !peer.spent && peer.info.held.exceeds(&self.held);
-            (useful, peer.info.held.len())
-        });
-        if let Some(vm) = least.map(|(vm, _)| vm.clone()) {
-            self.peers.swap_remove(&vm);
+    /// Makes room by dropping the peer that was heard of first.
+    ///
+    /// Keeping those that hold most would lead every receiver to the same few givers.
+    fn drop_oldest_peer(&mut self) {
+        if let Some(oldest) = self.peers.values().position(|peer| !peer.open) {
+            self.peers.shift_remove_index(oldest);
         }
     }
 }
