Choose by own requests only, queue a little, and keep the last slots for small shares

Agents refused an organisation that held its equal share while slots stood empty; the score followed reports that lag by more than a request takes, so all entries went to the same agents; an agent that only ever failed kept its first, best score; agents had no queue at all. Change: least score of a sample of at most 16, own requests in flight only; a failure counts as a slow sample; a queue of 8 behind 8 slots; only the last quarter of the slots is kept for organisations below their share; retries 9%.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -85,7 +85,7 @@
                 entries_max: settings.remembered_max,
                 view_age_max: settings.view_age_max,
             },
-            limits::FairSlots::new(settings.slot_count, ACTIVE_WINDOW),
+            limits::FairSlots::new(settings.slot_count + settings.queue_max, ACTIVE_WINDOW),
         );
         let app = Self {
             clock,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -39,6 +39,8 @@
     pub weight_store: Option<net::SocketAddr>,
     /// How many requests may run at once.
     pub slot_count: usize,
+    /// How many more may wait for a slot.
+    pub queue_max: usize,
     /// How long requests are remembered.
     pub window: time::Duration,
     /// How many requests are remembered.
@@ -111,6 +113,7 @@
             checker.push("weight_store", None, ADDRESS);
         }
         let slots = checker.number("slot_count", 8, 1..=4_096);
+        let queue_max = checker.number("queue_max", 8, 0..=4_096);
         let window = checker.millis("window_ms", 60_000, 1_000..=HOUR_MS);
         let remembered = checker.number("remembered_max", 100_000, 100..=10_000_000);
         let answers_max = checker.optional("answers_max", SIZE);
@@ -134,6 +137,7 @@
             upstream: upstream?,
             weight_store,
             slot_count: usize::try_from(slots).ok()?,
+            queue_max: usize::try_from(queue_max).ok()?,
             window,
             remembered_max: usize::try_from(remembered).ok()?,
             answers_max: answers_max.unwrap_or(ANSWERS_MAX_DEFAULT),
--- a/crates/core/src/limits/commands.rs
+++ b/crates/core/src/limits/commands.rs
@@ -27,7 +27,9 @@
         if self.taken_count() >= self.slot_count {
             return Err(Denied::Full);
         }
-        if taken >= self.share() {
+        // While slots are plentiful anybody may have one; only the last are kept for those who
+        // have not had their share.
+        if self.is_scarce() && taken >= self.share() {
             return Err(Denied::OverShare);
         }
         if let Some(usage) = self.users.get_mut(organisation) {
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -1,7 +1,8 @@
 //! Limits: the share of slots that each organisation gets, and the budget for retries.
 //!
-//! [`FairSlots`] is used by the agent at admission. It lets an organisation use every free slot
-//! while nobody else asks, and holds it to its weighted share as soon as others do.
+//! [`FairSlots`] is used by the agent at admission. Most slots go to whoever asks; the last few go
+//! only to organisations that hold less than their equal share, so that a large one can't starve
+//! small ones, and no slot stays empty while somebody may have it.
 //! [`RetryBudget`] is used by the entry and bounds attempts per request when everything is slow.
 
 pub mod commands;
--- a/crates/core/src/limits/queries.rs
+++ b/crates/core/src/limits/queries.rs
@@ -2,6 +2,9 @@
 
 use super::FairSlots;
 
+/// One in so many slots is kept for organisations below their share.
+const KEPT_SHARE: usize = 4;
+
 /// Hundredths in one retry.
 pub(super) const HUNDREDTHS: u64 = 100;
 
@@ -12,6 +15,13 @@
         self.users.values().map(|usage| usage.taken).sum()
     }
 
+    /// Returns whether only the slots are left that are kept for organisations below their share.
+    #[must_use]
+    pub fn is_scarce(&self) -> bool {
+        let kept = (self.slot_count / KEPT_SHARE).max(1);
+        self.taken_count() + kept >= self.slot_count
+    }
+
     /// Returns how many slots one organisation may hold at present.
     ///
     /// One that is alone may hold all; among several, each may hold its equal part and one more,
--- a/crates/core/src/membership/commands.rs
+++ b/crates/core/src/membership/commands.rs
@@ -15,7 +15,14 @@
             if older_life || (same_life && report.view_stamp < known.view_stamp) {
                 return false;
             }
+            if known.service != report.service
+                && let Some(vms) = self.services.get_mut(&known.service)
+            {
+                vms.swap_remove(&report.vm);
+            }
         }
+        let vms = self.services.entry(report.service.clone()).or_default();
+        vms.insert(report.vm.clone());
         let member = Member {
             heard_at: now,
             departed_at: None,
@@ -40,6 +47,10 @@
                 .departed_at
                 .is_none_or(|at| now.duration_since(at) <= limits.window)
         });
+        let members = &self.members;
+        for vms in self.services.values_mut() {
+            vms.retain(|vm| members.contains_key(vm));
+        }
     }
 
     /// Records that an agent said it leaves, before its next heartbeat says so.
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -10,7 +10,7 @@
 
 use std::{net, sync, time};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::{admission, burst, id};
@@ -73,6 +73,7 @@
 pub struct View {
     limits: ViewLimits,
     members: IndexMap<id::VmId, sync::Arc<Member>>,
+    services: IndexMap<id::ServiceName, IndexSet<id::VmId>>,
 }
 
 impl View {
@@ -82,6 +83,7 @@
         Self {
             limits,
             members: IndexMap::new(),
+            services: IndexMap::new(),
         }
     }
 }
--- a/crates/core/src/membership/queries.rs
+++ b/crates/core/src/membership/queries.rs
@@ -2,6 +2,9 @@
 
 use std::{sync, time};
 
+use indexmap::IndexSet;
+use rand::{Rng, RngExt as _};
+
 use super::{Member, View, ViewLimits};
 use crate::{admission, id};
 
@@ -35,11 +38,26 @@
     /// Returns every agent of a service, departed ones included.
     pub fn members_of<'a>(
         &'a self,
-        service: &'a id::ServiceName,
-    ) -> impl Iterator<Item = &'a sync::Arc<Member>> {
-        self.members
-            .values()
-            .filter(move |member| member.report.service == *service)
+        service: &id::ServiceName,
+    ) -> impl Iterator<Item = &'a sync::Arc<Member>> + use<'a> {
+        let vms = self.services.get(service).into_iter().flatten();
+        vms.filter_map(|vm| self.members.get(vm))
+    }
+
+    /// Draws an agent of a service, departed ones included.
+    pub fn draw<R>(&self, service: &id::ServiceName, rng: &mut R) -> Option<&sync::Arc<Member>>
+    where
+        R: Rng,
+    {
+        let vms = self.services.get(service)?;
+        let index = rng.random_range(0..vms.len().max(1));
+        self.members.get(vms.get_index(index)?)
+    }
+
+    /// Returns how many agents a service has, departed ones included.
+    #[must_use]
+    pub fn count_of(&self, service: &id::ServiceName) -> usize {
+        self.services.get(service).map_or(0, IndexSet::len)
     }
 
     /// Returns every agent, departed ones included.
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -1,18 +1,20 @@
-//! Which candidate gets a request: power of two choices, and the baselines it is compared with.
+//! Which candidate gets a request: the one with the lowest score, and the baselines it is compared
+//! with.
 //!
-//! The cost of a choice does not grow with the number of candidates: it draws a fixed number of
-//! them. Where ejections would leave nobody, or more than [`EJECTED_SHARE_MAX`] of a draw, the
-//! ejected compete like the others, so that a fault that hits everyone ejects no one.
+//! Callers pass a sample of bounded size, so the cost of a choice is bounded as well. Where more
+//! than [`EJECTED_PERCENT_MAX`] of the candidates are ejected, the ejected compete like the others,
+//! so that a fault that hits everyone ejects no one.
 
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 
 use super::score;
 
-/// Largest share of candidates that may be left out of a draw.
-pub const EJECTED_SHARE_MAX: f64 = 0.5;
+/// Largest share of candidates that may be left out, in hundredths.
+pub const EJECTED_PERCENT_MAX: usize = 50;
 
-const DRAW_COUNT: usize = 4;
+const HUNDRED: usize = 100;
+const DRAW_COUNT: usize = 2;
 
 /// How a candidate is chosen.
 #[derive(
@@ -26,7 +28,7 @@
     Random,
     /// Each in turn.
     RoundRobin,
-    /// The one with the lowest score of all; its cost grows with the candidates.
+    /// The one with the lowest score; what entries use.
     LeastScore,
 }
 
@@ -50,7 +52,7 @@
     match policy {
         Policy::Random => Some(rng.random_range(0..count)),
         Policy::RoundRobin => Some(turn % count),
-        Policy::LeastScore => least(candidates, 0..count),
+        Policy::LeastScore => least_healthy(candidates, &(0..count).collect::<Vec<_>>(), now_ms),
         Policy::TwoChoices => two_choices(candidates, now_ms, rng),
     }
 }
@@ -62,21 +64,19 @@
     let drawn: Vec<usize> = (0..DRAW_COUNT)
         .map(|_| rng.random_range(0..candidates.len()))
         .collect();
+    least_healthy(candidates, &drawn, now_ms)
+}
+
+/// Leaves ejected candidates out, unless too many of them are.
+fn least_healthy(candidates: &[&score::Record], drawn: &[usize], now_ms: u64) -> Option<usize> {
     let healthy = |index: &usize| !candidates[*index].is_ejected(now_ms);
     let kept: Vec<usize> = drawn.iter().copied().filter(healthy).collect();
     let ejected = drawn.len() - kept.len();
-    let too_many = (ejected * 100) > (drawn.len() * EJECTED_PERCENT_MAX);
-    let pool = if too_many { &drawn } else { &kept };
-    least(candidates, pool.iter().copied().take(2))
+    let too_many = ejected * HUNDRED > drawn.len() * EJECTED_PERCENT_MAX;
+    let pool = if too_many { drawn } else { &kept };
+    least(candidates, pool.iter().copied())
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a share between 0 and 1"
-)]
-const EJECTED_PERCENT_MAX: usize = (EJECTED_SHARE_MAX * 100.0) as usize;
-
 fn least<I>(candidates: &[&score::Record], indexes: I) -> Option<usize>
 where
     I: Iterator<Item = usize>,
--- a/crates/core/src/routing/path.rs
+++ b/crates/core/src/routing/path.rs
@@ -1,10 +1,11 @@
 //! Which agents a request may go to, and in what order.
 //!
-//! Idempotent requests go to the better of drawn candidates. Non-idempotent ones go along the
+//! Idempotent requests go to the best of a sample. Non-idempotent ones go along the
 //! rendezvous chain of their id, so that entries agree where an earlier attempt can have run.
 
 use std::{sync, time};
 
+use indexmap::IndexSet;
 use rand::Rng;
 
 use super::{choice, score, walk};
@@ -13,6 +14,8 @@
 /// How many agents an idempotent request may be offered to.
 pub const CANDIDATES_MAX: usize = 3;
 
+const SAMPLE_MAX: usize = 16;
+
 /// What a path is made for.
 #[derive(Clone, Debug)]
 pub struct Query {
@@ -96,15 +99,14 @@
         R: Rng,
     {
         let mut candidates: Vec<_> = self
-            .view
-            .members_of(&query.service)
-            .filter(|member| self.is_usable(query, member))
+            .pool(query, rng)
+            .into_iter()
             .filter_map(|member| Some((member.clone(), record_of(&member.report.vm)?)))
             .collect();
         let mut members = Vec::new();
         while members.len() < CANDIDATES_MAX {
             let records: Vec<_> = candidates.iter().map(|(_, record)| &**record).collect();
-            let policy = choice::Policy::TwoChoices;
+            let policy = choice::Policy::LeastScore;
             let Some(chosen) = choice::choose(policy, &records, now_ms, 0, rng) else {
                 break;
             };
@@ -115,6 +117,28 @@
         Path { members, walk }
     }
 
+    /// Returns usable agents: all of a small service, a sample of a large one.
+    ///
+    /// The sample keeps the cost of a decision flat in the size of the service. Where a sample
+    /// has nobody usable, which is rare, all are looked at.
+    fn pool<R>(&self, query: &Query, rng: &mut R) -> Vec<&sync::Arc<membership::Member>>
+    where
+        R: Rng,
+    {
+        let usable = |member: &&sync::Arc<membership::Member>| self.is_usable(query, member);
+        if self.view.count_of(&query.service) > SAMPLE_MAX {
+            let drawn = (0..SAMPLE_MAX).filter_map(|_| self.view.draw(&query.service, rng));
+            let sample: IndexSet<&id::VmId> = drawn.map(|member| &member.report.vm).collect();
+            let members = sample.into_iter().filter_map(|vm| self.view.member(vm));
+            let pool: Vec<_> = members.filter(usable).collect();
+            if !pool.is_empty() {
+                return pool;
+            }
+        }
+        let members = self.view.members_of(&query.service);
+        members.filter(usable).collect()
+    }
+
     /// Returns whether an agent may be sent a request.
     #[must_use]
     pub fn is_usable(&self, query: &Query, member: &membership::Member) -> bool {
--- a/crates/core/src/routing/score.rs
+++ b/crates/core/src/routing/score.rs
@@ -1,8 +1,7 @@
 //! What an entry has learned of one agent, readable without a lock.
 //!
-//! The score follows the related reading in two points that the routing measurement supports: it
-//! mixes a mean with a tail that rises fast and falls slowly, and it inflates with requests in
-//! flight. Lower is better.
+//! The score mixes a mean with a tail that rises fast and falls slowly, and inflates with the
+//! entry's own requests in flight. Lower is better. `docs/DESIGN.md` says what was tried besides.
 
 use std::{sync::atomic, time};
 
@@ -14,6 +13,7 @@
 const FAILURE_STEP: f64 = 0.3;
 const FAILURE_WEIGHT: f64 = 8.0;
 const INITIAL_MS: f64 = 1.0;
+const FAILURE_MS: f64 = 1_000.0;
 const FAILURES_TO_EJECT: u64 = 3;
 const EJECTION_MS: u64 = 2_000;
 
@@ -42,8 +42,6 @@
 #[derive(Debug)]
 pub struct Record {
     in_flight: atomic::AtomicU64,
-    reported_running: atomic::AtomicU64,
-    sent_since_report: atomic::AtomicU64,
     slot_count: atomic::AtomicU64,
     mean_ms: AtomicFloat,
     tail_ms: AtomicFloat,
@@ -56,8 +54,6 @@
     fn default() -> Self {
         Self {
             in_flight: atomic::AtomicU64::new(0),
-            reported_running: atomic::AtomicU64::new(0),
-            sent_since_report: atomic::AtomicU64::new(0),
             slot_count: atomic::AtomicU64::new(1),
             mean_ms: AtomicFloat::new(INITIAL_MS),
             tail_ms: AtomicFloat::new(INITIAL_MS),
@@ -72,8 +68,6 @@
     /// Records that a request was sent.
     pub fn start(&self) {
         self.in_flight.fetch_add(1, atomic::Ordering::Relaxed);
-        self.sent_since_report
-            .fetch_add(1, atomic::Ordering::Relaxed);
     }
 
     /// Records that a request has left, however it ended.
@@ -95,6 +89,9 @@
     /// Records a failure of the agent; several in a row eject it for a while.
     pub fn fail(&self, now_ms: u64) {
         self.failure_rate.approach(1.0, FAILURE_STEP);
+        // An agent that never answered would otherwise look faster than all others.
+        self.mean_ms.approach(FAILURE_MS, MEAN_UP);
+        self.tail_ms.approach(FAILURE_MS, TAIL_UP);
         let in_row = self.failures_in_row.fetch_add(1, atomic::Ordering::Relaxed) + 1;
         if in_row >= FAILURES_TO_EJECT {
             self.ejected_until_ms
@@ -102,13 +99,10 @@
         }
     }
 
-    /// Takes in the load that a heartbeat reports.
-    pub fn report(&self, running_count: u32, slot_count: u32) {
-        self.reported_running
-            .store(u64::from(running_count), atomic::Ordering::Relaxed);
+    /// Takes in how many requests the engine runs at once.
+    pub fn record_slots(&self, slot_count: u32) {
         self.slot_count
             .store(u64::from(slot_count.max(1)), atomic::Ordering::Relaxed);
-        self.sent_since_report.store(0, atomic::Ordering::Relaxed);
     }
 
     /// Returns whether the agent is out of the choice at present.
@@ -123,11 +117,9 @@
     pub fn score(&self) -> f64 {
         let mean = MEAN_SHARE * self.mean_ms.get();
         let tail = (1.0 - MEAN_SHARE) * self.tail_ms.get();
-        let own = self.in_flight.load(atomic::Ordering::Relaxed);
-        let reported = self.reported_running.load(atomic::Ordering::Relaxed)
-            + self.sent_since_report.load(atomic::Ordering::Relaxed);
-        // The report lags, but it is the only sight of what other entries have sent.
-        let running = own.max(reported) as f64;
+        // Only the own requests count: what others sent is known too late, and leads all entries
+        // to the same agents until the next report.
+        let running = self.in_flight.load(atomic::Ordering::Relaxed) as f64;
         let slots = self.slot_count.load(atomic::Ordering::Relaxed) as f64;
         let load = running / slots;
         let inflation = 1.0 + running + load * load * slots;
--- /dev/null
+++ b/crates/core/tests/burst.rs
@@ -0,0 +1,164 @@
+//! The burst's limits, in the driver of the benchmark: origin, links, time and completion.
+
+#[path = "../benches/rounds/mod.rs"]
+mod rounds;
+
+use pimentohook_core::{
+    burst::{
+        ORIGIN_LIMIT_PERCENT, Policy, chunks,
+        giver::{Denial, Giver},
+        ledger,
+    },
+    id,
+};
+use proptest::prelude::*;
+use rounds::{Fault, Run};
+use rstest::rstest;
+
+const SEED: u64 = 7;
+
+#[rstest]
+fn targets_hold(
+    #[values(16, 100)] replicas: usize,
+    #[values(Policy::OriginFirst, Policy::TimeFirst)] policy: Policy,
+    #[values(
+        Fault::None,
+        Fault::Deaths,
+        Fault::Corrupt,
+        Fault::Stalled,
+        Fault::DomainLost
+    )]
+    fault: Fault,
+) {
+    let outcome = Run::new(replicas, policy, fault, SEED).run();
+    let healthy = fault == Fault::None;
+    assert_eq!(outcome.live, outcome.survivors, "{outcome:?}");
+    let time_max = if healthy { 1.2 } else { 2.0 };
+    assert!(outcome.time_over_lower_bound <= time_max, "{outcome:?}");
+    let link_max = if healthy { 2.0 } else { 2.1 };
+    assert!(outcome.max_link_copies <= link_max, "{outcome:?}");
+    let origin_max = match policy {
+        Policy::OriginFirst => 1.15,
+        Policy::TimeFirst => 3.5,
+    };
+    assert!(outcome.origin_copies <= origin_max, "{outcome:?}");
+}
+
+const CHUNKS: u32 = 20;
+const MACHINES: usize = 6;
+
+/// What happens between two rounds of grants.
+#[derive(Clone, Debug)]
+enum Op {
+    Pass {
+        seconds: u64,
+    },
+    Extend,
+    /// A machine comes to hold a chunk, or all that it was granted.
+    Hold {
+        machine: usize,
+        chunk: u32,
+    },
+    /// A machine dies and is replaced by one that holds nothing.
+    Replace {
+        machine: usize,
+    },
+    Starve {
+        machine: usize,
+    },
+    /// Another entry takes over and knows only what is recorded.
+    TakeOver,
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let machine = 0..MACHINES;
+    prop_oneof![
+        3 => (1_u64..30).prop_map(|seconds| Op::Pass { seconds }),
+        6 => Just(Op::Extend),
+        4 => (machine.clone(), 0..CHUNKS).prop_map(|(machine, chunk)| Op::Hold { machine, chunk }),
+        2 => machine.clone().prop_map(|machine| Op::Replace { machine }),
+        2 => machine.prop_map(|machine| Op::Starve { machine }),
+        1 => Just(Op::TakeOver),
+    ]
+}
+
+fn supply(machines: &[ledger::Receiver]) -> ledger::Supply {
+    let mut holder_counts = vec![0; CHUNKS as usize];
+    for machine in machines {
+        machine
+            .held
+            .iter()
+            .for_each(|chunk| holder_counts[chunk as usize] += 1);
+    }
+    ledger::Supply {
+        receivers: machines.to_vec(),
+        holder_counts,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_000))]
+
+    #[test]
+    fn grants_never_pass_four_copies_and_leave_room_for_every_chunk(
+        ops in prop::collection::vec(op(), 1..120),
+        time_first in any::<bool>(),
+    ) {
+        let policy = if time_first { Policy::TimeFirst } else { Policy::OriginFirst };
+        let mut ledger = ledger::Ledger::new(CHUNKS, policy);
+        let mut clock = ledger::GrantClock::default();
+        let mut now = std::time::Instant::now();
+        let patience = std::time::Duration::from_secs(10);
+        let mut machines: Vec<_> = (0..MACHINES)
+            .map(|index| ledger::Receiver {
+                vm: format!("vm-{index}").parse().expect("a name"),
+                incarnation: id::Incarnation::new(1),
+                starved: false,
+                held: chunks::ChunkSet::new(CHUNKS),
+            })
+            .collect();
+        for op in &ops {
+            match *op {
+                Op::Pass { seconds } => now += std::time::Duration::from_secs(seconds),
+                Op::Extend => {
+                    ledger.extend(now, &supply(&machines), &mut clock, patience);
+                }
+                Op::Hold { machine, chunk } => machines[machine].held.insert(chunk),
+                Op::Replace { machine } => {
+                    machines[machine].held = chunks::ChunkSet::new(CHUNKS);
+                    machines[machine].incarnation = machines[machine].incarnation.next();
+                }
+                Op::Starve { machine } => machines[machine].starved = true,
+                Op::TakeOver => clock = ledger::GrantClock::default(),
+            }
+            let granted = u32::try_from(ledger.grants().len()).expect("few grants");
+            prop_assert!(granted * 100 <= CHUNKS * ORIGIN_LIMIT_PERCENT);
+            let first = (0..CHUNKS)
+                .filter(|chunk| ledger.grants().iter().any(|grant| grant.chunk == *chunk))
+                .count();
+            let missing = CHUNKS - u32::try_from(first).expect("few chunks");
+            prop_assert!((granted + missing) * 100 <= CHUNKS * ORIGIN_LIMIT_PERCENT);
+            let mut seen: Vec<_> = ledger.grants().iter().map(|one| (one.chunk, one.serial)).collect();
+            seen.sort_unstable();
+            let before = seen.len();
+            seen.dedup();
+            prop_assert_eq!(seen.len(), before, "two grants can't be told apart");
+        }
+    }
+
+    #[test]
+    fn a_machine_never_moves_more_than_its_link_carries(
+        steps in prop::collection::vec((any::<bool>(), 0..CHUNKS), 1..200),
+    ) {
+        let mut giver = Giver::new(CHUNKS, 200, 3);
+        let held = chunks::ChunkSet::full(CHUNKS);
+        for (gives, chunk) in steps {
+            if gives && giver.try_start(&held, chunk) != Err(Denial::Busy) {
+                giver.stop();
+            } else if giver.received_count() < CHUNKS {
+                giver.record_received();
+            }
+            prop_assert!(giver.given_count() + giver.received_count() <= 2 * CHUNKS);
+        }
+    }
+}
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -31,7 +31,7 @@
 pub fn record(app: &app::App, report: membership::AgentReport) {
     let known = app.record(&report.vm);
     let record = known.unwrap_or_else(|| add_record(app, &report.vm));
-    record.report(report.running_count, report.slot_count);
+    record.record_slots(report.slot_count);
     let mut view = lock(&app.view_owner);
     let news = view.member(&report.vm).is_none_or(|member| {
         member.report.openness != report.openness || member.report.weights != report.weights
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -144,7 +144,7 @@
         }
         let decide_max = checker.millis("decide_max_ms", 1_000, 20..=60_000);
         let frame_silence_max = checker.millis("frame_silence_max_ms", 1_000, 300..=60_000);
-        let retry_percent = checker.number("retry_percent", 10, 0..=100);
+        let retry_percent = checker.number("retry_percent", 9, 0..=100);
         let body_max = checker.optional("body_max", "a size such as 1MiB");
         let lease_term = checker.millis("lease_term_ms", 3_000, 200..=60_000);
         let weights_rate = checker.optional("weights_rate", "a rate such as 100MiB/s");
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -80,6 +80,8 @@
     pub floor_percent: u8,
     /// How many requests an engine runs at once.
     pub slot_count: usize,
+    /// How many more may wait.
+    pub queue_max: usize,
     /// How long an engine's step takes.
     pub step: time::Duration,
     /// How long request ids are remembered.
@@ -104,6 +106,7 @@
             policy: burst::Policy::OriginFirst,
             floor_percent: 50,
             slot_count: 8,
+            queue_max: 8,
             step: time::Duration::from_millis(10),
             window: time::Duration::from_secs(20),
             join_age: time::Duration::from_millis(300),
@@ -436,7 +439,7 @@
         deadline_max: options.window.min(window_max),
         decide_max: time::Duration::from_millis(800),
         frame_silence_max: time::Duration::from_millis(800),
-        retry_percent: 10,
+        retry_percent: 9,
         body_max: size::ByteCount::new(1 << 20),
         lease_term: time::Duration::from_secs(1),
         weights_rate: options.link_rate,
@@ -471,6 +474,7 @@
         upstream: machine.upstream.address,
         weight_store: Some(origin),
         slot_count: options.slot_count,
+        queue_max: options.queue_max,
         window: options.window,
         remembered_max: 100_000,
         answers_max: size::ByteCount::new(16 << 20),
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -205,6 +205,7 @@
     let options = FleetOptions {
         replica_count: 2,
         slot_count: 1,
+        queue_max: 0,
         ..FleetOptions::default()
     };
     let fleet = start(&options).await;
