--- a/crates/agent/src/heartbeat.rs
+++ b/crates/agent/src/heartbeat.rs
@@ -8,6 +8,7 @@
 
 use crate::app::{self, lock};
 
+const UNDER_WAY_SHARE: u32 = 4;
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
 /// Sends heartbeats to one entry until the agent stops.
@@ -37,12 +38,22 @@
                 app.client.renew();
             }
         }
-        if !stop.sleep(app.settings.heartbeat_every).await {
+        if !stop.sleep(pause(&app)).await {
             return;
         }
     }
 }
 
+/// While weights come in, peers and the duty's holder hear of them sooner.
+fn pause(app: &app::App) -> time::Duration {
+    let every = app.settings.heartbeat_every;
+    if app.transfers.is_under_way() {
+        every / UNDER_WAY_SHARE
+    } else {
+        every
+    }
+}
+
 fn apply(app: &app::App, reply: messages::HeartbeatReply) {
     if let Some(config) = reply.config {
         apply_config(app, &config);
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -80,6 +80,14 @@
         })
     }
 
+    /// Returns whether the newest set is not whole yet.
+    #[must_use]
+    pub fn is_under_way(&self) -> bool {
+        let sets = lock(&self.sets);
+        sets.last()
+            .is_some_and(|(_, set)| !set.receiver.is_complete())
+    }
+
     /// Takes in what is said of a peer of the newest set.
     pub fn record_peer(&self, vm: id::VmId, info: receiver::PeerInfo) {
         if let Some((_, set)) = lock(&self.sets).last_mut() {
