Refill upload credit after a burst, and halve what heartbeats cost

Cause, found by measuring control traffic: with 48 agents some never came to hold the first weights, since every holder had passed on its share for good; so would any VM that joins later. Change: two minutes after a machine holds all, its credit grows by a copy in ten minutes; a receiver asks a spent peer again after a pause. Messages between own processes are encoded by position, heartbeats go out every 500 ms, views are published every 100 ms, agents run on two threads. Measured: the test of a machine that joins later was red before (spent for good) and is green. Conclusion: late joiners are served by replicas.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -37,7 +37,7 @@
     }
 }
 
-#[tokio::main]
+#[tokio::main(worker_threads = 2)]
 async fn run(settings: settings::AgentSettings) -> Result<(), Box<dyn std::error::Error>> {
     let _logs = logs::start(&settings.log_level)?;
     let running = agent::start(settings).await?;
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -118,7 +118,7 @@
         let remembered = checker.number("remembered_max", 100_000, 100..=10_000_000);
         let answers_max = checker.optional("answers_max", SIZE);
         let view_age_max = checker.millis("view_age_max_ms", 3_000, 100..=60_000);
-        let heartbeat_every = checker.millis("heartbeat_every_ms", 250, 20..=10_000);
+        let heartbeat_every = checker.millis("heartbeat_every_ms", 500, 20..=10_000);
         let upstream_silence_max = checker.millis("upstream_silence_max_ms", 10_000, 100..=HOUR_MS);
         let orphan_max = checker.millis("orphan_max_ms", 5_000, 0..=HOUR_MS);
         let weights_rate = checker.optional("weights_rate", RATE);
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -23,6 +23,10 @@
 use crate::app::{self, lock};
 
 const LINK_PERCENT_MAX: u32 = 200;
+const REFILL: giver::Refill = giver::Refill {
+    delay: time::Duration::from_mins(2),
+    per_copy: time::Duration::from_mins(10),
+};
 const UPLOAD_SLOTS: u32 = 3;
 const OPEN_MAX: usize = 3;
 const PEERS_MAX: usize = 32;
@@ -190,7 +194,7 @@
             content: manifest.content,
         },
         receiver: receiver::Receiver::new(limits, domain, count),
-        giver: giver::Giver::new(count, LINK_PERCENT_MAX, UPLOAD_SLOTS),
+        giver: giver::Giver::new(count, LINK_PERCENT_MAX, UPLOAD_SLOTS, REFILL),
         chunks: vec![None; manifest.chunks.len()],
         manifest: sync::Arc::new(manifest),
     };
@@ -390,7 +394,7 @@
         return server::respond_text(StatusCode::NOT_FOUND, "no such manifest here");
     };
     let held = set.receiver.held().clone();
-    let started = set.giver.try_start(&held, request.chunk);
+    let started = set.giver.try_start(app.clock.now(), &held, request.chunk);
     let reply = messages::ChunkReply {
         denial: started.err(),
         held,
--- a/crates/cli/src/queries.rs
+++ b/crates/cli/src/queries.rs
@@ -51,6 +51,12 @@
         "{}: configuration {}, platform {platform}",
         status.entry, status.config_version
     );
+    if status.behind_count > 0 {
+        println!(
+            "  {} agents have an older configuration",
+            status.behind_count
+        );
+    }
     for (service, one) in &status.services {
         let version = one.version.as_ref().map_or("plain", |text| text.as_str());
         println!(
--- a/crates/core/benches/rounds/mod.rs
+++ b/crates/core/benches/rounds/mod.rs
@@ -23,6 +23,10 @@
 const DOMAIN_COUNT: usize = 3;
 const DOMAIN_LOST_AT: u32 = 40;
 const PATIENCE: time::Duration = time::Duration::from_secs(24);
+const REFILL: giver::Refill = giver::Refill {
+    delay: time::Duration::from_mins(2),
+    per_copy: time::Duration::from_mins(10),
+};
 const LINK_PERCENT: u32 = 200;
 const LINK_PERCENT_FAULTS: u32 = 210;
 
@@ -276,15 +280,15 @@
             return false;
         };
         let peer = self.index_of[vm];
+        let now = self.now();
         let giver = &mut self.machines[peer];
         let held = giver.receiver.held().clone();
         let started = if giver.dead {
             None
         } else {
-            Some(giver.giver.try_start(&held, fetch.chunk))
+            Some(giver.giver.try_start(now, &held, fetch.chunk))
         };
         let (given_count, stalls) = (giver.giver.given_count(), giver.stalls || giver.dead);
-        let now = self.now();
         if let Some(denied) = started {
             let receiver = &mut self.machines[index].receiver;
             receiver.record_progress(vm, &held, given_count);
@@ -380,7 +384,7 @@
             vm: format!("vm-{index}").parse().expect("a name"),
             domain,
             receiver: receiver::Receiver::new(limits, domain_name(domain), CHUNK_COUNT),
-            giver: giver::Giver::new(CHUNK_COUNT, link_percent, 1),
+            giver: giver::Giver::new(CHUNK_COUNT, link_percent, 1, REFILL),
             dies_at,
             dead: false,
             stalls: fault == Fault::Stalled && rng.random_ratio(2, 100),
--- a/crates/core/src/burst/giver.rs
+++ b/crates/core/src/burst/giver.rs
@@ -1,9 +1,20 @@
 //! What a machine passes on: never more than its link carries beside its own copy.
 
+use std::time;
+
 use serde::{Deserialize, Serialize};
 
 use super::chunks;
 
+/// How soon a machine that holds all may pass on more than in the burst.
+#[derive(Clone, Copy, Debug)]
+pub struct Refill {
+    /// How long after it came to hold all.
+    pub delay: time::Duration,
+    /// How long each further copy takes.
+    pub per_copy: time::Duration,
+}
+
 /// Why a chunk was not given.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
@@ -27,6 +38,8 @@
     open_count: u32,
     given_count: u32,
     received_count: u32,
+    refill: Refill,
+    completed_at: Option<time::Instant>,
 }
 
 const HUNDRED: u64 = 100;
@@ -34,9 +47,15 @@
 impl Giver {
     /// Creates the upload side.
     ///
-    /// `link_percent_max` bounds what goes in and out together, in hundredths of a copy.
+    /// `link_percent_max` bounds what goes in and out together during the burst, in hundredths of
+    /// a copy. After it, `refill` lets machines that join later be served.
     #[must_use]
-    pub const fn new(chunk_count: u32, link_percent_max: u32, slot_count: u32) -> Self {
+    pub const fn new(
+        chunk_count: u32,
+        link_percent_max: u32,
+        slot_count: u32,
+        refill: Refill,
+    ) -> Self {
         Self {
             chunk_count,
             link_percent_max,
@@ -44,6 +63,8 @@
             open_count: 0,
             given_count: 0,
             received_count: 0,
+            refill,
+            completed_at: None,
         }
     }
 
@@ -52,14 +73,22 @@
     /// # Errors
     ///
     /// [`Denial`] says why there is none.
-    pub fn try_start(&mut self, held: &chunks::ChunkSet, chunk: u32) -> Result<(), Denial> {
+    pub fn try_start(
+        &mut self,
+        now: time::Instant,
+        held: &chunks::ChunkSet,
+        chunk: u32,
+    ) -> Result<(), Denial> {
+        if held.is_full() {
+            self.completed_at.get_or_insert(now);
+        }
         if !held.contains(chunk) {
             return Err(Denial::NotHeld);
         }
         if self.open_count >= self.slot_count {
             return Err(Denial::Busy);
         }
-        if !self.has_credit() {
+        if !self.has_credit(now) {
             return Err(Denial::Spent);
         }
         self.open_count += 1;
@@ -91,10 +120,19 @@
 
     /// Returns whether one more chunk may be passed on.
     #[must_use]
-    pub fn has_credit(&self) -> bool {
+    pub fn has_credit(&self, now: time::Instant) -> bool {
         // The whole own copy is reserved from the start, so that giving early costs nobody later.
         let incoming = u64::from(self.received_count.max(self.chunk_count));
         let moved = incoming + u64::from(self.given_count) + 1;
-        moved * HUNDRED <= u64::from(self.chunk_count) * u64::from(self.link_percent_max)
+        let allowed = u64::from(self.chunk_count) * u64::from(self.link_percent_max) / HUNDRED;
+        moved <= allowed + self.refilled_chunks(now)
+    }
+
+    fn refilled_chunks(&self, now: time::Instant) -> u64 {
+        let since = self.completed_at.map(|at| now.duration_since(at));
+        let refilling = since.unwrap_or_default().saturating_sub(self.refill.delay);
+        let per_copy_ms = self.refill.per_copy.as_millis().max(1);
+        let chunks = refilling.as_millis() * u128::from(self.chunk_count) / per_copy_ms;
+        u64::try_from(chunks).unwrap_or(u64::MAX)
     }
 }
--- a/crates/core/src/burst/receiver.rs
+++ b/crates/core/src/burst/receiver.rs
@@ -202,6 +202,7 @@
         {
             peer.info.given_count += 1;
             peer.fault_count = 0;
+            peer.spent = false;
         }
     }
 
@@ -217,7 +218,11 @@
         };
         match failure {
             FetchFailure::Denied(giver::Denial::NotHeld) => peer.info.held.remove(fetch.chunk),
-            FetchFailure::Denied(giver::Denial::Spent) => peer.spent = true,
+            FetchFailure::Denied(giver::Denial::Spent) => {
+                // It may pass on more once some time has gone by.
+                peer.spent = true;
+                peer.paused_until = Some(now + limits.fault_pause);
+            }
             FetchFailure::Denied(giver::Denial::Busy) => {
                 peer.paused_until = Some(now + limits.busy_pause);
             }
@@ -270,7 +275,7 @@
         self.open.iter().for_each(|chunk| wanted_not.insert(chunk));
         let usable = |peer: &&Peer| {
             let paused = peer.paused_until.is_some_and(|until| until > now);
-            !peer.spent && !peer.open && !paused && peer.info.held.exceeds(&wanted_not)
+            !peer.open && !paused && peer.info.held.exceeds(&wanted_not)
         };
         let candidates = self.peers.iter().filter(|(_, peer)| usable(peer));
         let (vm, peer) = candidates.min_by_key(|(_, peer)| {
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -6,7 +6,7 @@
 use pimentohook_core::{
     burst::{
         ORIGIN_LIMIT_PERCENT, Policy, chunks,
-        giver::{Denial, Giver},
+        giver::{Denial, Giver, Refill},
         ledger,
     },
     id,
@@ -44,6 +44,10 @@
     assert!(outcome.origin_copies <= origin_max, "{outcome:?}");
 }
 
+const REFILL: Refill = Refill {
+    delay: std::time::Duration::from_mins(2),
+    per_copy: std::time::Duration::from_mins(10),
+};
 const CHUNKS: u32 = 20;
 const MACHINES: usize = 6;
 
@@ -150,10 +154,11 @@
     fn a_machine_never_moves_more_than_its_link_carries(
         steps in prop::collection::vec((any::<bool>(), 0..CHUNKS), 1..200),
     ) {
-        let mut giver = Giver::new(CHUNKS, 200, 3);
+        let mut giver = Giver::new(CHUNKS, 200, 3, REFILL);
+        let now = std::time::Instant::now();
         let held = chunks::ChunkSet::full(CHUNKS);
         for (gives, chunk) in steps {
-            if gives && giver.try_start(&held, chunk) != Err(Denial::Busy) {
+            if gives && giver.try_start(now, &held, chunk) != Err(Denial::Busy) {
                 giver.stop();
             } else if giver.received_count() < CHUNKS {
                 giver.record_received();
@@ -162,3 +167,23 @@
         }
     }
 }
+
+#[test]
+fn a_machine_that_has_passed_on_its_share_serves_one_that_joins_later() {
+    let mut giver = Giver::new(CHUNKS, 200, 1, REFILL);
+    let held = chunks::ChunkSet::full(CHUNKS);
+    let mut now = std::time::Instant::now();
+    for chunk in 0..CHUNKS {
+        giver.record_received();
+        assert_eq!(giver.try_start(now, &held, chunk), Ok(()));
+        giver.stop();
+    }
+    assert_eq!(giver.try_start(now, &held, 0), Err(Denial::Spent));
+    now += REFILL.delay;
+    assert_eq!(giver.try_start(now, &held, 0), Err(Denial::Spent));
+    now += std::time::Duration::from_hours(1);
+    for chunk in 0..CHUNKS {
+        assert_eq!(giver.try_start(now, &held, chunk), Ok(()));
+        giver.stop();
+    }
+}
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -13,7 +13,7 @@
 use crate::app::{self, lock};
 
 const MESSAGE_MAX_BYTES: usize = 1 << 20;
-const PUBLISH_EVERY: time::Duration = time::Duration::from_millis(25);
+const PUBLISH_EVERY: time::Duration = time::Duration::from_millis(100);
 const PEER_SAMPLE: usize = 24;
 
 /// Handles a heartbeat.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -37,7 +37,7 @@
     }
 }
 
-#[tokio::main]
+#[tokio::main(worker_threads = 4)]
 async fn run(settings: settings::EntrySettings) -> Result<(), Box<dyn std::error::Error>> {
     let _logs = logs::start(&settings.log_level)?;
     let running = entry::start(settings).await?;
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -305,10 +305,14 @@
         (service.clone(), status)
     });
     let confirmations = config.confirmations.iter().rev();
+    let behind = view.members().filter(|member| {
+        member.departed_at.is_none() && member.report.config_version < config.version
+    });
     public::Status {
         entry: app.settings.entry.clone(),
         config_version: config.version,
         platform_reachable: app.is_platform_reachable(),
+        behind_count: u32::try_from(behind.count()).unwrap_or(u32::MAX),
         duty_holder: lock(&app.lease).holder_seen().cloned(),
         services: services.collect(),
         draining: config.draining.clone(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`store`]: the rate-limited weight store and origin.
 //! * [`objects`]: the object API and the list of VMs.
 //! * [`relay`]: a byte relay that can fall silent.
+//! * [`processes`]: the separate binaries as processes.
 //! * [`fleet`]: a whole fleet in one process, on loopback.
 //! * [`caller`]: callers that check their answers.
 
@@ -15,6 +16,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod objects;
+pub mod processes;
 pub mod relay;
 pub mod store;
 
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -23,6 +23,7 @@
 #[derive(Debug, Default)]
 struct Shared {
     epoch: atomic::AtomicU64,
+    passed_bytes: atomic::AtomicU64,
     sent_bytes: sync::Mutex<IndexMap<net::IpAddr, u64>>,
 }
 
@@ -45,6 +46,12 @@
         self.shared.epoch.fetch_add(1, atomic::Ordering::SeqCst);
     }
 
+    /// Returns how many bytes passed, both ways together.
+    #[must_use]
+    pub fn passed_bytes(&self) -> u64 {
+        self.shared.passed_bytes.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns how many bytes the target sent, by the addresses of those who connected.
     #[must_use]
     pub fn sent_bytes(&self) -> IndexMap<net::IpAddr, u64> {
@@ -88,6 +95,9 @@
         let Ok(length @ 1..) = read else {
             return;
         };
+        shared
+            .passed_bytes
+            .fetch_add(length as u64, atomic::Ordering::Relaxed);
         if let Some(peer) = counted_for {
             *lock(&shared.sent_bytes).entry(peer).or_insert(0) += length as u64;
         }
--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -102,3 +102,46 @@
     // The winner's tap may come twice, through either entry.
     assert_eq!(site.confirm(&first, 1).await, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_replaced_at_the_same_address_runs_nothing_a_second_time() {
+    let mut site = Site::start(2, 1).await;
+    let sending = site.send_in_background("request-1", 0, false, LONG);
+    tokio::time::sleep(time::Duration::from_millis(400)).await;
+    site.kill_agent_running("request-1").await;
+    site.restart_agent(0).await;
+    let told = sending.await.expect("the caller ends");
+    assert!(matches!(told, Told::Broken | Told::Unknown), "{told:?}");
+    let again = site.send_again("request-1", 1, 2, LONG).await;
+    assert_eq!(again, Told::Unknown);
+    assert_eq!(site.run_count("request-1").await, 1);
+    let told = site.send("request-2", 1, false, "tokens=5").await;
+    Site::assert_whole(&told, "request-2", "tokens=5");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_frozen_past_its_lease_and_thawed_leaves_weights_whole() {
+    let site = Site::start(2, 3).await;
+    site.roll_out("v2").await;
+    let holder = site.duty_holder().await;
+    site.freeze_entry(holder);
+    tokio::time::sleep(time::Duration::from_secs(3)).await;
+    site.thaw_entry(holder);
+    site.wait_live(3, time::Duration::from_secs(30)).await;
+    assert_eq!(site.mixed_count().await, 0);
+    let told = site.send("request-1", holder, true, "tokens=5").await;
+    Site::assert_whole(&told, "request-1", "tokens=5");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_restarts_in_an_outage_takes_the_configuration_of_its_peers() {
+    let mut site = Site::start(2, 1).await;
+    let before = site.config_version(1).await;
+    site.set_platform_down(true).await;
+    site.kill_entry(0);
+    site.restart_entry(0);
+    site.wait_config_version(0, before).await;
+    let told = site.send("request-1", 0, true, "tokens=5").await;
+    Site::assert_whole(&told, "request-1", "tokens=5");
+    site.set_platform_down(false).await;
+}
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -1,10 +1,14 @@
 //! A site of separate processes on loopback.
 
-use std::{fs, net, path, process, time};
+use std::{net, path, process, time};
 
 use pimentohook_core::{burst::manifest, id, intent, size};
 use pimentohook_runtime::client;
-use pimentohook_standin::{caller, engine, fleet, store};
+use pimentohook_standin::{
+    caller::{self, Told},
+    engine, fleet, objects, processes, store,
+};
+use pimentohook_wire::public;
 
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const POLL: time::Duration = time::Duration::from_millis(50);
@@ -12,67 +16,44 @@
 const WEIGHTS: size::ByteCount = size::ByteCount::new(2 << 20);
 const CHUNK_BYTES: u32 = 128 << 10;
 
-/// A child that is ended when it is dropped.
-pub struct Child {
-    child: process::Child,
-}
-
-impl Child {
-    fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        let sent = process::Command::new("kill").args([signal, &pid]).status();
-        assert!(sent.expect("kill runs").success());
-    }
-}
-
-impl Drop for Child {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+fn signal(child: &processes::Child, signal: &str) {
+    let pid = child.id().to_string();
+    let sent = process::Command::new("kill").args([signal, &pid]).status();
+    assert!(sent.expect("kill runs").success());
 }
 
 struct Machine {
     engine: net::SocketAddr,
-    agent: Child,
-    _engine: Child,
+    agent: processes::Child,
+    settings: String,
+    _engine: processes::Child,
 }
 
 /// The site.
 pub struct Site {
-    _platform: Vec<Child>,
-    entries: Vec<(net::SocketAddr, Option<Child>)>,
+    _platform: Vec<processes::Child>,
+    platform: net::SocketAddr,
+    entries: Vec<(net::SocketAddr, Option<processes::Child>)>,
+    entry_settings: Vec<String>,
     machines: Vec<Machine>,
     client: client::Client,
     caller: caller::Caller,
 }
 
-fn binary(name: &str) -> path::PathBuf {
-    path::Path::new(env!("CARGO_BIN_EXE_pimentohook-standin")).with_file_name(name)
+fn spawn(name: &str, arguments: &[String]) -> processes::Child {
+    let standin = path::Path::new(env!("CARGO_BIN_EXE_pimentohook-standin"));
+    let program = standin.with_file_name(name);
+    let child = processes::Child::start(&program, arguments);
+    child.unwrap_or_else(|error| panic!("{name}: {error}; build the workspace first"))
 }
 
-fn spawn(name: &str, arguments: &[String]) -> Child {
-    let child = process::Command::new(binary(name))
-        .args(arguments)
-        .stdout(process::Stdio::null())
-        .spawn();
-    let child = child.unwrap_or_else(|error| panic!("{name}: {error}; build the workspace first"));
-    Child { child }
-}
-
-fn standin(arguments: &[&str]) -> Child {
+fn standin(arguments: &[&str]) -> processes::Child {
     let arguments: Vec<String> = arguments.iter().map(|text| String::from(*text)).collect();
     spawn("pimentohook-standin", &arguments)
 }
 
-fn settings_file(name: &str, text: &str) -> String {
-    let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let file = folder.join(format!(
-        "{name}-{}.yaml",
-        pimentohook_standin::new_address().ip()
-    ));
-    fs::write(&file, text).expect("settings can be written");
-    file.display().to_string()
+fn folder() -> &'static path::Path {
+    path::Path::new(env!("CARGO_TARGET_TMPDIR"))
 }
 
 fn manifest_of(version: &str, seed: u64) -> manifest::Manifest {
@@ -97,11 +78,22 @@
             .map(|_| pimentohook_standin::new_address())
             .collect();
         let entries = (0..entry_count).map(|index| {
-            let text = entry_settings(index, &addresses, platform, origin);
-            let file = settings_file("entry", &text);
-            let child = spawn("pimentohook-entry", &[file]);
-            (addresses[index], Some(child))
+            let file = processes::EntryFile {
+                index,
+                entries: addresses.clone(),
+                object_api: platform,
+                weight_store: origin,
+            };
+            file.write(folder()).expect("settings can be written")
         });
+        let entry_settings: Vec<String> = entries.collect();
+        let entries = entry_settings
+            .iter()
+            .zip(&addresses)
+            .map(|(file, address)| {
+                let child = spawn("pimentohook-entry", std::slice::from_ref(file));
+                (*address, Some(child))
+            });
         let entries = entries.collect();
         let machines = (0..replica_count).map(|index| {
             let (upstream, listen) = (
@@ -116,18 +108,28 @@
                 "--weights",
                 &content,
             ]);
-            let text = agent_settings(index, listen, upstream, &addresses, origin);
-            let agent = spawn("pimentohook-agent", &[settings_file("agent", &text)]);
+            let file = processes::AgentFile {
+                index,
+                listen,
+                upstream,
+                entries: addresses.clone(),
+                weight_store: origin,
+            };
+            let file = file.write(folder()).expect("settings can be written");
+            let agent = spawn("pimentohook-agent", std::slice::from_ref(&file));
             Machine {
                 engine: upstream,
                 agent,
+                settings: file,
                 _engine: engine,
             }
         });
         let machines = machines.collect();
         let site = Self {
             _platform: children,
+            platform,
             entries,
+            entry_settings,
             machines,
             client: client::Client::new(net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED)),
             caller: caller::Caller::new(),
@@ -275,33 +277,113 @@
         panic!("{name} runs nowhere");
     }
 
+    /// Sends a request for another time; its caller reads no more than it is told.
+    pub async fn send_again(&self, name: &str, entry: usize, attempt: u64, body: &str) -> Told {
+        let mut spec = Self::spec(name, false, body);
+        spec.attempt = attempt;
+        self.caller.send(self.entry(entry), &[], &spec).await
+    }
+
+    /// Starts another agent with the same settings, and waits until entries use it.
+    pub async fn restart_agent(&mut self, index: usize) {
+        let settings = std::slice::from_ref(&self.machines[index].settings);
+        self.machines[index].agent = spawn("pimentohook-agent", settings);
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        self.wait_ready(self.machines.len()).await;
+    }
+
+    pub fn restart_entry(&mut self, index: usize) {
+        let settings = std::slice::from_ref(&self.entry_settings[index]);
+        self.entries[index].1 = Some(spawn("pimentohook-entry", settings));
+    }
+
+    pub async fn set_platform_down(&self, down: bool) {
+        let faults = objects::Faults {
+            down,
+            ..objects::Faults::default()
+        };
+        let method = hyper::Method::POST;
+        let request = client::json_request(method, self.platform, "/faults", Some(&faults));
+        let request = request.expect("a request");
+        let exchange = self.client.exchange(self.platform, request, TIMEOUT).await;
+        assert_eq!(exchange.expect("the platform answers").0, 200);
+    }
+
+    async fn status(&self, entry: usize) -> Option<public::Status> {
+        fleet::status(&self.client, self.entry(entry)).await
+    }
+
+    pub async fn config_version(&self, entry: usize) -> id::ConfigVersion {
+        let status = self.status(entry).await;
+        status.expect("the entry answers").config_version
+    }
+
+    pub async fn wait_config_version(&self, entry: usize, version: id::ConfigVersion) {
+        let deadline = time::Instant::now() + READY_TIMEOUT;
+        while time::Instant::now() < deadline {
+            let status = self.status(entry).await;
+            let open = status.is_some_and(|status| {
+                let mut services = status.services.values();
+                status.config_version == version && services.all(|one| one.open_count > 0)
+            });
+            if open {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("the configuration does not come");
+    }
+
+    pub async fn duty_holder(&self) -> usize {
+        let deadline = time::Instant::now() + READY_TIMEOUT;
+        while time::Instant::now() < deadline {
+            let status = self.status(0).await;
+            if let Some(holder) = status.and_then(|status| status.duty_holder) {
+                let number = holder.as_str().trim_start_matches("entry-");
+                return number.parse().expect("its number");
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("nobody holds the duties");
+    }
+
+    pub fn freeze_entry(&self, index: usize) {
+        let child = self.entries[index].1.as_ref();
+        signal(child.expect("the entry runs"), "-STOP");
+    }
+
+    pub fn thaw_entry(&self, index: usize) {
+        let child = self.entries[index].1.as_ref();
+        signal(child.expect("the entry runs"), "-CONT");
+    }
+
     pub fn kill_entry(&mut self, index: usize) {
         self.entries[index].1 = None;
     }
 
     pub fn terminate_entry(&self, index: usize) {
         let child = self.entries[index].1.as_ref();
-        child.expect("the entry runs").signal("-TERM");
+        signal(child.expect("the entry runs"), "-TERM");
     }
 
     pub async fn kill_agent_running(&mut self, name: &str) {
         let index = self.running(name).await;
-        let _ = self.machines[index].agent.child.kill();
+        let _ = self.machines[index].agent.kill();
     }
 
     pub async fn terminate_agent_running(&self, name: &str) {
         let index = self.running(name).await;
-        self.machines[index].agent.signal("-TERM");
+        signal(&self.machines[index].agent, "-TERM");
     }
 
     pub async fn freeze_agent_running(&self, name: &str) -> usize {
         let index = self.running(name).await;
-        self.machines[index].agent.signal("-STOP");
+        signal(&self.machines[index].agent, "-STOP");
         index
     }
 
     pub fn thaw(&self, index: usize) {
-        self.machines[index].agent.signal("-CONT");
+        signal(&self.machines[index].agent, "-CONT");
     }
 
     pub async fn listed_entries(&self, asked: usize) -> Vec<net::SocketAddr> {
@@ -353,42 +435,3 @@
         panic!("the new weights did not go into service");
     }
 }
-
-use caller::Told;
-
-fn entry_settings(
-    index: usize,
-    addresses: &[net::SocketAddr],
-    platform: net::SocketAddr,
-    origin: net::SocketAddr,
-) -> String {
-    let places = addresses.iter().enumerate().map(|(index, address)| {
-        format!("  entry-{index}:\n    address: {address}\n    failure_domain: domain-{index}")
-    });
-    let entries = places.collect::<Vec<_>>().join("\n");
-    format!(
-        "entry: entry-{index}\nlisten: {}\nentries:\n{entries}\nobject_api: {platform}\n\
-         weight_store: {origin}\noperators:\n  demo:\n    token: {}\n\
-         keep_ms: 2000\nwindow_ms: 30000\njoin_age_ms: 300\nlease_term_ms: 1000\n\
-         weights_rate: 64MiB/s\nlog_level: warn\n",
-        addresses[index],
-        fleet::OPERATOR_TOKEN
-    )
-}
-
-fn agent_settings(
-    index: usize,
-    listen: net::SocketAddr,
-    upstream: net::SocketAddr,
-    entries: &[net::SocketAddr],
-    origin: net::SocketAddr,
-) -> String {
-    let places = entries.iter().map(|one| format!("  - {one}"));
-    let entries = places.collect::<Vec<_>>().join("\n");
-    format!(
-        "vm: vm-{index}\nservice: {}\nfailure_domain: domain-{index}\nlisten: {listen}\n\
-         kind: engine\nupstream: {upstream}\nentries:\n{entries}\nweight_store: {origin}\n\
-         window_ms: 30000\nweights_rate: 64MiB/s\nlog_level: warn\n",
-        fleet::MODEL_SERVICE
-    )
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -39,7 +39,7 @@
     },
 }
 
-/// Encodes a message.
+/// Encodes a message, fields by position.
 ///
 /// # Errors
 ///
@@ -48,7 +48,7 @@
 where
     T: Serialize,
 {
-    rmp_serde::to_vec_named(message).context(EncodeSnafu)
+    rmp_serde::to_vec(message).context(EncodeSnafu)
 }
 
 /// Decodes a message.
--- a/crates/wire/src/public.rs
+++ b/crates/wire/src/public.rs
@@ -77,6 +77,8 @@
     pub config_version: id::ConfigVersion,
     /// Whether the platform's object API answers it.
     pub platform_reachable: bool,
+    /// Agents whose configuration is older than the entry's.
+    pub behind_count: u32,
     /// Who performs the duties, as far as is known.
     pub duty_holder: Option<id::EntryId>,
     /// The services.
