Tell entries at once what changes in an agent

Cause: a request was refused, with proof, at an entry that had not yet heard that a replica serves again (one run of processes.rs in three under a busy machine); a configuration was in force everywhere only after two heartbeats. Change: openness, weights, a whole set and a new configuration are told at once. The test waits until every entry says that the weights are live; it asked one.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -12,6 +12,7 @@
 };
 use pimentohook_platform::{engine, weights};
 use pimentohook_runtime::{client, metrics, pacer};
+use tokio::sync::watch;
 
 use crate::{answers, settings, transfer};
 
@@ -47,6 +48,7 @@
     pub config: ArcSwap<intent::Config>,
     /// Metrics.
     pub metrics: StatsdClient,
+    news: watch::Sender<()>,
     address: net::SocketAddr,
     leaving: atomic::AtomicBool,
     first_byte_mean_ms: atomic::AtomicU64,
@@ -100,6 +102,7 @@
             outgoing: pacer::Pacer::new(settings.weights_rate),
             config: ArcSwap::from_pointee(intent::Config::default()),
             metrics: metrics::start("pimentohook.agent", settings.metrics)?,
+            news: watch::Sender::new(()),
             address: settings.advertise.unwrap_or(address),
             leaving: atomic::AtomicBool::new(false),
             first_byte_mean_ms: atomic::AtomicU64::new(0),
@@ -110,7 +113,21 @@
 
     /// Takes no new work from now on.
     pub fn leave(&self) {
-        self.leaving.store(true, atomic::Ordering::SeqCst);
+        let before = self.leaving.swap(true, atomic::Ordering::SeqCst);
+        if !before {
+            self.tell_entries();
+        }
+    }
+
+    /// Sends heartbeats now instead of at their time.
+    pub fn tell_entries(&self) {
+        self.news.send_replace(());
+    }
+
+    /// Returns a receiver that wakes where heartbeats are to be sent at once.
+    #[must_use]
+    pub fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
     }
 
     /// Returns how many requests run.
--- a/crates/agent/src/heartbeat.rs
+++ b/crates/agent/src/heartbeat.rs
@@ -14,6 +14,7 @@
 /// Sends heartbeats to one entry until the agent stops.
 pub async fn run(app: sync::Arc<app::App>, entry: net::SocketAddr, stop: process::Stop) {
     let mut reachable = true;
+    let mut news = app.news();
     loop {
         let heartbeat = messages::Heartbeat {
             report: app.report(),
@@ -38,8 +39,11 @@
                 app.client.renew();
             }
         }
-        if !stop.sleep(pause(&app)).await {
-            return;
+        tokio::select! {
+            awake = stop.sleep(pause(&app)) => if !awake {
+                return;
+            },
+            _ = news.changed() => {}
         }
     }
 }
@@ -84,5 +88,6 @@
         intent::commands::accept(&mut config, offered);
         config
     });
+    app.tell_entries();
     log::info!("heartbeat: configuration {} is in force.", offered.version);
 }
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -68,6 +68,7 @@
     let after = activation.serving();
     drop(activation);
     if before != after {
+        app.tell_entries();
         match after {
             Some(weights) => log::info!("orders: engine serves {}.", weights.content),
             None => log::warn!("orders: engine serves nothing that is known."),
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -268,6 +268,7 @@
                 }
                 set.receiver.record_verified(&self.fetch);
                 if set.receiver.is_complete() {
+                    app.tell_entries();
                     log::info!("transfer: {} is whole.", self.manifest.version);
                 }
             }
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -425,9 +425,13 @@
     pub async fn wait_live(&self, replica_count: u32, timeout: time::Duration) {
         let deadline = time::Instant::now() + timeout;
         while time::Instant::now() < deadline {
-            let status = fleet::status(&self.client, self.entry(0)).await;
-            let live = status.and_then(|status| Some(status.services.values().next()?.live_count));
-            if live == Some(replica_count) {
+            let mut live = true;
+            for entry in 0..self.entries.len() {
+                let status = self.status(entry).await;
+                let count = status.and_then(|one| Some(one.services.values().next()?.live_count));
+                live &= count == Some(replica_count);
+            }
+            if live {
                 return;
             }
             tokio::time::sleep(POLL).await;
