Keep peers, grants and earlier versions to the weights they are for

Cause, found by two new tests, red before: a version replaced while its transfer was under way, and a rollback, did not come into service within 30 s. A reply to a heartbeat sent for one manifest was applied to the next one, so chunks were pulled under grants of other weights; a rollback went on pulling the withdrawn version; only one earlier version was kept, so replicas two versions behind got no requests; with 8 chunks a tenth of a copy is nothing, and machines waited for each other. Change: replies name their manifest; the wanted set is the one the configuration names; four earlier versions stay allowed; a fleet whose policy share has run out and that stands still is relieved chunk by chunk within the hard limit of four copies. Ruled out: more machine load as the only cause (186 processes left over from stopped measurements did slow the tests, and took addresses; a stopped measurement now ends its processes). Conclusion: rollouts may replace each other.

--- a/crates/agent/src/heartbeat.rs
+++ b/crates/agent/src/heartbeat.rs
@@ -68,6 +68,9 @@
     if reply.leaving {
         app.leave();
     }
+    let Some(manifest) = reply.manifest else {
+        return;
+    };
     for peer in reply.peers {
         let info = receiver::PeerInfo {
             address: peer.address,
@@ -75,10 +78,11 @@
             held: peer.held,
             given_count: peer.given_count,
         };
-        app.transfers.record_peer(peer.vm, info);
+        app.transfers.record_peer(manifest, peer.vm, info);
     }
     for grant in reply.grants {
-        app.transfers.record_grant(grant.chunk, grant.serial);
+        app.transfers
+            .record_grant(manifest, grant.chunk, grant.serial);
     }
 }
 
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -31,7 +31,8 @@
 const OPEN_MAX: usize = 3;
 const PEERS_MAX: usize = 32;
 const BUSY_PAUSE: time::Duration = time::Duration::from_millis(30);
-const FAULT_PAUSE: time::Duration = time::Duration::from_secs(5);
+const FAULT_PAUSE: time::Duration = time::Duration::from_secs(1);
+const OVERDRAFT_AFTER: time::Duration = time::Duration::from_secs(3);
 const IDLE_POLL: time::Duration = time::Duration::from_millis(20);
 const MANIFEST_RETRY: time::Duration = time::Duration::from_millis(300);
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
@@ -71,7 +72,7 @@
         }
     }
 
-    /// Returns what is held of the newest set.
+    /// Returns what is held of the set that is wanted, which is the last one.
     #[must_use]
     pub fn progress(&self) -> Option<burst::Progress> {
         let sets = lock(&self.sets);
@@ -84,7 +85,7 @@
         })
     }
 
-    /// Returns whether the newest set is not whole yet.
+    /// Returns whether the wanted set is not whole yet.
     #[must_use]
     pub fn is_under_way(&self) -> bool {
         let sets = lock(&self.sets);
@@ -92,17 +93,17 @@
             .is_some_and(|(_, set)| !set.receiver.is_complete())
     }
 
-    /// Takes in what is said of a peer of the newest set.
-    pub fn record_peer(&self, vm: id::VmId, info: receiver::PeerInfo) {
-        if let Some((_, set)) = lock(&self.sets).last_mut() {
+    /// Takes in what is said of a peer; news of a set that is no longer held is dropped.
+    pub fn record_peer(&self, manifest: id::Digest, vm: id::VmId, info: receiver::PeerInfo) {
+        if let Some(set) = lock(&self.sets).get_mut(&manifest) {
             set.receiver.record_peer(vm, info);
         }
         self.changed.notify_one();
     }
 
-    /// Takes in a grant for the newest set.
-    pub fn record_grant(&self, chunk: u32, serial: u32) {
-        if let Some((_, set)) = lock(&self.sets).last_mut() {
+    /// Takes in a grant; one for a set that is no longer held is dropped.
+    pub fn record_grant(&self, manifest: id::Digest, chunk: u32, serial: u32) {
+        if let Some(set) = lock(&self.sets).get_mut(&manifest) {
             set.receiver.record_grant(chunk, serial);
         }
         self.changed.notify_one();
@@ -135,8 +136,16 @@
         }
     }
 
-    fn has(&self, manifest: id::Digest) -> bool {
-        lock(&self.sets).contains_key(&manifest)
+    /// Makes a set the one that is pulled and reported; false where it has to be opened first.
+    fn aim(&self, manifest: id::Digest) -> bool {
+        let mut sets = lock(&self.sets);
+        let Some(position) = sets.get_index_of(&manifest) else {
+            return false;
+        };
+        // A rollback names a set that was opened before another one.
+        let last = sets.len() - 1;
+        sets.move_index(position, last);
+        true
     }
 }
 
@@ -144,7 +153,7 @@
 pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
     while !stop.is_set() {
         if let Some(target) = target(&app)
-            && !app.transfers.has(target.manifest)
+            && !app.transfers.aim(target.manifest)
             && !begin(&app, &target).await
         {
             stop.sleep(MANIFEST_RETRY).await;
@@ -183,6 +192,7 @@
     let limits = receiver::ReceiverLimits {
         busy_pause: BUSY_PAUSE,
         fault_pause: FAULT_PAUSE,
+        overdraft_after: OVERDRAFT_AFTER,
         open_max: OPEN_MAX,
         peers_max: PEERS_MAX,
     };
--- a/crates/core/benches/rounds/mod.rs
+++ b/crates/core/benches/rounds/mod.rs
@@ -374,6 +374,7 @@
         let limits = receiver::ReceiverLimits {
             busy_pause: ROUND / 2,
             fault_pause: ROUND * 5,
+            overdraft_after: ROUND * 15,
             open_max: 1,
             peers_max: 32,
         };
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -258,8 +258,17 @@
         clock: &mut GrantClock,
         patience: time::Duration,
     ) {
+        // Where nothing was granted for so long, the policy's share has run out and the machines
+        // would wait for each other; the hard limit holds all the same.
+        let latest = clock.granted_at.values().max();
+        let stuck = latest.is_some_and(|at| now.duration_since(*at) > patience);
+        let max = if stuck {
+            self.percent_of_chunks(ORIGIN_LIMIT_PERCENT)
+        } else {
+            self.grant_max()
+        };
         for receiver in supply.receivers.iter().filter(|one| one.starved) {
-            if self.grants.len() >= self.grant_max() {
+            if self.grants.len() >= max {
                 return;
             }
             let granted_lately = |chunk: u32| {
--- a/crates/core/src/burst/receiver.rs
+++ b/crates/core/src/burst/receiver.rs
@@ -22,6 +22,8 @@
     pub busy_pause: time::Duration,
     /// After it stalled, broke off or sent corrupt bytes; doubled each time it does so again.
     pub fault_pause: time::Duration,
+    /// After spent peers have kept it waiting for this long, it asks for more than their share.
+    pub overdraft_after: time::Duration,
     /// How many chunks are pulled from peers at once; granted ones come in addition.
     pub open_max: usize,
     /// How many peers are kept.
@@ -95,6 +97,7 @@
     open_count: usize,
     /// When a peer was first found spent since the last chunk came.
     refused_since: Option<time::Instant>,
+    overdraft: bool,
 }
 
 impl Receiver {
@@ -115,6 +118,7 @@
             used_grants: IndexSet::new(),
             open_count: 0,
             refused_since: None,
+            overdraft: false,
         }
     }
 
@@ -228,7 +232,9 @@
             FetchFailure::Denied(giver::Denial::Spent) => {
                 // It may pass on more once some time has gone by.
                 peer.spent = true;
-                self.refused_since.get_or_insert(now);
+                let since = *self.refused_since.get_or_insert(now);
+                // Kept until all is held, so that not every missing chunk waits as long again.
+                self.overdraft |= now.duration_since(since) >= limits.overdraft_after;
                 peer.paused_until = Some(now + limits.fault_pause);
             }
             FetchFailure::Denied(giver::Denial::Busy) => {
@@ -294,11 +300,10 @@
             (peer.info.given_count, elsewhere, rng.random::<u32>())
         })?;
         let chunk = self.rarest_of(peer, &wanted_not, rng)?;
-        let refused_for = self.refused_since.map(|since| now.duration_since(since));
         Some(Fetch {
             chunk,
             source: Source::Peer(vm.clone()),
-            overdraft: refused_for.is_some_and(|passed| passed >= self.limits.fault_pause),
+            overdraft: self.overdraft,
         })
     }
 
--- a/crates/core/src/intent/commands.rs
+++ b/crates/core/src/intent/commands.rs
@@ -7,6 +7,9 @@
 };
 use crate::id;
 
+/// How many earlier versions may still be in service, for rollouts that replace one another.
+pub const PREVIOUS_MAX: usize = 4;
+
 /// How many confirmations are kept; with the longest names they stay far below a megabyte.
 pub const CONFIRMATIONS_MAX: usize = 500;
 
@@ -52,7 +55,10 @@
                     if let Some(config) = self.services.get_mut(service)
                         && config.weights.as_ref() != weights
                     {
-                        config.previous = config.weights.take();
+                        let replaced = config.weights.take();
+                        config.previous.retain(|one| Some(one) != weights);
+                        config.previous.splice(0..0, replaced);
+                        config.previous.truncate(PREVIOUS_MAX);
                         config.weights = weights.cloned();
                     }
                 }
--- a/crates/core/src/intent/mod.rs
+++ b/crates/core/src/intent/mod.rs
@@ -69,8 +69,9 @@
 pub struct ServiceConfig {
     /// The weights that its engines are to serve; `None` for a plain service.
     pub weights: Option<WeightsRef>,
-    /// The weights before those, served while a rollout is under way.
-    pub previous: Option<WeightsRef>,
+    /// The weights before those, latest first, served while a rollout is under way.
+    #[serde(default)]
+    pub previous: Vec<WeightsRef>,
     /// Whether its requests may run more than once unless their caller says otherwise.
     pub idempotent: bool,
     /// The share of replicas that keep serving during a rollout.
--- a/crates/core/src/intent/queries.rs
+++ b/crates/core/src/intent/queries.rs
@@ -44,8 +44,7 @@
         let Some(config) = self.services.get(service) else {
             return Vec::new();
         };
-        let refs = [config.weights.as_ref(), config.previous.as_ref()];
-        refs.into_iter().flatten().collect()
+        config.weights.iter().chain(&config.previous).collect()
     }
 
     /// Computes the plan for an intent.
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -190,3 +190,42 @@
         giver.stop();
     }
 }
+
+#[test]
+fn machines_that_would_wait_for_each_other_are_relieved_within_the_hard_limit() {
+    let patience = std::time::Duration::from_secs(10);
+    let mut now = std::time::Instant::now();
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut clock = ledger::GrantClock::default();
+    let receiver = |index: u32, held: chunks::ChunkSet| ledger::Receiver {
+        vm: format!("vm-{index}").parse().expect("a name"),
+        incarnation: id::Incarnation::new(1),
+        starved: !held.is_full(),
+        held,
+    };
+    let whole = receiver(0, chunks::ChunkSet::full(CHUNKS));
+    let waiting = (1..4).map(|index| receiver(index, chunks::ChunkSet::new(CHUNKS)));
+    let machines: Vec<_> = std::iter::once(whole).chain(waiting).collect();
+    let empty = ledger::Receiver {
+        held: chunks::ChunkSet::new(CHUNKS),
+        ..machines[0].clone()
+    };
+    while ledger.grants().len() < ledger.grant_max() {
+        ledger.extend(
+            now,
+            &supply(std::slice::from_ref(&empty)),
+            &mut clock,
+            patience,
+        );
+        ledger.extend(now, &supply(&machines), &mut clock, patience);
+        now += patience / 2;
+    }
+    let share = ledger.grants().len();
+    for _ in 0..1_000 {
+        now += patience;
+        ledger.extend(now, &supply(&machines), &mut clock, patience);
+    }
+    assert!(ledger.grants().len() > share);
+    let granted = u32::try_from(ledger.grants().len()).expect("few grants");
+    assert!(granted * 100 <= CHUNKS * ORIGIN_LIMIT_PERCENT);
+}
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -88,6 +88,7 @@
     messages::HeartbeatReply {
         config: newer.then(|| (**config).clone()),
         fencing: lock(&app.lease).fencing_seen(),
+        manifest: report.burst.as_ref().map(|progress| progress.manifest),
         peers: peers_for(app, report),
         grants: grants_for(app, report),
         leaving: app.leaving_vms.load().contains(&report.vm),
--- a/crates/standin/src/bin/pimentohook-scale.rs
+++ b/crates/standin/src/bin/pimentohook-scale.rs
@@ -52,6 +52,14 @@
 
 #[tokio::main]
 async fn run() -> Result<(), Box<dyn std::error::Error>> {
+    tokio::select! {
+        measured = measure_all() => measured,
+        // Dropping the sites ends their processes.
+        stopped = pimentohook_runtime::process::wait_for_signal() => Ok(stopped?),
+    }
+}
+
+async fn measure_all() -> Result<(), Box<dyn std::error::Error>> {
     let folder = env::temp_dir().join(format!("pimentohook-scale-{}", process::id()));
     fs::create_dir_all(&folder)?;
     for (entries, agents) in SIZES {
@@ -224,7 +232,7 @@
     };
     let service = intent::ServiceConfig {
         weights: Some(weights),
-        previous: None,
+        previous: Vec::new(),
         idempotent: true,
         floor_percent: 50,
         policy: burst::Policy::OriginFirst,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -378,14 +378,14 @@
 ) -> Result<intent::Config, FleetError> {
     let model = intent::ServiceConfig {
         weights: Some(weights_ref(first)),
-        previous: None,
+        previous: Vec::new(),
         idempotent: true,
         floor_percent: options.floor_percent,
         policy: options.policy,
     };
     let plain = intent::ServiceConfig {
         weights: None,
-        previous: None,
+        previous: Vec::new(),
         idempotent: false,
         floor_percent: options.floor_percent,
         policy: options.policy,
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -3,7 +3,7 @@
 
 use std::{net, time};
 
-use pimentohook_core::{intent, size};
+use pimentohook_core::{id, intent, size};
 use pimentohook_platform::vms;
 use pimentohook_runtime::client;
 use pimentohook_standin::{
@@ -77,18 +77,31 @@
     client::Client::new(net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED))
 }
 
-async fn plan(fleet: &Fleet) -> intent::Plan {
-    let rollout = intent::Intent::RollOut {
-        services: vec![fleet::MODEL_SERVICE.parse().expect("a name")],
-        version: "v2".parse().expect("a name"),
-    };
+async fn plan_intent(fleet: &Fleet, intent: &intent::Intent) -> intent::Plan {
     let entry = fleet.entry_addresses[0];
-    let answer = fleet::operate(&operator(), entry, "/v1/intents", Some(&rollout)).await;
+    let answer = fleet::operate(&operator(), entry, "/v1/intents", Some(intent)).await;
     let (status, body) = answer.expect("the entry answers");
     assert_eq!(status, 200, "{body:?}");
     serde_json::from_slice(&body).expect("a plan")
 }
 
+fn rollout(version: &str) -> intent::Intent {
+    intent::Intent::RollOut {
+        services: vec![fleet::MODEL_SERVICE.parse().expect("a name")],
+        version: version.parse().expect("a name"),
+    }
+}
+
+async fn plan(fleet: &Fleet) -> intent::Plan {
+    plan_intent(fleet, &rollout("v2")).await
+}
+
+/// Plans an intent and confirms it.
+async fn operate(fleet: &Fleet, intent: &intent::Intent) {
+    let plan = plan_intent(fleet, intent).await;
+    assert_eq!(confirm(fleet, &plan).await.0, 200);
+}
+
 async fn confirm(fleet: &Fleet, plan: &intent::Plan) -> (u16, String) {
     let entry = fleet.entry_addresses[0];
     let answer = fleet::operate(&operator(), entry, "/v1/confirm", Some(plan)).await;
@@ -364,3 +377,80 @@
         assert_eq!(run_count(&fleet, spec.request_id.as_str()), 0);
     }
 }
+
+async fn wait_serving(fleet: &Fleet, content: id::Digest) {
+    wait_for("the version", || {
+        let mut weights = fleet.machines.iter().map(|one| one.engine.weights());
+        weights.all(|found| found == Some(content))
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rollback_brings_the_earlier_version_into_service_everywhere() {
+    let fleet = start(&FleetOptions::default()).await;
+    let first = fleet.machines[0].engine.weights().expect("weights");
+    operate(&fleet, &rollout("v2")).await;
+    wait_live(&fleet).await;
+    operate(&fleet, &rollout("v1")).await;
+    wait_serving(&fleet, first).await;
+    assert_eq!(mixed_count(&fleet), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_replaced_while_it_is_under_way_leaves_weights_whole() {
+    let options = FleetOptions {
+        link_rate: size::ByteRate::new(2 << 20),
+        origin_rate: size::ByteRate::new(2 << 20),
+        ..FleetOptions::default()
+    };
+    let fleet = start(&options).await;
+    let third = fleet.store.publish(
+        &"v3".parse().expect("a name"),
+        size::ByteCount::new(1 << 20),
+        options.chunk_bytes,
+        9,
+    );
+    operate(&fleet, &rollout("v2")).await;
+    tokio::time::sleep(time::Duration::from_millis(700)).await;
+    operate(&fleet, &rollout("v3")).await;
+    wait_serving(&fleet, third.content).await;
+    assert_eq!(mixed_count(&fleet), 0);
+    assert!(origin_copies(&fleet) <= 4.0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_object_api_slows_confirmations_and_nothing_else() {
+    let fleet = start(&FleetOptions::default()).await;
+    fleet.objects.set_faults(objects::Faults {
+        delay_ms: 400,
+        ..objects::Faults::default()
+    });
+    let spec = spec("request-1", false, SHORT);
+    assert_whole(&send(&fleet, &spec).await.expect("the caller ends"), &spec);
+    operate(&fleet, &rollout("v2")).await;
+    wait_live(&fleet).await;
+    assert_eq!(mixed_count(&fleet), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_vm_gets_no_work_until_it_is_restored() {
+    let fleet = start(&FleetOptions::default()).await;
+    let vm: id::VmId = "vm-0".parse().expect("a name");
+    operate(&fleet, &intent::Intent::Drain { vm: vm.clone() }).await;
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let before = fleet.machines[0].engine.runs().started.len();
+    for index in 0..20 {
+        let spec = spec(&format!("request-{index}"), true, SHORT);
+        assert_whole(&send(&fleet, &spec).await.expect("the caller ends"), &spec);
+    }
+    assert_eq!(fleet.machines[0].engine.runs().started.len(), before);
+    operate(&fleet, &intent::Intent::Restore { vm }).await;
+    let mut count = 0;
+    while fleet.machines[0].engine.runs().started.len() == before {
+        let spec = spec(&format!("restored-{count}"), true, SHORT);
+        assert_whole(&send(&fleet, &spec).await.expect("the caller ends"), &spec);
+        count += 1;
+        assert!(count < 400, "the VM gets no work again");
+    }
+}
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -148,7 +148,7 @@
         };
         let service = intent::ServiceConfig {
             weights: Some(weights),
-            previous: None,
+            previous: Vec::new(),
             idempotent: true,
             floor_percent: 50,
             policy: pimentohook_core::burst::Policy::OriginFirst,
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -68,6 +68,8 @@
     pub config: Option<intent::Config>,
     /// The highest fencing number that the entry has read.
     pub fencing: Option<id::FencingNumber>,
+    /// The manifest that peers and grants are for.
+    pub manifest: Option<id::Digest>,
     /// A sample of peers that take part in the agent's burst.
     pub peers: Vec<PeerNotice>,
     /// What the agent may pull from the origin.
