Share the programs' main function and the first model service

Cause: reading the tree as a newcomer: two main functions were the same but for names, and three places described the same first service. Change: pimentohook_runtime::program, fleet::model_service. Behaviour stays. Conclusion: one place each.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`server`]: the accept loop in front of a gotham router, with graceful shutdown.
 //! * [`client`]: an HTTP client that never sends a request twice by itself.
 //! * [`settings`]: YAML files checked whole.
+//! * [`program`]: the main function of programs with a settings file.
 //! * [`pacer`]: bytes held to a rate.
 //! * [`logs`], [`metrics`], [`process`]: the rest of a binary's shell.
 
@@ -11,5 +12,6 @@
 pub mod metrics;
 pub mod pacer;
 pub mod process;
+pub mod program;
 pub mod server;
 pub mod settings;
--- a/crates/standin/src/bin/pimentohook-scale.rs
+++ b/crates/standin/src/bin/pimentohook-scale.rs
@@ -224,19 +224,7 @@
 fn first_config(
     first: &burst::manifest::Manifest,
 ) -> Result<intent::Config, Box<dyn std::error::Error>> {
-    let weights = intent::WeightsRef {
-        version: first.version.clone(),
-        manifest: first.digest(),
-        content: first.content,
-        total_bytes: first.total_bytes,
-    };
-    let service = intent::ServiceConfig {
-        weights: Some(weights),
-        previous: Vec::new(),
-        idempotent: true,
-        floor_percent: 50,
-        policy: burst::Policy::OriginFirst,
-    };
+    let service = fleet::model_service(first, 50, burst::Policy::OriginFirst);
     Ok(intent::Config {
         version: id::ConfigVersion::new(1),
         services: [(fleet::MODEL_SERVICE.parse()?, service)]
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -167,12 +167,25 @@
     text.parse().context(NameSnafu)
 }
 
-fn weights_ref(manifest: &burst::manifest::Manifest) -> intent::WeightsRef {
-    intent::WeightsRef {
-        version: manifest.version.clone(),
-        manifest: manifest.digest(),
-        content: manifest.content,
-        total_bytes: manifest.total_bytes,
+/// Returns a model service that serves a first version of weights.
+#[must_use]
+pub fn model_service(
+    first: &burst::manifest::Manifest,
+    floor_percent: u8,
+    policy: burst::Policy,
+) -> intent::ServiceConfig {
+    let weights = intent::WeightsRef {
+        version: first.version.clone(),
+        manifest: first.digest(),
+        content: first.content,
+        total_bytes: first.total_bytes,
+    };
+    intent::ServiceConfig {
+        weights: Some(weights),
+        previous: Vec::new(),
+        idempotent: true,
+        floor_percent,
+        policy,
     }
 }
 
@@ -376,13 +389,7 @@
     options: &FleetOptions,
     first: &burst::manifest::Manifest,
 ) -> Result<intent::Config, FleetError> {
-    let model = intent::ServiceConfig {
-        weights: Some(weights_ref(first)),
-        previous: Vec::new(),
-        idempotent: true,
-        floor_percent: options.floor_percent,
-        policy: options.policy,
-    };
+    let model = model_service(first, options.floor_percent, options.policy);
     let plain = intent::ServiceConfig {
         weights: None,
         previous: Vec::new(),
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -2,7 +2,10 @@
 
 use std::{net, path, process, time};
 
-use pimentohook_core::{burst::manifest, id, intent, size};
+use pimentohook_core::{
+    burst::{self, manifest},
+    id, intent, size,
+};
 use pimentohook_runtime::client;
 use pimentohook_standin::{
     caller::{self, Told},
@@ -140,19 +143,7 @@
     }
 
     async fn put_config(&self, platform: net::SocketAddr, first: &manifest::Manifest) {
-        let weights = intent::WeightsRef {
-            version: first.version.clone(),
-            manifest: first.digest(),
-            content: first.content,
-            total_bytes: first.total_bytes,
-        };
-        let service = intent::ServiceConfig {
-            weights: Some(weights),
-            previous: Vec::new(),
-            idempotent: true,
-            floor_percent: 50,
-            policy: pimentohook_core::burst::Policy::OriginFirst,
-        };
+        let service = fleet::model_service(first, 50, burst::Policy::OriginFirst);
         let name = fleet::MODEL_SERVICE.parse().expect("a name");
         let config = intent::Config {
             version: id::ConfigVersion::new(1),
