--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use indexmap::IndexMap;
 use pimentohook_core::{id, intent, lease, membership, size};
 use proptest::prelude::*;
 
@@ -77,6 +78,7 @@
     leases: Vec<lease::Lease>,
     held: Vec<Option<(u64, lease::LeaseUpdate)>>,
     fencing_acted: u64,
+    fencing_owners: IndexMap<u64, usize>,
 }
 
 impl LeaseWorld {
@@ -96,6 +98,7 @@
             leases: (0..PROCESS_COUNT).map(lease).collect(),
             held: vec![None; PROCESS_COUNT],
             fencing_acted: 0,
+            fencing_owners: IndexMap::new(),
         }
     }
 
@@ -141,21 +144,24 @@
     }
 
     fn check(&mut self) -> Result<(), TestCaseError> {
-        let holders: Vec<_> = self
-            .leases
-            .iter()
-            .filter_map(|lease| lease.fencing(self.now))
+        let leases = self.leases.iter().enumerate();
+        let holders: Vec<_> = leases
+            .filter_map(|(process, lease)| Some((process, lease.fencing(self.now)?)))
             .collect();
         prop_assert!(
             holders.len() <= 1,
             "two processes hold the lease: {holders:?}"
         );
-        for fencing in holders {
-            prop_assert!(
-                fencing.get() >= self.fencing_acted,
-                "a fencing number went back"
+        for (process, fencing) in holders {
+            let number = fencing.get();
+            prop_assert!(number >= self.fencing_acted, "a fencing number went back");
+            self.fencing_acted = number;
+            let owner = *self.fencing_owners.entry(number).or_insert(process);
+            prop_assert_eq!(
+                owner,
+                process,
+                "two processes acted under one fencing number"
             );
-            self.fencing_acted = fencing.get();
         }
         Ok(())
     }
