Remove code that nothing calls

Cause: reading the whole change again: an answer's cancel switch was made before orphaned answers were found by their readers and was never set; an answer's admission was always the same; a walk's stop and a table's phase had no caller. Change: they are gone. Behaviour and tests stay as they were. Conclusion: cancelling goes one way, by orphaned answers.

--- a/crates/agent/src/answers.rs
+++ b/crates/agent/src/answers.rs
@@ -45,8 +45,6 @@
 pub struct Answer {
     content: sync::Mutex<Content>,
     changed: watch::Sender<()>,
-    cancelled: watch::Sender<bool>,
-    admission: admission::Admission,
 }
 
 impl Answer {
@@ -54,8 +52,6 @@
         Self {
             content: sync::Mutex::new(Content::default()),
             changed: watch::Sender::new(()),
-            cancelled: watch::Sender::new(false),
-            admission: admission::Admission::Admitted,
         }
     }
 
@@ -83,17 +79,6 @@
         self.changed.send_replace(());
     }
 
-    /// Waits until nobody wants the answer any more.
-    pub async fn cancelled(&self) {
-        let mut cancelled = self.cancelled.subscribe();
-        let _ = cancelled.wait_for(|cancelled| *cancelled).await;
-    }
-
-    /// Cancels the run.
-    pub fn cancel(&self) {
-        self.cancelled.send_replace(true);
-    }
-
     /// Records that the answer was passed on whole.
     pub fn record_fetched(&self) {
         lock(&self.content).fetched = true;
@@ -116,7 +101,8 @@
         }
         if !told {
             let known = content.started || content.end.is_some();
-            return known.then_some(frames::Frame::Admission(self.admission));
+            let admitted = frames::Frame::Admission(admission::Admission::Admitted);
+            return known.then_some(admitted);
         }
         let end = content.bytes.len().min(offset + PIECE_BYTES);
         if offset < end {
--- a/crates/core/src/admission/queries.rs
+++ b/crates/core/src/admission/queries.rs
@@ -12,12 +12,6 @@
         self.incarnation
     }
 
-    /// Returns what is kept for a request.
-    #[must_use]
-    pub fn phase(&self, request_id: &id::RequestId) -> Option<Phase> {
-        self.phases.get(request_id).copied()
-    }
-
     /// Returns how many requests run.
     #[must_use]
     pub fn running_count(&self) -> usize {
--- a/crates/core/src/routing/walk.rs
+++ b/crates/core/src/routing/walk.rs
@@ -169,12 +169,6 @@
         }
     }
 
-    /// Returns the agent at a position.
-    #[must_use]
-    pub fn stop(&self, position: usize) -> &Stop {
-        &self.stops[position]
-    }
-
     /// Records what came of the last step.
     pub fn record(&mut self, event: Event) {
         match self.stage {
