--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -6,17 +6,21 @@
 use cadence::StatsdClient;
 use pimentohook_core::{
     admission,
-    burst::activation,
+    burst::{activation, giver},
     clock::{self, Clock},
     id, intent, limits, membership,
 };
 use pimentohook_platform::{engine, weights};
-use pimentohook_runtime::{client, metrics, pacer};
+use pimentohook_runtime::{client, metrics};
 use tokio::sync::watch;
 
 use crate::{answers, settings, transfer};
 
 const ACTIVE_WINDOW: time::Duration = time::Duration::from_secs(2);
+const REFILL: giver::Refill = giver::Refill {
+    delay: time::Duration::from_mins(2),
+    per_copy: time::Duration::from_mins(10),
+};
 const FIRST_BYTE_SHARE: u64 = 8;
 
 /// The agent's state.
@@ -39,11 +43,7 @@
     /// The activation of weights.
     pub activation: sync::Mutex<activation::Activation>,
     /// The weights held and under way.
-    pub transfers: transfer::Transfers,
-    /// What comes in.
-    pub incoming: pacer::Pacer,
-    /// What goes out.
-    pub outgoing: pacer::Pacer,
+    pub transfers: sync::Arc<transfer::Transfers>,
     /// The configuration in force.
     pub config: ArcSwap<intent::Config>,
     /// Metrics.
@@ -89,6 +89,20 @@
             },
             limits::FairSlots::new(settings.slot_count + settings.queue_max, ACTIVE_WINDOW),
         );
+        let news = watch::Sender::new(());
+        let told = news.clone();
+        let link = transfer::Link {
+            clock: sync::Arc::new(clock),
+            client: client.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            rate: settings.weights_rate,
+            stall_max: settings.stall_max,
+            near_first: false,
+            refill: REFILL,
+            on_whole: Box::new(move || {
+                told.send_replace(());
+            }),
+        };
         let app = Self {
             clock,
             client,
@@ -97,12 +111,10 @@
             table: sync::Mutex::new(table),
             answers: answers::Answers::new(settings.answers_max, settings.window),
             activation: sync::Mutex::new(activation::Activation::new()),
-            transfers: transfer::Transfers::new(),
-            incoming: pacer::Pacer::new(settings.weights_rate),
-            outgoing: pacer::Pacer::new(settings.weights_rate),
+            transfers: sync::Arc::new(transfer::Transfers::new(link)),
             config: ArcSwap::from_pointee(intent::Config::default()),
             metrics: metrics::start("pimentohook.agent", settings.metrics)?,
-            news: watch::Sender::new(()),
+            news,
             address: settings.advertise.unwrap_or(address),
             leaving: atomic::AtomicBool::new(false),
             first_byte_mean_ms: atomic::AtomicU64::new(0),
--- /dev/null
+++ b/crates/agent/src/direct/app.rs
@@ -0,0 +1,231 @@
+//! What the parts of the agent share.
+
+use std::{net, sync, time};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use indexmap::IndexMap;
+use pimentohook_core::{
+    burst::{self, giver, ledger},
+    clock, engine, gate, id,
+};
+use pimentohook_platform::{origin, runner, store};
+use pimentohook_runtime::client;
+use pimentohook_wire::direct;
+use tokio::sync::Notify;
+
+use super::settings;
+use crate::{app::lock, transfer};
+
+const STALL_MAX: time::Duration = time::Duration::from_millis(700);
+/// VMs that come after the burst get whole copies too.
+const REFILL: giver::Refill = giver::Refill {
+    delay: time::Duration::from_millis(500),
+    per_copy: time::Duration::from_secs(3),
+};
+
+/// What the configuration says of the agent's service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// What its engines can do.
+    pub figures: engine::EngineFigures,
+    /// Where weights come from first.
+    pub origin: Option<net::SocketAddr>,
+}
+
+/// The version that a model is to have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+    /// When this agent learned of it.
+    pub since: time::Instant,
+}
+
+/// Another agent, as it was last heard.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    /// The life of the agent.
+    pub incarnation: id::Incarnation,
+    /// What it holds.
+    pub progress: burst::Progress,
+    /// When it was heard.
+    pub at: time::Instant,
+}
+
+/// Other agents of the same service.
+pub type Others = IndexMap<id::VmId, net::SocketAddr>;
+
+/// A version of a model.
+pub type Version = (String, u64);
+
+/// What the parts of the agent share.
+pub struct App {
+    /// The settings.
+    pub settings: settings::DirectSettings,
+    /// The clock.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Connections to entries and agents.
+    pub client: sync::Arc<client::Client>,
+    /// The engine.
+    pub runner: runner::Runner,
+    /// The object store.
+    pub store: store::Store,
+    /// The origin of weights.
+    pub origin: origin::Origin,
+    /// The weights held and under way.
+    pub transfers: sync::Arc<transfer::Transfers>,
+    /// Admission at the engine.
+    pub gate: sync::Mutex<gate::Gate>,
+    /// What the configuration says of the service; `None` until it is known.
+    pub service: ArcSwapOption<Service>,
+    /// The version that the model is to have; `None` until it is known.
+    pub target: ArcSwapOption<Target>,
+    /// The versions that were named, the newest last.
+    pub named: ArcSwap<Vec<Target>>,
+    /// The other agents of the service.
+    pub others: ArcSwap<Others>,
+    /// Where entries take notices.
+    pub entries: ArcSwap<Vec<net::SocketAddr>>,
+    /// The manifests of the versions held or under way.
+    pub manifests: sync::Mutex<IndexMap<Version, sync::Arc<origin::Manifest>>>,
+    /// What was heard from other agents about the wanted version.
+    pub heard: sync::Mutex<IndexMap<id::VmId, Heard>>,
+    /// The recorded grants of the wanted version.
+    pub ledger: ArcSwapOption<ledger::Ledger>,
+    /// When grants were made, as far as this agent made them.
+    pub grant_clock: sync::Mutex<ledger::GrantClock>,
+    /// Wakes whoever tells entries what the engine serves.
+    pub notice: Notify,
+    /// This VM among the agents.
+    pub me: id::VmId,
+    /// The life of this agent.
+    pub incarnation: id::Incarnation,
+}
+
+impl std::fmt::Debug for App {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("App").finish_non_exhaustive()
+    }
+}
+
+const MANIFESTS_MAX: usize = 3;
+
+impl App {
+    /// Creates the state of an agent that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: settings::DirectSettings) -> sync::Arc<Self> {
+        let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock);
+        let local = settings.peers.ip();
+        let client = sync::Arc::new(client::Client::new(local));
+        let outside = sync::Arc::new(client::Client::new(local));
+        let link = transfer::Link {
+            clock: clock.clone(),
+            client: client.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            rate: settings.weights_rate,
+            stall_max: STALL_MAX,
+            near_first: true,
+            refill: REFILL,
+            on_whole: Box::new(|| {}),
+        };
+        sync::Arc::new(Self {
+            runner: runner::Runner::new(settings.engine, outside.clone()),
+            store: store::Store::new(settings.object_store, outside.clone()),
+            origin: origin::Origin::new(outside),
+            transfers: sync::Arc::new(transfer::Transfers::new(link)),
+            gate: sync::Mutex::new(gate::Gate::new(clock.now())),
+            service: ArcSwapOption::empty(),
+            target: ArcSwapOption::empty(),
+            named: ArcSwap::default(),
+            others: ArcSwap::default(),
+            entries: ArcSwap::default(),
+            manifests: sync::Mutex::new(IndexMap::new()),
+            heard: sync::Mutex::new(IndexMap::new()),
+            ledger: ArcSwapOption::empty(),
+            grant_clock: sync::Mutex::default(),
+            notice: Notify::new(),
+            me: vm_of(settings.engine),
+            incarnation: id::Incarnation::new(rand::random()),
+            client,
+            clock,
+            settings,
+        })
+    }
+
+    /// Returns the manifest of a version, if it is known.
+    #[must_use]
+    pub fn manifest(&self, version: &Version) -> Option<sync::Arc<origin::Manifest>> {
+        lock(&self.manifests).get(version).cloned()
+    }
+
+    /// Keeps a manifest; the oldest one goes.
+    pub fn keep_manifest(&self, manifest: origin::Manifest) -> sync::Arc<origin::Manifest> {
+        let version = (manifest.model.clone(), manifest.version);
+        let manifest = sync::Arc::new(manifest);
+        let mut manifests = lock(&self.manifests);
+        manifests.insert(version, manifest.clone());
+        while manifests.len() > MANIFESTS_MAX {
+            manifests.shift_remove_index(0);
+        }
+        manifest
+    }
+
+    /// Returns what entries are told.
+    #[must_use]
+    pub fn state(&self) -> direct::AgentNotice {
+        let gate = lock(&self.gate);
+        direct::AgentNotice {
+            engine: self.settings.engine.to_string(),
+            weights: gate.weights(),
+            open: !gate.is_loading(),
+        }
+    }
+
+    /// Makes a version the wanted one, unless a later one is.
+    pub fn want(&self, model: &str, version: u64) {
+        let known = self.target.load();
+        let is_newer = known
+            .as_ref()
+            .is_none_or(|known| known.model != model || known.version < version);
+        if !is_newer {
+            return;
+        }
+        log::info!("agent: event=weights_wanted model={model} version={version}");
+        lock(&self.heard).clear();
+        self.ledger.store(None);
+        *lock(&self.grant_clock) = ledger::GrantClock::default();
+        let target = Target {
+            model: String::from(model),
+            version,
+            since: self.clock.now(),
+        };
+        self.named.rcu(|named| {
+            let mut named = Vec::clone(named);
+            named.push(target.clone());
+            let surplus = named.len().saturating_sub(MANIFESTS_MAX);
+            named.drain(..surplus);
+            named
+        });
+        self.target.store(Some(sync::Arc::new(target)));
+    }
+
+    /// Returns the place of a VM in the order that all agents agree on for a version.
+    #[must_use]
+    pub fn rank(&self, target: &Target) -> usize {
+        let key = format!("{} {}", target.model, target.version);
+        let mine = id::rendezvous_score(&key, self.me.as_str());
+        let others = self.others.load();
+        let before = |vm: &&id::VmId| id::rendezvous_score(&key, vm.as_str()) > mine;
+        others.keys().filter(before).count()
+    }
+}
+
+/// Returns the name of the VM on which an engine runs, which is the same for all agents.
+#[must_use]
+pub fn vm_of(engine: net::SocketAddr) -> id::VmId {
+    let text = engine.ip().to_string().replace(':', ".");
+    text.parse()
+        .unwrap_or_else(|error| unreachable!("an address is a name: {error}"))
+}
--- /dev/null
+++ b/crates/agent/src/direct/grants.rs
@@ -0,0 +1,188 @@
+//! Grants for chunks of the origin, recorded in the store before anybody hears of them.
+//!
+//! The agent that comes first in the order of a version makes the grants. The record is changed
+//! under its revision only, so two agents that both take themselves for the first can't exceed it.
+
+use std::{net, sync, time};
+
+use pimentohook_core::{
+    burst::{chunks, ledger},
+    id,
+};
+use pimentohook_platform::store;
+
+use super::app;
+use crate::app::lock;
+
+/// A granted chunk that nobody holds after this long is granted again.
+const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
+/// An agent that was not heard for this long takes no part.
+const SILENCE_MAX: time::Duration = time::Duration::from_millis(1_500);
+/// How long the first grants wait until half of the agents were heard, so that they are spread.
+const GATHER_MAX: time::Duration = time::Duration::from_millis(400);
+/// How long the first in the order may be unheard before the next one makes grants.
+const TAKE_OVER_AFTER: time::Duration = time::Duration::from_millis(1_200);
+
+/// Returns other agents in the order of a version, the first ones first.
+pub fn first_in_order<'a>(
+    others: &'a app::Others,
+    target: &app::Target,
+) -> impl Iterator<Item = (&'a id::VmId, &'a net::SocketAddr)> + use<'a> {
+    let key = format!("{} {}", target.model, target.version);
+    let mut order: Vec<_> = others.iter().collect();
+    order.sort_by_cached_key(|(vm, _)| std::cmp::Reverse(id::rendezvous_score(&key, vm.as_str())));
+    order.into_iter()
+}
+
+/// Makes the grants that are due, if it is this agent that makes them.
+pub async fn extend(app: &sync::Arc<app::App>, target: &app::Target) {
+    if !is_grantor(app, target) {
+        return;
+    }
+    if let Err(error) = extend_recorded(app, target).await {
+        log::warn!("grants: event=not_recorded error={error:?}");
+        app.ledger.store(None);
+    }
+}
+
+/// Whether all agents before this one in the order have been silent for a while.
+fn is_grantor(app: &app::App, target: &app::Target) -> bool {
+    let now = app.clock.now();
+    let rank = app.rank(target);
+    if rank == 0 {
+        return true;
+    }
+    if now.duration_since(target.since) < TAKE_OVER_AFTER {
+        return false;
+    }
+    let others = app.others.load();
+    let heard = lock(&app.heard);
+    let is_live = |vm: &id::VmId| {
+        let heard = heard.get(vm);
+        heard.is_some_and(|heard| now.duration_since(heard.at) < SILENCE_MAX)
+    };
+    !first_in_order(&others, target)
+        .take(rank)
+        .any(|(vm, _)| is_live(vm))
+}
+
+async fn extend_recorded(
+    app: &sync::Arc<app::App>,
+    target: &app::Target,
+) -> Result<(), store::StoreError> {
+    let Some(manifest) = app.manifest(&(target.model.clone(), target.version)) else {
+        return Ok(());
+    };
+    let chunk_count = manifest.chunk_count();
+    let mut clock = lock(&app.grant_clock).clone();
+    let supply = supply(app, manifest.digest(), chunk_count);
+    let now = app.clock.now();
+    let age = now.duration_since(target.since);
+    if supply.receivers.len() <= app.others.load().len() / 2 && age < GATHER_MAX {
+        return Ok(());
+    }
+    if let Some(known) = app.ledger.load_full() {
+        let mut probe = ledger::Ledger::clone(&known);
+        if probe.extend(now, &supply, &mut clock, PATIENCE) == 0 {
+            *lock(&app.grant_clock) = clock;
+            take_own(app, manifest.digest(), &known);
+            return Ok(());
+        }
+    }
+    let name = format!("{}-{}", target.model, target.version);
+    let recorded = app.store.get(store::Kind::Grants, &name).await?;
+    let mut ledger = recorded
+        .as_ref()
+        .and_then(read)
+        .unwrap_or_else(|| ledger::Ledger::new(chunk_count, app.settings.policy));
+    let mut clock = lock(&app.grant_clock).clone();
+    if ledger.extend(now, &supply, &mut clock, PATIENCE) > 0 {
+        match &recorded {
+            Some(object) => {
+                let revision = object.revision;
+                app.store
+                    .replace(store::Kind::Grants, &name, revision, &ledger)
+                    .await?;
+            }
+            None => {
+                app.store
+                    .create(store::Kind::Grants, &name, &ledger)
+                    .await?;
+            }
+        }
+        log::info!(
+            "grants: event=recorded name={name} grants={} receivers={}",
+            ledger.grants().len(),
+            supply.receivers.len()
+        );
+    }
+    *lock(&app.grant_clock) = clock;
+    take_own(app, manifest.digest(), &ledger);
+    app.ledger.store(Some(sync::Arc::new(ledger)));
+    Ok(())
+}
+
+fn read(object: &store::Object) -> Option<ledger::Ledger> {
+    match serde_json::from_str(&object.content) {
+        Ok(ledger) => Some(ledger),
+        Err(error) => {
+            log::warn!(
+                "grants: event=record_unreadable name={} error={error:?}",
+                object.name
+            );
+            None
+        }
+    }
+}
+
+fn take_own(app: &app::App, manifest: id::Digest, ledger: &ledger::Ledger) {
+    for grant in ledger.grants_of(&app.me, app.incarnation) {
+        app.transfers
+            .record_grant(manifest, grant.chunk, grant.serial);
+    }
+}
+
+fn supply(app: &app::App, manifest: id::Digest, chunk_count: u32) -> ledger::Supply {
+    let now = app.clock.now();
+    let mut supply = ledger::Supply {
+        receivers: Vec::new(),
+        holder_counts: vec![0; chunk_count as usize],
+    };
+    if let Some(own) = app.transfers.progress_of(manifest) {
+        add(
+            &mut supply,
+            app.me.clone(),
+            app.incarnation,
+            own.starved,
+            own.held,
+        );
+    }
+    for (vm, heard) in lock(&app.heard).iter() {
+        let is_live = now.duration_since(heard.at) < SILENCE_MAX;
+        if is_live && heard.progress.manifest == manifest {
+            let (starved, held) = (heard.progress.starved, heard.progress.held.clone());
+            add(&mut supply, vm.clone(), heard.incarnation, starved, held);
+        }
+    }
+    supply
+}
+
+fn add(
+    supply: &mut ledger::Supply,
+    vm: id::VmId,
+    incarnation: id::Incarnation,
+    starved: bool,
+    held: chunks::ChunkSet,
+) {
+    for chunk in held.iter() {
+        if let Some(count) = supply.holder_counts.get_mut(chunk as usize) {
+            *count += 1;
+        }
+    }
+    supply.receivers.push(ledger::Receiver {
+        vm,
+        incarnation,
+        starved,
+        held,
+    });
+}
--- /dev/null
+++ b/crates/agent/src/direct/place.rs
@@ -0,0 +1,45 @@
+//! Whether a request may start at the engine.
+
+use std::{sync, time};
+
+use gotham::helpers::http::Body;
+use hyper::{Response, StatusCode};
+use pimentohook_core::gate;
+use pimentohook_runtime::server;
+use pimentohook_wire::direct;
+
+use super::app;
+use crate::app::lock;
+
+const MESSAGE_MAX_BYTES: usize = 1 << 16;
+
+/// Handles an entry's request for a place.
+pub async fn answer(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    let request: direct::PlaceRequest = match call.read_message(MESSAGE_MAX_BYTES).await {
+        Ok(request) => request,
+        Err(error) => return server::respond_text(error.status(), &error.to_string()),
+    };
+    let Some(service) = app.service.load_full() else {
+        return server::respond_text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+    };
+    let ask = gate::Ask {
+        model: &request.model,
+        prompt_tokens: request.prompt_tokens,
+        first_token_max: time::Duration::from_millis(u64::from(request.first_token_max_ms)),
+        version_min: request.version_min,
+    };
+    let now = app.clock.now();
+    let admitted = lock(&app.gate).admit(&service.figures, now, &ask);
+    if let Err(closed) = admitted {
+        log::debug!(
+            "place: event=refused instance={} reason={closed}",
+            request.instance
+        );
+    }
+    let first_token = admitted.unwrap_or_default();
+    server::respond_message(&direct::PlaceReply {
+        granted: admitted.is_ok(),
+        first_token_ms: u32::try_from(first_token.as_millis()).unwrap_or(u32::MAX),
+        state: app.state(),
+    })
+}
--- /dev/null
+++ b/crates/agent/src/direct/settings.rs
@@ -0,0 +1,126 @@
+//! Settings of the direct mode.
+
+use std::{net, path};
+
+use pimentohook_core::{burst, id, size};
+use pimentohook_runtime::settings;
+
+use crate::settings as gateway;
+
+/// Settings of an agent, whichever mode it runs in.
+#[derive(Clone, Debug)]
+pub enum Settings {
+    /// Requests go through the agent.
+    Gateway(Box<gateway::AgentSettings>),
+    /// Requests go past the agent.
+    Direct(Box<DirectSettings>),
+}
+
+impl Settings {
+    /// Reads and checks a settings file; the key `engine` tells the modes apart.
+    ///
+    /// # Errors
+    ///
+    /// [`settings::SettingsError`] with every fault.
+    pub fn from_file(path: &path::Path) -> Result<Self, settings::SettingsError> {
+        let checker = settings::Checker::from_file(path);
+        if checker.has("engine") {
+            let direct = DirectSettings::from_checker(checker)?;
+            return Ok(Self::Direct(Box::new(direct)));
+        }
+        let gateway = gateway::AgentSettings::from_file(path)?;
+        Ok(Self::Gateway(Box::new(gateway)))
+    }
+
+    /// Returns the level of logs.
+    #[must_use]
+    pub fn log_level(&self) -> &str {
+        match self {
+            Self::Gateway(settings) => &settings.log_level,
+            Self::Direct(settings) => &settings.log_level,
+        }
+    }
+}
+
+/// The settings of the direct mode.
+#[derive(Clone, Debug)]
+pub struct DirectSettings {
+    /// The VM.
+    pub vm: String,
+    /// Its failure domain.
+    pub failure_domain: id::FailureDomain,
+    /// The service of the engine.
+    pub service: id::ServiceName,
+    /// Where the engine takes requests and orders.
+    pub engine: net::SocketAddr,
+    /// Where the agent takes messages of entries and other agents.
+    pub peers: net::SocketAddr,
+    /// The object store.
+    pub object_store: net::SocketAddr,
+    /// What the VM's link carries for weights, each way.
+    pub weights_rate: size::ByteRate,
+    /// Whether few bytes from the origin or little time goes first.
+    pub policy: burst::Policy,
+    /// The level of logs.
+    pub log_level: String,
+}
+
+const ADDRESS: &str = "an IP address and port, as in 10.0.0.1:8000";
+const NAME: &str = "1 to 64 of letters, digits, '-', '_' and '.'";
+const LINK_MBPS_MAX: f64 = 1_000_000.0;
+/// The part of a link that weights may take, in hundredths; the rest is for messages.
+const WEIGHTS_PERCENT: f64 = 92.0;
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
+impl DirectSettings {
+    /// Checks settings.
+    ///
+    /// # Errors
+    ///
+    /// [`settings::SettingsError`] with every fault.
+    pub fn from_checker(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
+        let vm = checker.required("vm", "a name");
+        let failure_domain = checker.required("failure_domain", NAME);
+        let service = checker.required("service", NAME);
+        let engine = checker.required("engine", ADDRESS);
+        let peers = checker.required("peers", ADDRESS);
+        let object_store = checker.required("object_store", ADDRESS);
+        let weights_rate = weights_rate(&mut checker);
+        let policy = checker
+            .optional("policy", "origin_first or time_first")
+            .unwrap_or_default();
+        let log_level = checker
+            .optional("log_level", "error, warn, info, debug or trace")
+            .unwrap_or_else(|| String::from("info"));
+        let parsed = (|| {
+            Some(Self {
+                vm: vm?,
+                failure_domain: failure_domain?,
+                service: service?,
+                engine: engine?,
+                peers: peers?,
+                object_store: object_store?,
+                weights_rate: weights_rate?,
+                policy,
+                log_level,
+            })
+        })();
+        checker.settle(parsed)
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the rate is checked to be positive and small"
+)]
+fn weights_rate(checker: &mut settings::Checker) -> Option<size::ByteRate> {
+    let allowed = "megabits per second, above 0 and up to 1000000";
+    let link_mbps: f64 = checker.required("link_mbps", allowed)?;
+    if !(link_mbps > 0.0 && link_mbps <= LINK_MBPS_MAX) {
+        checker.push("link_mbps", Some(link_mbps.to_string()), allowed);
+        return None;
+    }
+    let rate = link_mbps * BYTES_PER_MEGABIT * WEIGHTS_PERCENT / 100.0;
+    Some(size::ByteRate::new(rate as u64))
+}
--- /dev/null
+++ b/crates/agent/src/direct/swarm.rs
@@ -0,0 +1,331 @@
+//! Weights from other agents: who holds what, and the manifest.
+//!
+//! While its set is not whole, an agent calls a sample of the others several times a second. Each
+//! call carries what both hold, so those who have everything need not call anybody.
+
+use std::{net, sync, time};
+
+use gotham::helpers::http::Body;
+use hyper::Response;
+use pimentohook_core::{
+    burst::{activation, receiver},
+    id,
+};
+use pimentohook_platform::origin;
+use pimentohook_runtime::{process, server};
+use pimentohook_wire::direct;
+use rand::seq::IndexedRandom as _;
+
+use super::{app, grants};
+use crate::{app::lock, transfer};
+
+const EVERY: time::Duration = time::Duration::from_millis(120);
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+const FANOUT: usize = 7;
+/// Those first in the order are told always, since one of them makes grants.
+const GRANTORS: usize = 2;
+const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// Each agent waits this much longer than the one before it until it asks the origin for a
+/// manifest, so that most get it from each other.
+const MANIFEST_STAGGER: time::Duration = time::Duration::from_millis(400);
+const MESSAGE_MAX_BYTES: usize = 1 << 20;
+
+/// Brings the wanted version's chunks here, until the process ends.
+pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
+    tokio::spawn(pull(app.clone(), stop.clone()));
+    while stop.sleep(EVERY).await {
+        let (Some(target), Some(service)) = (app.target.load_full(), app.service.load_full())
+        else {
+            continue;
+        };
+        if is_whole(&app, &target) {
+            continue;
+        }
+        if open(&app, &target, &service).await {
+            grants::extend(&app, &target).await;
+        }
+        call_others(&app, &target);
+    }
+}
+
+async fn pull(app: sync::Arc<app::App>, stop: process::Stop) {
+    while !stop.is_set() {
+        app.transfers.pull_once(&stop).await;
+    }
+}
+
+/// Returns whether all chunks of a version are here.
+#[must_use]
+pub fn is_whole(app: &app::App, target: &app::Target) -> bool {
+    let manifest = app.manifest(&(target.model.clone(), target.version));
+    manifest.is_some_and(|manifest| app.transfers.is_held_whole(manifest.digest()))
+}
+
+/// Opens the set of a version if its manifest is known or can be had; false where it can't yet.
+async fn open(app: &sync::Arc<app::App>, target: &app::Target, service: &app::Service) -> bool {
+    let version = (target.model.clone(), target.version);
+    let manifest = match app.manifest(&version) {
+        Some(manifest) => manifest,
+        None => match ask_origin(app, target, service).await {
+            Some(manifest) => app.keep_manifest(manifest),
+            None => return false,
+        },
+    };
+    if app.transfers.aim(manifest.digest()) {
+        return true;
+    }
+    let Some(origin) = service.origin else {
+        log::warn!("swarm: event=no_origin model={}", target.model);
+        return false;
+    };
+    app.transfers
+        .open(content(app, &manifest, origin), serving(app));
+    take_staged(app, &manifest).await;
+    true
+}
+
+fn serving(app: &app::App) -> Option<id::Digest> {
+    let weights = lock(&app.gate).weights();
+    let (model, version) = weights.first()?;
+    let manifest = app.manifest(&(model.clone(), *version))?;
+    Some(manifest.digest())
+}
+
+async fn ask_origin(
+    app: &app::App,
+    target: &app::Target,
+    service: &app::Service,
+) -> Option<origin::Manifest> {
+    let rank = u32::try_from(app.rank(target)).unwrap_or(u32::MAX);
+    let waits = MANIFEST_STAGGER.saturating_mul(rank);
+    let is_first = app.others.load().is_empty() || rank == 0;
+    if !is_first && app.clock.now().duration_since(target.since) < waits {
+        return None;
+    }
+    let (model, version) = (&target.model, target.version);
+    let asked = app
+        .origin
+        .manifest(service.origin?, model, version, ORIGIN_TIMEOUT);
+    let chunk_count = service.figures.chunk_count;
+    let manifest = asked.await.and_then(|manifest| {
+        manifest
+            .check(model, version, chunk_count)
+            .map(|()| manifest)
+    });
+    match manifest {
+        Ok(manifest) => Some(manifest),
+        Err(error) => {
+            log::warn!(
+                "swarm: event=manifest_failed model={model} version={version} error={error:?}"
+            );
+            None
+        }
+    }
+}
+
+fn content(
+    app: &sync::Arc<app::App>,
+    manifest: &sync::Arc<origin::Manifest>,
+    origin: net::SocketAddr,
+) -> transfer::Content {
+    let digest = manifest.digest();
+    let (checked, pulled) = (manifest.clone(), manifest.clone());
+    let client = app.origin.clone();
+    transfer::Content {
+        weights: activation::WeightsId {
+            manifest: digest,
+            content: digest,
+        },
+        version: format!("{} {}", manifest.model, manifest.version),
+        chunk_count: manifest.chunk_count(),
+        chunk_bytes: manifest.chunk_bytes as usize,
+        verifies: Box::new(move |chunk, bytes| checked.verifies(chunk, bytes)),
+        pull_origin: Box::new(move |chunk| {
+            let (client, manifest) = (client.clone(), pulled.clone());
+            Box::pin(async move {
+                let chunk = client.chunk(origin, &manifest, chunk, ORIGIN_TIMEOUT);
+                chunk.await.map_err(|error| error.to_string())
+            })
+        }),
+    }
+}
+
+/// Takes the chunks that lie beside the engine already, as far as they are of this version.
+async fn take_staged(app: &app::App, manifest: &origin::Manifest) {
+    let served = lock(&app.gate).weights().get(&manifest.model).copied();
+    if served.is_some_and(|served| served != manifest.version) {
+        return;
+    }
+    let digest = manifest.digest();
+    let staged = match app.runner.staged_chunks(&manifest.model).await {
+        Ok(staged) => staged,
+        Err(error) => {
+            log::warn!("swarm: event=staged_unknown error={error:?}");
+            return;
+        }
+    };
+    let mut taken_count = 0;
+    for chunk in &staged {
+        match app.runner.staged(&manifest.model, *chunk).await {
+            Ok(Some(bytes)) if app.transfers.record_staged(digest, *chunk, &bytes) => {
+                taken_count += 1;
+            }
+            Ok(_) => {}
+            Err(error) => log::warn!("swarm: event=staged_unread chunk={chunk} error={error:?}"),
+        }
+    }
+    log::info!(
+        "swarm: event=staged_taken version={} staged={} good={taken_count}",
+        manifest.version,
+        staged.len()
+    );
+}
+
+/// Calls a sample of the other agents, and those that make grants.
+fn call_others(app: &sync::Arc<app::App>, target: &sync::Arc<app::Target>) {
+    let others = app.others.load_full();
+    let all: Vec<_> = others.iter().collect();
+    let drawn = all.sample(&mut rand::rng(), FANOUT).copied();
+    let mut called: indexmap::IndexMap<_, _> = drawn.collect();
+    called.extend(grants::first_in_order(&others, target).take(GRANTORS));
+    for (vm, address) in called {
+        let (app, target) = (app.clone(), target.clone());
+        let (vm, address) = (vm.clone(), *address);
+        tokio::spawn(async move { call(&app, &target, &vm, address).await });
+    }
+}
+
+fn request(app: &app::App, target: &app::Target) -> direct::SwarmRequest {
+    let manifest = app.manifest(&(target.model.clone(), target.version));
+    let progress = manifest.and_then(|one| app.transfers.progress_of(one.digest()));
+    direct::SwarmRequest {
+        vm: app.me.to_string(),
+        incarnation: app.incarnation.get(),
+        address: app.settings.peers,
+        failure_domain: app.settings.failure_domain.to_string(),
+        model: target.model.clone(),
+        version: target.version,
+        progress,
+    }
+}
+
+async fn call(
+    app: &sync::Arc<app::App>,
+    target: &app::Target,
+    vm: &id::VmId,
+    address: net::SocketAddr,
+) {
+    let request = request(app, target);
+    let sent = app
+        .client
+        .call(address, direct::SWARM_PATH, &request, CALL_TIMEOUT);
+    let reply: direct::SwarmReply = match sent.await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::debug!("swarm: event=no_answer vm={vm} error={error:?}");
+            return;
+        }
+    };
+    let version = (target.model.clone(), target.version);
+    if let Some(text) = &reply.manifest
+        && app.manifest(&version).is_none()
+    {
+        take_manifest(app, target, text);
+    }
+    let Some(progress) = reply.progress else {
+        return;
+    };
+    let incarnation = id::Incarnation::new(reply.incarnation);
+    record(
+        app,
+        vm,
+        address,
+        &reply.failure_domain,
+        incarnation,
+        progress.clone(),
+    );
+    for (chunk, serial) in reply.grants {
+        app.transfers.record_grant(progress.manifest, chunk, serial);
+    }
+}
+
+fn take_manifest(app: &app::App, target: &app::Target, text: &str) {
+    let parsed: Result<origin::Manifest, _> = serde_json::from_str(text);
+    match parsed {
+        Ok(manifest) if manifest.check(&target.model, target.version, 0).is_ok() => {
+            app.keep_manifest(manifest);
+        }
+        Ok(_) => log::warn!("swarm: event=manifest_unfit"),
+        Err(error) => log::warn!("swarm: event=manifest_unreadable error={error:?}"),
+    }
+}
+
+fn record(
+    app: &app::App,
+    vm: &id::VmId,
+    address: net::SocketAddr,
+    failure_domain: &str,
+    incarnation: id::Incarnation,
+    progress: pimentohook_core::burst::Progress,
+) {
+    let Ok(failure_domain) = failure_domain.parse() else {
+        log::warn!("swarm: event=domain_unreadable vm={vm}");
+        return;
+    };
+    let info = receiver::PeerInfo {
+        address,
+        failure_domain,
+        held: progress.held.clone(),
+        given_count: progress.given_count,
+    };
+    app.transfers
+        .record_peer(progress.manifest, vm.clone(), info);
+    let heard = app::Heard {
+        incarnation,
+        progress,
+        at: app.clock.now(),
+    };
+    lock(&app.heard).insert(vm.clone(), heard);
+}
+
+/// Handles another agent's call.
+pub async fn answer(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    let request: direct::SwarmRequest = match call.read_message(MESSAGE_MAX_BYTES).await {
+        Ok(request) => request,
+        Err(error) => return server::respond_text(error.status(), &error.to_string()),
+    };
+    let version = (request.model.clone(), request.version);
+    let manifest = app.manifest(&version);
+    let incarnation = id::Incarnation::new(request.incarnation);
+    let vm: Option<id::VmId> = request.vm.parse().ok();
+    if let (Some(progress), Some(vm), Some(_)) = (&request.progress, &vm, &manifest) {
+        let domain = &request.failure_domain;
+        record(
+            &app,
+            vm,
+            request.address,
+            domain,
+            incarnation,
+            progress.clone(),
+        );
+    }
+    let text = manifest
+        .as_deref()
+        .filter(|_| request.progress.is_none())
+        .and_then(|manifest| serde_json::to_string(manifest).ok());
+    let ledger = app.ledger.load();
+    let grants = match (vm, ledger.as_ref()) {
+        (Some(vm), Some(ledger)) if request.progress.is_some() => ledger
+            .grants_of(&vm, incarnation)
+            .map(|grant| (grant.chunk, grant.serial))
+            .collect(),
+        _ => Vec::new(),
+    };
+    server::respond_message(&direct::SwarmReply {
+        incarnation: app.incarnation.get(),
+        failure_domain: app.settings.failure_domain.to_string(),
+        manifest: text,
+        progress: manifest.and_then(|one| app.transfers.progress_of(one.digest())),
+        grants,
+    })
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answers;
 pub mod app;
+pub mod direct;
 pub mod dispatch;
 pub mod heartbeat;
 pub mod orders;
@@ -121,7 +122,7 @@
             .to_new_handler(server::endpoint(app, dispatch::release));
         route
             .post("/v1/chunks")
-            .to_new_handler(server::endpoint(app, transfer::give));
+            .to_new_handler(server::endpoint(&app.transfers, transfer::give));
         route
             .post("/v1/activate")
             .to_new_handler(server::endpoint(app, orders::activate));
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,21 +2,31 @@
 
 use std::{error, process};
 
-use pimentohook_agent::{self as agent, settings};
+use pimentohook_agent::{self as agent, direct, direct::settings::Settings};
 use pimentohook_runtime::{logs, process as runtime_process, program};
 
 fn main() -> process::ExitCode {
     let command = clap::Command::new("pimentohook-agent")
         .about("The agent in the slot of an upstream VM; see examples/agent.yaml")
         .version(clap::crate_version!());
-    program::start(command, settings::AgentSettings::from_file, run)
+    program::start(command, Settings::from_file, run)
 }
 
 #[tokio::main(worker_threads = 2)]
-async fn run(settings: settings::AgentSettings) -> Result<(), Box<dyn error::Error>> {
-    let _logs = logs::start(&settings.log_level)?;
-    let running = agent::start(settings).await?;
-    runtime_process::wait_for_signal().await?;
-    running.drain().await;
+async fn run(settings: Settings) -> Result<(), Box<dyn error::Error>> {
+    let _logs = logs::start(settings.log_level())?;
+    match settings {
+        Settings::Gateway(settings) => {
+            let running = agent::start(*settings).await?;
+            runtime_process::wait_for_signal().await?;
+            running.drain().await;
+        }
+        Settings::Direct(settings) => {
+            let running = direct::start(*settings).await?;
+            runtime_process::wait_for_signal().await?;
+            running.stop.set();
+            log::info!("agent: event=stopped");
+        }
+    }
     Ok(())
 }
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -3,30 +3,26 @@
 //! At most two sets are held: the one in service and the one that the configuration names. What
 //! is held whole stays for machines that join later, so that they need nothing from the origin.
 
-use std::{sync, time};
+use std::{fmt, net, sync, time};
 
 use bytes::Bytes;
-use futures_util::{StreamExt as _, stream};
+use futures_util::{StreamExt as _, future, stream};
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::{Response, StatusCode, body};
 use indexmap::IndexMap;
 use pimentohook_core::{
-    burst::{self, activation, giver, manifest, receiver},
-    clock::Clock as _,
-    id, intent, size,
+    burst::{self, activation, chunks, giver, manifest, receiver},
+    clock, id, intent, size,
 };
-use pimentohook_runtime::{client, process, server};
+use pimentohook_platform::weights;
+use pimentohook_runtime::{client, pacer, process, server};
 use pimentohook_wire::{frames, messages};
 use tokio::sync::Notify;
 
 use crate::app::{self, lock};
 
 const LINK_PERCENT_MAX: u32 = 200;
-const REFILL: giver::Refill = giver::Refill {
-    delay: time::Duration::from_mins(2),
-    per_copy: time::Duration::from_mins(10),
-};
 const UPLOAD_SLOTS: u32 = 3;
 const OPEN_MAX: usize = 3;
 const PEERS_MAX: usize = 32;
@@ -36,14 +32,74 @@
 const IDLE_POLL: time::Duration = time::Duration::from_millis(20);
 const MANIFEST_RETRY: time::Duration = time::Duration::from_millis(300);
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
-const PIECE_BYTES: usize = 64 << 10;
+/// Small pieces keep the queue at the link short for the messages that share it.
+const PIECE_BYTES: usize = 8 << 10;
 const SETS_MAX: usize = 2;
 
+/// A chunk on its way from the origin.
+pub type OriginPull = future::BoxFuture<'static, Result<Bytes, String>>;
+
+/// Says whether bytes are the content of a chunk.
+pub type Verifier = dyn Fn(u32, &[u8]) -> bool + Send + Sync;
+
+/// What a set of weights consists of, and how its chunks are checked and pulled from the origin.
+pub struct Content {
+    /// The manifest and the content.
+    pub weights: activation::WeightsId,
+    /// The version, for logs.
+    pub version: String,
+    /// How many chunks there are.
+    pub chunk_count: u32,
+    /// The size of the largest chunk.
+    pub chunk_bytes: usize,
+    /// Returns whether bytes are the content of a chunk.
+    pub verifies: Box<Verifier>,
+    /// Starts to pull a chunk from the origin.
+    pub pull_origin: Box<dyn Fn(u32) -> OriginPull + Send + Sync>,
+}
+
+impl fmt::Debug for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Content")
+            .field("version", &self.version)
+            .field("chunk_count", &self.chunk_count)
+            .finish_non_exhaustive()
+    }
+}
+
+/// What transfers need of their process.
+pub struct Link {
+    /// The clock.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Connections to other agents.
+    pub client: sync::Arc<client::Client>,
+    /// The failure domain of this VM.
+    pub failure_domain: id::FailureDomain,
+    /// What the link carries, each way.
+    pub rate: size::ByteRate,
+    /// How long a chunk may stall.
+    pub stall_max: time::Duration,
+    /// Whether peers of the same failure domain go before all others.
+    pub near_first: bool,
+    /// How soon more than in the burst may be passed on.
+    pub refill: giver::Refill,
+    /// Called each time that a set has become whole.
+    pub on_whole: Box<dyn Fn() + Send + Sync>,
+}
+
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Link")
+            .field("failure_domain", &self.failure_domain)
+            .field("rate", &self.rate)
+            .finish_non_exhaustive()
+    }
+}
+
 /// One set of weights, held or under way.
 #[derive(Debug)]
 struct Set {
-    manifest: sync::Arc<manifest::Manifest>,
-    weights: activation::WeightsId,
+    content: sync::Arc<Content>,
     receiver: receiver::Receiver,
     giver: giver::Giver,
     chunks: Vec<Option<Bytes>>,
@@ -54,35 +110,96 @@
 pub struct Transfers {
     sets: sync::Mutex<IndexMap<id::Digest, Set>>,
     changed: Notify,
-}
-
-impl Default for Transfers {
-    fn default() -> Self {
-        Self::new()
-    }
+    link: Link,
+    incoming: pacer::Pacer,
+    outgoing: pacer::Pacer,
 }
 
 impl Transfers {
     /// Creates a store without any weights.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(link: Link) -> Self {
         Self {
             sets: sync::Mutex::new(IndexMap::new()),
             changed: Notify::new(),
+            incoming: pacer::Pacer::new(link.rate),
+            outgoing: pacer::Pacer::new(link.rate),
+            link,
         }
     }
 
+    /// Returns the weights that are held or under way.
+    #[must_use]
+    pub fn known_weights(&self) -> Vec<activation::WeightsId> {
+        let sets = lock(&self.sets);
+        sets.values().map(|set| set.content.weights).collect()
+    }
+
+    /// Opens a set, which becomes the one that is pulled; `serving` is kept whatever is dropped.
+    pub fn open(&self, content: Content, serving: Option<id::Digest>) {
+        let limits = receiver::ReceiverLimits {
+            busy_pause: BUSY_PAUSE,
+            fault_pause: FAULT_PAUSE,
+            overdraft_after: OVERDRAFT_AFTER,
+            open_max: OPEN_MAX,
+            peers_max: PEERS_MAX,
+            near_first: self.link.near_first,
+        };
+        let count = content.chunk_count;
+        let domain = self.link.failure_domain.clone();
+        log::info!("transfer: {} begins, {count} chunks.", content.version);
+        let set = Set {
+            receiver: receiver::Receiver::new(limits, domain, count),
+            giver: giver::Giver::new(count, LINK_PERCENT_MAX, UPLOAD_SLOTS, self.link.refill),
+            chunks: vec![None; count as usize],
+            content: sync::Arc::new(content),
+        };
+        self.begin(set, serving);
+    }
+
+    /// Takes in a chunk that this VM held already; false where its bytes are not those.
+    pub fn record_staged(&self, manifest: id::Digest, chunk: u32, bytes: &Bytes) -> bool {
+        let mut sets = lock(&self.sets);
+        let Some(set) = sets.get_mut(&manifest) else {
+            return false;
+        };
+        if !(set.content.verifies)(chunk, bytes) {
+            return false;
+        }
+        if let Some(slot) = set.chunks.get_mut(chunk as usize) {
+            *slot = Some(bytes.clone());
+            set.receiver.record_held(chunk);
+        }
+        true
+    }
+
+    /// Returns a verified chunk.
+    #[must_use]
+    pub fn chunk(&self, manifest: id::Digest, chunk: u32) -> Option<Bytes> {
+        let sets = lock(&self.sets);
+        sets.get(&manifest)?.chunks.get(chunk as usize)?.clone()
+    }
+
+    /// Returns what is held of one set.
+    #[must_use]
+    pub fn progress_of(&self, manifest: id::Digest) -> Option<burst::Progress> {
+        let sets = lock(&self.sets);
+        sets.get(&manifest).map(|set| set.progress(manifest))
+    }
+
+    /// Returns the chunks held of one set.
+    #[must_use]
+    pub fn held_of(&self, manifest: id::Digest) -> Option<chunks::ChunkSet> {
+        let sets = lock(&self.sets);
+        sets.get(&manifest).map(|set| set.receiver.held().clone())
+    }
+
     /// Returns what is held of the set that is wanted, which is the last one.
     #[must_use]
     pub fn progress(&self) -> Option<burst::Progress> {
         let sets = lock(&self.sets);
         let (manifest, set) = sets.last()?;
-        Some(burst::Progress {
-            manifest: *manifest,
-            held: set.receiver.held().clone(),
-            given_count: set.giver.given_count(),
-            starved: set.receiver.is_starved(),
-        })
+        Some(set.progress(*manifest))
     }
 
     /// Returns whether the wanted set is not whole yet.
@@ -126,7 +243,7 @@
 
     fn begin(&self, set: Set, serving: Option<id::Digest>) {
         let mut sets = lock(&self.sets);
-        let target = set.weights.manifest;
+        let target = set.content.weights.manifest;
         sets.insert(target, set);
         while sets.len() > SETS_MAX {
             let dropped = sets
@@ -137,7 +254,7 @@
     }
 
     /// Makes a set the one that is pulled and reported; false where it has to be opened first.
-    fn aim(&self, manifest: id::Digest) -> bool {
+    pub fn aim(&self, manifest: id::Digest) -> bool {
         let mut sets = lock(&self.sets);
         let Some(position) = sets.get_index_of(&manifest) else {
             return false;
@@ -149,6 +266,17 @@
     }
 }
 
+impl Set {
+    fn progress(&self, manifest: id::Digest) -> burst::Progress {
+        burst::Progress {
+            manifest,
+            held: self.receiver.held().clone(),
+            given_count: self.giver.given_count(),
+            starved: self.receiver.is_starved(),
+        }
+    }
+}
+
 /// Follows the configuration and pulls what it names, until the agent stops.
 pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
     while !stop.is_set() {
@@ -159,11 +287,7 @@
             stop.sleep(MANIFEST_RETRY).await;
             continue;
         }
-        start_pulls(&app);
-        tokio::select! {
-            () = app.transfers.changed.notified() => {}
-            _ = stop.sleep(IDLE_POLL) => {}
-        }
+        app.transfers.pull_once(&stop).await;
     }
 }
 
@@ -189,37 +313,61 @@
         return false;
     }
     let serving = lock(&app.activation).serving();
-    let limits = receiver::ReceiverLimits {
-        busy_pause: BUSY_PAUSE,
-        fault_pause: FAULT_PAUSE,
-        overdraft_after: OVERDRAFT_AFTER,
-        open_max: OPEN_MAX,
-        peers_max: PEERS_MAX,
-    };
-    let count = manifest.chunk_count();
-    let domain = app.settings.failure_domain.clone();
-    let set = Set {
-        weights: activation::WeightsId {
-            manifest: target.manifest,
-            content: manifest.content,
-        },
-        receiver: receiver::Receiver::new(limits, domain, count),
-        giver: giver::Giver::new(count, LINK_PERCENT_MAX, UPLOAD_SLOTS, REFILL),
-        chunks: vec![None; manifest.chunks.len()],
-        manifest: sync::Arc::new(manifest),
-    };
-    log::info!("transfer: {} begins, {count} chunks.", target.version);
+    let content = content(store, manifest, target.manifest, app.settings.stall_max);
     app.transfers
-        .begin(set, serving.map(|weights| weights.manifest));
+        .open(content, serving.map(|weights| weights.manifest));
     true
 }
 
-fn start_pulls(app: &sync::Arc<app::App>) {
-    let mut sets = lock(&app.transfers.sets);
+fn content(
+    store: &weights::StoreClient,
+    manifest: manifest::Manifest,
+    digest: id::Digest,
+    stall_max: time::Duration,
+) -> Content {
+    let chunk_bytes = usize::try_from(manifest.chunk_bytes.get()).unwrap_or(usize::MAX);
+    let store = store.clone();
+    let version = manifest.version.clone();
+    let weights = activation::WeightsId {
+        manifest: digest,
+        content: manifest.content,
+    };
+    Content {
+        weights,
+        version: version.to_string(),
+        chunk_count: manifest.chunk_count(),
+        chunk_bytes,
+        verifies: Box::new(move |chunk, bytes| manifest.verifies(chunk, bytes)),
+        pull_origin: Box::new(move |chunk| {
+            let (store, version) = (store.clone(), version.clone());
+            Box::pin(async move {
+                // The origin serves many at once, so a chunk of its waits longer than one of a peer.
+                let pulled = store
+                    .chunk(&version, chunk, chunk_bytes, stall_max * 4)
+                    .await;
+                pulled.map_err(|error| error.to_string())
+            })
+        }),
+    }
+}
+
+impl Transfers {
+    /// Starts the pulls that are due and waits until more may be.
+    pub async fn pull_once(self: &sync::Arc<Self>, stop: &process::Stop) {
+        start_pulls(self);
+        tokio::select! {
+            () = self.changed.notified() => {}
+            _ = stop.sleep(IDLE_POLL) => {}
+        }
+    }
+}
+
+fn start_pulls(transfers: &sync::Arc<Transfers>) {
+    let mut sets = lock(&transfers.sets);
     let Some((digest, set)) = sets.last_mut() else {
         return;
     };
-    let now = app.clock.now();
+    let now = transfers.link.clock.now();
     while let Some(fetch) = set.receiver.start_next(now, &mut rand::rng()) {
         let address = match &fetch.source {
             receiver::Source::Origin => None,
@@ -227,43 +375,45 @@
         };
         let pull = Pull {
             digest: *digest,
-            manifest: set.manifest.clone(),
+            content: set.content.clone(),
             fetch,
             address,
         };
-        tokio::spawn(pull.run(app.clone()));
+        tokio::spawn(pull.run(transfers.clone()));
     }
 }
 
 /// One chunk on its way in.
 struct Pull {
     digest: id::Digest,
-    manifest: sync::Arc<manifest::Manifest>,
+    content: sync::Arc<Content>,
     fetch: receiver::Fetch,
-    address: Option<std::net::SocketAddr>,
+    address: Option<net::SocketAddr>,
 }
 
 impl Pull {
-    async fn run(self, app: sync::Arc<app::App>) {
+    async fn run(self, transfers: sync::Arc<Transfers>) {
         let pulled = match (&self.fetch.source, self.address) {
-            (receiver::Source::Origin, _) => self.pull_origin(&app).await,
-            (receiver::Source::Peer(vm), Some(address)) => self.pull_peer(&app, vm, address).await,
+            (receiver::Source::Origin, _) => self.pull_origin(&transfers).await,
+            (receiver::Source::Peer(vm), Some(address)) => {
+                self.pull_peer(&transfers, vm, address).await
+            }
             (receiver::Source::Peer(_), None) => Err(receiver::FetchFailure::Stalled),
         };
         let verified = pulled.and_then(|bytes| {
-            if self.manifest.verifies(self.fetch.chunk, &bytes) {
+            if (self.content.verifies)(self.fetch.chunk, &bytes) {
                 Ok(bytes)
             } else {
                 log::warn!("transfer: chunk {} came corrupt.", self.fetch.chunk);
                 Err(receiver::FetchFailure::Corrupt)
             }
         });
-        self.settle(&app, verified);
-        app.transfers.changed.notify_one();
+        self.settle(&transfers, verified);
+        transfers.changed.notify_one();
     }
 
-    fn settle(&self, app: &app::App, verified: Result<Bytes, receiver::FetchFailure>) {
-        let mut sets = lock(&app.transfers.sets);
+    fn settle(&self, transfers: &Transfers, verified: Result<Bytes, receiver::FetchFailure>) {
+        let mut sets = lock(&transfers.sets);
         // The set is gone where the configuration has moved on; the bytes are of no use then.
         let Some(set) = sets.get_mut(&self.digest) else {
             return;
@@ -278,34 +428,21 @@
                 }
                 set.receiver.record_verified(&self.fetch);
                 if set.receiver.is_complete() {
-                    app.tell_entries();
-                    log::info!("transfer: {} is whole.", self.manifest.version);
+                    (transfers.link.on_whole)();
+                    log::info!("transfer: {} is whole.", self.content.version);
                 }
             }
-            Err(failure) => set
-                .receiver
-                .record_failure(app.clock.now(), &self.fetch, failure),
+            Err(failure) => {
+                set.receiver
+                    .record_failure(transfers.link.clock.now(), &self.fetch, failure);
+            }
         }
     }
 
-    fn chunk_bytes(&self) -> usize {
-        usize::try_from(self.manifest.chunk_bytes.get()).unwrap_or(usize::MAX)
-    }
-
-    async fn pull_origin(&self, app: &app::App) -> Result<Bytes, receiver::FetchFailure> {
-        let Some(store) = &app.store else {
-            return Err(receiver::FetchFailure::Stalled);
-        };
-        let version = &self.manifest.version;
-        let chunk = self.fetch.chunk;
-        // The origin serves many at once, so a chunk of its waits longer than one of a peer.
-        let timeout = app.settings.stall_max * 4;
-        let pulled = store
-            .chunk(version, chunk, self.chunk_bytes(), timeout)
-            .await;
-        match pulled {
+    async fn pull_origin(&self, transfers: &Transfers) -> Result<Bytes, receiver::FetchFailure> {
+        match (self.content.pull_origin)(self.fetch.chunk).await {
             Ok(bytes) => {
-                app.incoming.pass(size_of(&bytes)).await;
+                transfers.incoming.pass(size_of(&bytes)).await;
                 Ok(bytes)
             }
             Err(error) => {
@@ -317,9 +454,9 @@
 
     async fn pull_peer(
         &self,
-        app: &app::App,
+        transfers: &Transfers,
         vm: &id::VmId,
-        address: std::net::SocketAddr,
+        address: net::SocketAddr,
     ) -> Result<Bytes, receiver::FetchFailure> {
         let request = messages::ChunkRequest {
             manifest: self.digest,
@@ -328,8 +465,12 @@
         };
         let stalled = |_| receiver::FetchFailure::Stalled;
         let request = client::message_request(address, "/v1/chunks", &request).map_err(stalled)?;
-        let stall_max = app.settings.stall_max;
-        let sent = app.client.send(address, request, stall_max).await;
+        let stall_max = transfers.link.stall_max;
+        let sent = transfers
+            .link
+            .client
+            .send(address, request, stall_max)
+            .await;
         let response = sent.map_err(stalled)?;
         if response.status() != StatusCode::OK {
             return Err(receiver::FetchFailure::Denied(giver::Denial::NotHeld));
@@ -339,7 +480,7 @@
         let mut content = Vec::new();
         let mut reply: Option<messages::ChunkReply> = None;
         while let Some(bytes) = next_piece(&mut body, stall_max).await? {
-            app.incoming.pass(size_of(&bytes)).await;
+            transfers.incoming.pass(size_of(&bytes)).await;
             if reply.is_some() {
                 content.extend_from_slice(&bytes);
             } else {
@@ -351,12 +492,12 @@
                     content.extend_from_slice(&decoder.take_rest());
                 }
             }
-            if content.len() > self.chunk_bytes() {
+            if content.len() > self.content.chunk_bytes {
                 return Err(receiver::FetchFailure::Corrupt);
             }
         }
         let reply = reply.ok_or(receiver::FetchFailure::Stalled)?;
-        self.note_giver(app, vm, &reply);
+        self.note_giver(transfers, vm, &reply);
         match reply.denial {
             Some(denial) => Err(receiver::FetchFailure::Denied(denial)),
             None => Ok(Bytes::from(content)),
@@ -364,8 +505,8 @@
     }
 
     /// What a giver says of itself is newer than any heartbeat.
-    fn note_giver(&self, app: &app::App, vm: &id::VmId, reply: &messages::ChunkReply) {
-        if let Some(set) = lock(&app.transfers.sets).get_mut(&self.digest) {
+    fn note_giver(&self, transfers: &Transfers, vm: &id::VmId, reply: &messages::ChunkReply) {
+        if let Some(set) = lock(&transfers.sets).get_mut(&self.digest) {
             set.receiver
                 .record_progress(vm, &reply.held, reply.given_count);
         }
@@ -396,19 +537,22 @@
 }
 
 /// Handles a peer's request for a chunk.
-pub async fn give(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+pub async fn give(transfers: sync::Arc<Transfers>, call: server::Call) -> Response<Body> {
     let request: messages::ChunkRequest = match call.read_message(MESSAGE_MAX_BYTES).await {
         Ok(request) => request,
         Err(error) => return server::respond_text(error.status(), &error.to_string()),
     };
-    let mut sets = lock(&app.transfers.sets);
+    let mut sets = lock(&transfers.sets);
     let Some(set) = sets.get_mut(&request.manifest) else {
         return server::respond_text(StatusCode::NOT_FOUND, "no such manifest here");
     };
     let held = set.receiver.held().clone();
-    let started = set
-        .giver
-        .try_start(app.clock.now(), &held, request.chunk, request.overdraft);
+    let started = set.giver.try_start(
+        transfers.link.clock.now(),
+        &held,
+        request.chunk,
+        request.overdraft,
+    );
     let reply = messages::ChunkReply {
         denial: started.err(),
         held,
@@ -422,7 +566,7 @@
     match chunk {
         Some(bytes) if reply.denial.is_none() => {
             let upload = Upload {
-                app,
+                transfers,
                 manifest: request.manifest,
                 header: Some(header),
                 rest: bytes,
@@ -435,7 +579,7 @@
 
 /// One chunk on its way out; its slot is given back when it is dropped.
 struct Upload {
-    app: sync::Arc<app::App>,
+    transfers: sync::Arc<Transfers>,
     manifest: id::Digest,
     header: Option<Bytes>,
     rest: Bytes,
@@ -443,7 +587,7 @@
 
 impl Drop for Upload {
     fn drop(&mut self) {
-        if let Some(set) = lock(&self.app.transfers.sets).get_mut(&self.manifest) {
+        if let Some(set) = lock(&self.transfers.sets).get_mut(&self.manifest) {
             set.giver.stop();
         }
     }
@@ -467,7 +611,7 @@
             return None;
         }
         let piece = self.rest.split_to(self.rest.len().min(PIECE_BYTES));
-        self.app.outgoing.pass(size_of(&piece)).await;
+        self.transfers.outgoing.pass(size_of(&piece)).await;
         Some(piece)
     }
 }
@@ -484,6 +628,6 @@
             content: weights.content,
         })
         .collect();
-    known.extend(lock(&app.transfers.sets).values().map(|set| set.weights));
+    known.extend(app.transfers.known_weights());
     known
 }
--- a/crates/core/benches/rounds/mod.rs
+++ b/crates/core/benches/rounds/mod.rs
@@ -377,6 +377,7 @@
             overdraft_after: ROUND * 15,
             open_max: 1,
             peers_max: 32,
+            near_first: false,
         };
         let empty = chunks::ChunkSet::new(CHUNK_COUNT);
         Self {
--- a/crates/core/src/burst/receiver.rs
+++ b/crates/core/src/burst/receiver.rs
@@ -28,6 +28,9 @@
     pub open_max: usize,
     /// How many peers are kept.
     pub peers_max: usize,
+    /// Whether peers of the same failure domain go before all others, where links between failure
+    /// domains are narrow or dear.
+    pub near_first: bool,
 }
 
 /// What is known of a peer.
@@ -128,6 +131,11 @@
         &self.held
     }
 
+    /// Records a chunk that was there already.
+    pub fn record_held(&mut self, chunk: u32) {
+        self.held.insert(chunk);
+    }
+
     /// Returns whether every chunk is held.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -297,7 +305,8 @@
         let candidates = self.peers.iter().filter(|(_, peer)| usable(peer));
         let (vm, peer) = candidates.min_by_key(|(_, peer)| {
             let elsewhere = peer.info.failure_domain != self.failure_domain;
-            (peer.info.given_count, elsewhere, rng.random::<u32>())
+            let far = self.limits.near_first && elsewhere;
+            (far, peer.info.given_count, elsewhere, rng.random::<u32>())
         })?;
         let chunk = self.rarest_of(peer, &wanted_not, rng)?;
         Some(Fetch {
--- /dev/null
+++ b/crates/core/src/gate.rs
@@ -0,0 +1,150 @@
+//! Admission at one engine whose requests come from many entries.
+//!
+//! The gate counts what the engine reported and what was let in since, so that a place needs no
+//! giving back: those of entries that died vanish with the next report. It closes while weights
+//! are loaded.
+
+use std::{collections::VecDeque, time};
+
+use indexmap::IndexMap;
+
+use crate::engine;
+
+/// A request let in counts beside the reports for this long, since it is still on its way.
+const ARRIVAL_MAX: time::Duration = time::Duration::from_millis(40);
+
+/// A report that is older than this says nothing.
+const REPORT_AGE_MAX: time::Duration = time::Duration::from_millis(1_500);
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// The longest that the first token may take.
+    pub first_token_max: time::Duration,
+    /// The oldest version of the weights that may be used.
+    pub version_min: Option<u64>,
+}
+
+/// What an engine reported.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// The versions of the models that it serves.
+    pub weights: IndexMap<String, u64>,
+    /// Requests that run.
+    pub active_count: u32,
+    /// Requests that wait.
+    pub queued_count: u32,
+}
+
+/// Why a request was not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Closed {
+    /// The engine has not reported lately.
+    Unknown,
+    /// Weights are being loaded.
+    Loading,
+    /// The engine serves no version that may be used.
+    Weights,
+    /// Every slot is taken.
+    Full,
+    /// The first token would come too late.
+    Late,
+}
+
+/// Admission at one engine.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    report: Option<(time::Instant, EngineReport)>,
+    loading: bool,
+    let_in: VecDeque<time::Instant>,
+    fill: engine::Fill,
+}
+
+impl Gate {
+    /// Starts closed, until the engine reports.
+    #[must_use]
+    pub const fn new(now: time::Instant) -> Self {
+        Self {
+            report: None,
+            loading: false,
+            let_in: VecDeque::new(),
+            fill: engine::Fill::new(now),
+        }
+    }
+
+    /// Takes in a report that was asked for at `asked_at`; returns whether the weights changed.
+    pub fn record_report(&mut self, asked_at: time::Instant, report: EngineReport) -> bool {
+        let before = self.report.as_ref().map(|(_, before)| &before.weights);
+        let changed = before != Some(&report.weights);
+        self.report = Some((asked_at, report));
+        changed
+    }
+
+    /// Closes the gate while weights are loaded, or opens it again.
+    pub const fn set_loading(&mut self, loading: bool) {
+        self.loading = loading;
+    }
+
+    /// Returns whether weights are being loaded.
+    #[must_use]
+    pub const fn is_loading(&self) -> bool {
+        self.loading
+    }
+
+    /// Returns the weights that the engine reported; none while others are loaded.
+    #[must_use]
+    pub fn weights(&self) -> IndexMap<String, u64> {
+        let report = self.report.as_ref().filter(|_| !self.loading);
+        report.map_or_else(IndexMap::new, |(_, report)| report.weights.clone())
+    }
+
+    /// Lets a request in; returns when its first token would come.
+    ///
+    /// # Errors
+    ///
+    /// [`Closed`] says why it is not let in.
+    pub fn admit(
+        &mut self,
+        figures: &engine::EngineFigures,
+        now: time::Instant,
+        ask: &Ask<'_>,
+    ) -> Result<time::Duration, Closed> {
+        if self.loading {
+            return Err(Closed::Loading);
+        }
+        let (at, report) = self.report.as_ref().ok_or(Closed::Unknown)?;
+        if now.duration_since(*at) > REPORT_AGE_MAX {
+            return Err(Closed::Unknown);
+        }
+        let version = report.weights.get(ask.model).copied();
+        if version.is_none() || version < ask.version_min {
+            return Err(Closed::Weights);
+        }
+        let (at, reported) = (*at, report.active_count + report.queued_count);
+        let occupied = reported + self.underway_count(at);
+        if occupied >= figures.slot_count {
+            return Err(Closed::Full);
+        }
+        let first_token = self
+            .fill
+            .first_token(figures, now, occupied, ask.prompt_tokens);
+        if first_token > ask.first_token_max {
+            return Err(Closed::Late);
+        }
+        self.fill.admit(figures, now, occupied, ask.prompt_tokens);
+        self.let_in.push_back(now);
+        Ok(first_token)
+    }
+
+    /// Counts requests let in that a report of `at` can't know yet.
+    fn underway_count(&mut self, at: time::Instant) -> u32 {
+        let unseen = |let_in: &time::Instant| *let_in + ARRIVAL_MAX > at;
+        self.let_in.retain(unseen);
+        u32::try_from(self.let_in.len()).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,8 @@
 //! A way through the crate, in the order of a request and then of a rollout:
 //!
 //! * [`id`], [`size`], [`clock`]: the vocabulary.
+//! * [`routes`], [`upstreams`]: where callers' requests go.
+//! * [`engine`], [`gate`]: how full engines get, and what is let in.
 //! * [`membership`]: which agents an entry knows, and how old that knowledge is.
 //! * [`routing`]: which agent gets a request, and what may be done when that fails.
 //! * [`admission`]: whether a request starts at an agent, and the proof that it did not.
@@ -21,11 +23,15 @@
 pub mod answer;
 pub mod burst;
 pub mod clock;
+pub mod engine;
+pub mod gate;
 pub mod id;
 pub mod intent;
 pub mod lease;
 pub mod limits;
 pub mod membership;
 pub mod report;
+pub mod routes;
 pub mod routing;
 pub mod size;
+pub mod upstreams;
--- /dev/null
+++ b/crates/entry/src/direct/app.rs
@@ -0,0 +1,234 @@
+//! What the parts of the entry share.
+
+use std::{net, sync, sync::atomic, time};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use indexmap::IndexMap;
+use pimentohook_core::{clock, id, limits, routes, routing::score, upstreams};
+use pimentohook_platform::store;
+use pimentohook_runtime::client;
+use pimentohook_wire::direct;
+
+use super::settings;
+
+/// What an entry knows of one upstream beside the list.
+#[derive(Debug, Default)]
+pub struct Live {
+    /// Latencies, failures and ejection.
+    pub record: score::Record,
+    /// The entry's own requests there.
+    pub in_flight: atomic::AtomicU32,
+    /// Whether it was seen that another instance has its address.
+    pub gone: atomic::AtomicBool,
+    /// Until when its agent counts as silent, in milliseconds of the entry's life.
+    pub agent_silent_until_ms: atomic::AtomicU64,
+    /// Until when its agent lets nothing in, in milliseconds of the entry's life.
+    pub closed_until_ms: atomic::AtomicU64,
+    /// When the first token of a request would have come at the last asking, in milliseconds.
+    pub first_token_ms: atomic::AtomicU32,
+    /// What its agent last said that it serves; newer than the list.
+    pub told: ArcSwapOption<direct::AgentNotice>,
+}
+
+/// An upstream that may be chosen.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The upstream as the list shows it.
+    pub upstream: upstreams::Upstream,
+    /// What is known beside the list.
+    pub live: sync::Arc<Live>,
+}
+
+impl Candidate {
+    /// Returns the version of a model that it serves.
+    #[must_use]
+    pub fn weights(&self, model: &str) -> Option<u64> {
+        match self.live.told.load().as_deref() {
+            Some(told) => told.weights.get(model).copied(),
+            None => self.upstream.weights.get(model).copied(),
+        }
+    }
+}
+
+/// The upstreams by service.
+pub type Candidates = IndexMap<id::ServiceName, Vec<Candidate>>;
+
+/// A version of weights that was named, and when this entry learned of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// The version.
+    pub version: u64,
+    /// When it was learned.
+    pub since: time::Instant,
+}
+
+/// Another entry.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// What it said of itself.
+    pub state: direct::PeerState,
+    /// When it last answered or called.
+    pub heard_at: time::Instant,
+}
+
+/// What the parts of the entry share.
+pub struct App {
+    /// The settings.
+    pub settings: settings::DirectSettings,
+    /// The clock.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Connections to upstreams.
+    pub upstreams: client::Client,
+    /// Connections to agents and entries.
+    pub own: client::Client,
+    /// The object store.
+    pub store: store::Store,
+    /// The configuration in force; `None` until one is known.
+    pub table: ArcSwapOption<routes::RouteTable>,
+    /// The upstreams that may be chosen.
+    pub candidates: ArcSwap<Candidates>,
+    /// The versions of weights that were named, by model, the newest last.
+    pub wanted: ArcSwap<IndexMap<String, Vec<Wanted>>>,
+    /// The other entries, by name.
+    pub peers: ArcSwap<IndexMap<String, Peer>>,
+    /// The kinds of objects as last read.
+    pub kinds: ArcSwap<IndexMap<String, sync::Arc<direct::KindSnapshot>>>,
+    /// Since when the configuration can't be followed; `None` while it can.
+    pub store_lost_at: ArcSwapOption<time::Instant>,
+    budgets: ArcSwap<IndexMap<id::ServiceName, sync::Arc<limits::RetryBudget>>>,
+    leaving: atomic::AtomicBool,
+    started_at: time::Instant,
+}
+
+impl std::fmt::Debug for App {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("App").finish_non_exhaustive()
+    }
+}
+
+/// After the store was lost for this long without word from a peer, an entry no longer says that a
+/// route or a key does not exist.
+const STALE_AFTER: time::Duration = time::Duration::from_millis(1_500);
+
+impl App {
+    /// Creates the shared state of an entry that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: settings::DirectSettings) -> Self {
+        let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock);
+        let local = settings.callers.ip();
+        let store_client = sync::Arc::new(client::Client::new(local));
+        Self {
+            store: store::Store::new(settings.object_store, store_client),
+            upstreams: client::Client::new(local),
+            own: client::Client::new(local),
+            table: ArcSwapOption::empty(),
+            candidates: ArcSwap::default(),
+            wanted: ArcSwap::default(),
+            peers: ArcSwap::default(),
+            kinds: ArcSwap::default(),
+            store_lost_at: ArcSwapOption::empty(),
+            budgets: ArcSwap::default(),
+            leaving: atomic::AtomicBool::new(false),
+            started_at: clock.now(),
+            clock,
+            settings,
+        }
+    }
+
+    /// Returns the milliseconds since the entry started.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        let age = self.clock.now().duration_since(self.started_at);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns whether what is known may be older than what is in force.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        let lost_at = self.store_lost_at.load_full();
+        lost_at.is_some_and(|lost_at| self.clock.now().duration_since(*lost_at) > STALE_AFTER)
+    }
+
+    /// Returns whether the entry is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns whether the entry takes requests and goes on doing so.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.table.load().is_some()
+    }
+
+    /// Makes the entry say that it is leaving.
+    pub fn begin_leaving(&self) {
+        self.leaving.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns what the entry says of itself.
+    #[must_use]
+    pub fn peer_state(&self) -> direct::PeerState {
+        direct::PeerState {
+            entry: self.settings.entry.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+            callers: self.settings.callers,
+            peers: self.settings.peers,
+            ready: self.is_ready(),
+        }
+    }
+
+    /// Returns the entries that are known to live, this one included.
+    #[must_use]
+    pub fn entry_count(&self) -> u32 {
+        u32::try_from(self.peers.load().len())
+            .unwrap_or(u32::MAX)
+            .saturating_add(1)
+    }
+
+    /// Returns the retry budget of a service.
+    #[must_use]
+    pub fn budget(&self, service: &id::ServiceName) -> sync::Arc<limits::RetryBudget> {
+        if let Some(budget) = self.budgets.load().get(service) {
+            return budget.clone();
+        }
+        let burst = self.settings.retry_burst / u64::from(self.entry_count());
+        let created = limits::RetryBudget::new(self.settings.retry_percent, burst.max(1));
+        let created = sync::Arc::new(created);
+        self.budgets.rcu(|budgets| {
+            let mut budgets = IndexMap::clone(budgets);
+            budgets
+                .entry(service.clone())
+                .or_insert_with(|| created.clone());
+            budgets
+        });
+        created
+    }
+
+    /// Replaces the upstreams that may be chosen, keeping what is known of those that stay.
+    pub fn set_upstreams(&self, listed: Vec<upstreams::Upstream>) {
+        let known = self.candidates.load();
+        let live_of = |upstream: &upstreams::Upstream| {
+            let same = |one: &&Candidate| one.upstream.instance == upstream.instance;
+            let before = known.values().flatten().find(same);
+            before
+                .filter(|one| !one.upstream.is_other_life(upstream))
+                .map_or_else(sync::Arc::default, |one| one.live.clone())
+        };
+        let mut candidates = Candidates::new();
+        for upstream in listed {
+            let live = live_of(&upstream);
+            live.record.record_slots(upstream.slot_count);
+            let service = upstream.service.clone();
+            let candidate = Candidate { upstream, live };
+            candidates.entry(service).or_default().push(candidate);
+        }
+        self.candidates.store(sync::Arc::new(candidates));
+    }
+
+    /// Returns the agent beside an upstream.
+    #[must_use]
+    pub fn agent_of(&self, upstream: &upstreams::Upstream) -> net::SocketAddr {
+        net::SocketAddr::new(upstream.address.ip(), self.settings.agent_port)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,11 +7,13 @@
 //! * [`configuration`]: the configuration in force, from the platform or from peers.
 //! * [`duties`] and [`origin`]: rollouts and origin grants, under a lease.
 //! * [`peers`]: the other entries.
+//! * [`direct`]: the mode in which requests go to upstreams without an agent between.
 
 pub mod agents;
 pub mod app;
 pub mod callers;
 pub mod configuration;
+pub mod direct;
 pub mod duties;
 pub mod operators;
 pub mod origin;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -111,11 +111,7 @@
     /// [`settings::SettingsError`] with every fault.
     pub fn check(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
         let parsed = Self::read(&mut checker);
-        checker.finish()?;
-        parsed.ok_or_else(|| settings::SettingsError {
-            file: String::new(),
-            faults: Vec::new(),
-        })
+        checker.settle(parsed)
     }
 
     fn read(checker: &mut settings::Checker) -> Option<Self> {
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -22,6 +22,10 @@
 
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 const POOL_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+const KEEPALIVE: time::Duration = time::Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 2;
+/// How long sent bytes may stay unacknowledged before the connection counts as broken.
+const SILENCE_MAX: time::Duration = time::Duration::from_secs(3);
 
 /// A call that did not lead to a response.
 #[derive(Debug, Snafu)]
@@ -32,6 +36,12 @@
         /// The address.
         address: net::SocketAddr,
     },
+    /// The connection closed before the request was written to it.
+    #[snafu(display("connection to {address} closed before the request was sent"))]
+    Unsent {
+        /// The address.
+        address: net::SocketAddr,
+    },
     /// The connection broke after the request may have been sent.
     #[snafu(display("connection to {address} broke"))]
     Broken {
@@ -86,6 +96,17 @@
     },
 }
 
+impl ClientError {
+    /// Returns whether it is proved that nothing of the request was sent.
+    #[must_use]
+    pub const fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::Connect { .. } | Self::Unsent { .. } | Self::Build { .. }
+        )
+    }
+}
+
 type Pool = legacy::Client<HttpConnector, Full<Bytes>>;
 
 /// The client.
@@ -101,6 +122,10 @@
     connector.set_local_address(local);
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    connector.set_tcp_user_timeout(Some(SILENCE_MAX));
     legacy::Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
@@ -244,6 +269,8 @@
         pool.request(request).await.map_err(|error| {
             if error.is_connect() {
                 ClientError::Connect { address }
+            } else if is_canceled(&error) {
+                ClientError::Unsent { address }
             } else {
                 ClientError::Broken { address }
             }
@@ -252,6 +279,13 @@
     within(address, timeout, response).await
 }
 
+/// A request is canceled only while it still waits to be written.
+fn is_canceled(error: &legacy::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<hyper::Error>());
+    source.is_some_and(hyper::Error::is_canceled)
+}
+
 async fn within<F, T>(
     address: net::SocketAddr,
     timeout: time::Duration,
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs: short sentences on standard error, each with its part as a fixed prefix.
+//! Logs: one line each on standard output, with its part as a fixed prefix, then key and value.
 
 use flexi_logger::{DeferredNow, Logger, LoggerHandle, Record};
 use snafu::{ResultExt, Snafu};
@@ -19,7 +19,7 @@
 /// [`LogError`] where the level is not known or a logger has been started already.
 pub fn start(level: &str) -> Result<LoggerHandle, LogError> {
     Logger::try_with_str(level)
-        .and_then(|logger| logger.format(format).log_to_stderr().start())
+        .and_then(|logger| logger.format(format).log_to_stdout().start())
         .context(LogSnafu)
 }
 
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -24,11 +24,11 @@
 
 use crate::process;
 
-const HEADER_READ_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 const BODY_READ_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const CONNECTIONS_MAX: usize = 8_192;
 const HEADERS_MAX: usize = 64;
-const HEADER_BYTES_MAX: usize = 16 << 10;
+const HEADER_BYTES_MAX: usize = 64 << 10;
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// A server that can't start.
@@ -91,6 +91,18 @@
 pub async fn serve<H>(listener: TcpListener, handler: H, stop: process::Stop)
 where
     H: NewHandler + 'static,
+{
+    serve_idle(listener, handler, stop, IDLE_TIMEOUT).await;
+}
+
+/// Like [`serve`], with the time for which a connection may be idle or take to send a head.
+pub async fn serve_idle<H>(
+    listener: TcpListener,
+    handler: H,
+    stop: process::Stop,
+    idle_timeout: time::Duration,
+) where
+    H: NewHandler + 'static,
 {
     let handler = sync::Arc::new(handler);
     let permits = sync::Arc::new(Semaphore::new(CONNECTIONS_MAX));
@@ -108,7 +120,7 @@
                     continue;
                 };
                 let _ = socket.set_nodelay(true);
-                let connection = connection(socket, peer, handler.clone(), stop.clone());
+                let connection = connection(socket, peer, handler.clone(), stop.clone(), idle_timeout);
                 connections.spawn(async move {
                     connection.await;
                     drop(permit);
@@ -126,6 +138,7 @@
     peer: net::SocketAddr,
     handler: sync::Arc<H>,
     stop: process::Stop,
+    idle_timeout: time::Duration,
 ) where
     H: NewHandler + 'static,
 {
@@ -136,7 +149,7 @@
     });
     let serving = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
+        .header_read_timeout(idle_timeout)
         .max_headers(HEADERS_MAX)
         .max_buf_size(HEADER_BYTES_MAX)
         .serve_connection(TokioIo::new(socket), service);
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -268,6 +268,18 @@
         })
     }
 
+    /// Ends the check and returns what was put together from the values.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with every fault; `parsed` is `None` only where there is one.
+    pub fn settle<T>(self, parsed: Option<T>) -> Result<T, SettingsError> {
+        let file = self.file.clone();
+        self.finish()?;
+        let faults = Vec::new();
+        parsed.ok_or(SettingsError { file, faults })
+    }
+
     fn check_unknown(&mut self) {
         let known = self.asked.iter().cloned().collect::<Vec<_>>().join(", ");
         let keys: Vec<Value> = self.mapping.keys().cloned().collect();
--- /dev/null
+++ b/crates/wire/src/direct.rs
@@ -0,0 +1,143 @@
+//! Messages of the direct mode, in which entries send requests to upstreams themselves.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// Where agents take [`PlaceRequest`].
+pub const PLACE_PATH: &str = "/v1/direct/place";
+
+/// Where entries take [`AgentNotice`].
+pub const NOTICE_PATH: &str = "/v1/direct/notice";
+
+/// Where entries take [`PeerRequest`].
+pub const PEER_PATH: &str = "/v1/direct/peer";
+
+/// Where agents take [`SwarmRequest`].
+pub const SWARM_PATH: &str = "/v1/direct/swarm";
+
+/// Where agents take requests for chunks.
+pub const CHUNK_PATH: &str = "/v1/chunks";
+
+/// An entry asks the agent beside an engine whether a request may start there.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlaceRequest {
+    /// The instance that is meant.
+    pub instance: String,
+    /// The model asked for.
+    pub model: String,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// The longest that the first token may take, in milliseconds.
+    pub first_token_max_ms: u32,
+    /// The oldest version of the weights that may be used.
+    pub version_min: Option<u64>,
+}
+
+/// The agent's answer to a [`PlaceRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlaceReply {
+    /// Whether the request may start.
+    pub granted: bool,
+    /// When the first token would come, in milliseconds.
+    pub first_token_ms: u32,
+    /// What the agent's engine serves.
+    pub state: AgentNotice,
+}
+
+/// What an agent says of the engine beside it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentNotice {
+    /// The address at which the engine takes requests.
+    pub engine: String,
+    /// The versions of the models that it serves; empty while it loads.
+    pub weights: IndexMap<String, u64>,
+    /// Whether it takes requests.
+    pub open: bool,
+}
+
+/// One kind of the platform's objects, as an entry last read it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct KindSnapshot {
+    /// The platform's revision at which it was read.
+    pub revision: u64,
+    /// Name, revision and content of each object.
+    pub objects: Vec<(String, u64, String)>,
+}
+
+/// An entry's heartbeat to another one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerRequest {
+    /// Who asks.
+    pub peer: PeerState,
+    /// The revisions below which the asker wants whole kinds, by kind.
+    pub wanted: IndexMap<String, u64>,
+}
+
+/// What an entry says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerState {
+    /// Its name.
+    pub entry: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Where it takes callers' requests.
+    pub callers: std::net::SocketAddr,
+    /// Where it takes messages of other processes.
+    pub peers: std::net::SocketAddr,
+    /// Whether it takes requests and goes on doing so.
+    pub ready: bool,
+}
+
+/// An entry that another one knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct KnownPeer {
+    /// What it said of itself.
+    pub peer: PeerState,
+    /// How long ago, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The answer to a [`PeerRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerReply {
+    /// Who answers.
+    pub peer: PeerState,
+    /// Other entries that the answerer knows, so that a new one finds them.
+    pub known: Vec<KnownPeer>,
+    /// The wanted kinds that the answerer knows at a later revision.
+    pub kinds: IndexMap<String, KindSnapshot>,
+}
+
+/// An agent tells another one what it holds of a set of weights.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SwarmRequest {
+    /// The VM that asks.
+    pub vm: String,
+    /// The life of its agent.
+    pub incarnation: u64,
+    /// Where its agent listens.
+    pub address: std::net::SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+    /// What it holds; `None` while it has no manifest.
+    pub progress: Option<pimentohook_core::burst::Progress>,
+}
+
+/// The answer to a [`SwarmRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SwarmReply {
+    /// The life of the agent that answers.
+    pub incarnation: u64,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// The manifest as JSON, where the asker has none and the answerer does.
+    pub manifest: Option<String>,
+    /// What the answerer holds.
+    pub progress: Option<pimentohook_core::burst::Progress>,
+    /// The chunks granted to the asker, each with its serial number.
+    pub grants: Vec<(u32, u32)>,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,10 @@
 //! Messages between the processes of pimentohook.
 //!
 //! Each message is a typed value, encoded with `rmp-serde`. [`messages`] has the single ones;
-//! [`frames`] has the stream of frames in which an answer travels, and its decoder. [`public`] has
+//! [`direct`] has those of the direct mode. [`frames`] has the stream of frames in which an answer travels, and its decoder. [`public`] has
 //! what callers and operators see, as JSON.
 
+pub mod direct;
 pub mod frames;
 pub mod messages;
 pub mod public;
