Load engines in turn over the whole grace of a named version

Change: turns spread evenly; three sets are held; chunks are not paced a second time where the link already does; the version expected of an engine is the one it has. Ruled out: lost time in the origin: it sends at its rate until 2.1 s after the naming.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -17,6 +17,9 @@
 use crate::{answers, settings, transfer};
 
 const ACTIVE_WINDOW: time::Duration = time::Duration::from_secs(2);
+const LINK_PERCENT_MAX: u32 = 200;
+/// The set in service and the one that the configuration names.
+const SETS_MAX: usize = 2;
 const REFILL: giver::Refill = giver::Refill {
     delay: time::Duration::from_mins(2),
     per_copy: time::Duration::from_mins(10),
@@ -95,7 +98,10 @@
             clock: sync::Arc::new(clock),
             client: client.clone(),
             failure_domain: settings.failure_domain.clone(),
-            rate: settings.weights_rate,
+            outgoing_rate: settings.weights_rate,
+            incoming_rate: Some(settings.weights_rate),
+            link_percent_max: LINK_PERCENT_MAX,
+            sets_max: SETS_MAX,
             stall_max: settings.stall_max,
             near_first: false,
             refill: REFILL,
--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -17,6 +17,8 @@
 use crate::{app::lock, transfer};
 
 const STALL_MAX: time::Duration = time::Duration::from_millis(700);
+/// Peers of the own failure domain go first, so that some VMs pass on more than others.
+const LINK_PERCENT_MAX: u32 = 300;
 /// VMs that come after the burst get whole copies too.
 const REFILL: giver::Refill = giver::Refill {
     delay: time::Duration::from_millis(500),
@@ -124,7 +126,10 @@
             clock: clock.clone(),
             client: client.clone(),
             failure_domain: settings.failure_domain.clone(),
-            rate: settings.weights_rate,
+            outgoing_rate: settings.weights_rate,
+            incoming_rate: None,
+            link_percent_max: LINK_PERCENT_MAX,
+            sets_max: MANIFESTS_MAX,
             stall_max: STALL_MAX,
             near_first: true,
             refill: REFILL,
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -14,12 +14,10 @@
 const REPORT_EVERY: time::Duration = time::Duration::from_millis(50);
 const NOTICE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 const NOTICE_EVERY: time::Duration = time::Duration::from_secs(2);
-/// Engines that serve are loaded in so many groups, one after the other, so that the others carry
-/// the requests meanwhile.
-const WAVES: usize = 3;
-/// When the first group may begin, after its version was named.
-const FIRST_WAVE: time::Duration = time::Duration::from_millis(2_400);
-const WAVE_EVERY: time::Duration = time::Duration::from_millis(1_200);
+/// When the first engine that serves may be loaded, after the version was named.
+const FIRST_LOAD: time::Duration = time::Duration::from_millis(2_600);
+/// The last engine begins to load this long before the grace of the version ends.
+const LAST_LOAD_MARGIN: time::Duration = time::Duration::from_millis(900);
 /// The version that a model has before one is named.
 const FIRST_VERSION: u64 = 1;
 
@@ -146,12 +144,14 @@
     }
 }
 
-/// Returns whether this engine's group may begin.
+/// Returns whether it is this engine's turn; they take turns evenly over the time that there is, so
+/// that the others carry the requests meanwhile.
 fn is_due(app: &app::App, target: &app::Target) -> bool {
-    let count = app.others.load().len() + 1;
-    let wave = app.rank(target) * WAVES / count.max(1);
-    let wave = u32::try_from(wave).unwrap_or(u32::MAX);
-    let due = FIRST_WAVE + WAVE_EVERY.saturating_mul(wave);
+    let count = u32::try_from(app.others.load().len() + 1).unwrap_or(u32::MAX);
+    let rank = u32::try_from(app.rank(target)).unwrap_or(u32::MAX);
+    let last = app.settings.weights_grace.saturating_sub(LAST_LOAD_MARGIN);
+    let span = last.saturating_sub(FIRST_LOAD);
+    let due = FIRST_LOAD + span.mul_f64(f64::from(rank) / f64::from(count));
     app.clock.now().duration_since(target.since) >= due
 }
 
--- a/crates/agent/src/direct/settings.rs
+++ b/crates/agent/src/direct/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the direct mode.
 
-use std::{net, path};
+use std::{net, path, time};
 
 use pimentohook_core::{burst, id, size};
 use pimentohook_runtime::settings;
@@ -59,12 +59,16 @@
     pub object_store: net::SocketAddr,
     /// What the VM's link carries for weights, each way.
     pub weights_rate: size::ByteRate,
+    /// How long after a version of weights was named requests may begin on an earlier one.
+    pub weights_grace: time::Duration,
     /// Whether few bytes from the origin or little time goes first.
     pub policy: burst::Policy,
     /// The level of logs.
     pub log_level: String,
 }
 
+const WEIGHTS_GRACE_MS: u64 = 8_000;
+const MINUTE_MS: u64 = 60_000;
 const ADDRESS: &str = "an IP address and port, as in 10.0.0.1:8000";
 const NAME: &str = "1 to 64 of letters, digits, '-', '_' and '.'";
 const LINK_MBPS_MAX: f64 = 1_000_000.0;
@@ -86,6 +90,7 @@
         let peers = checker.required("peers", ADDRESS);
         let object_store = checker.required("object_store", ADDRESS);
         let weights_rate = weights_rate(&mut checker);
+        let weights_grace = checker.millis("weights_grace_ms", WEIGHTS_GRACE_MS, 0..=MINUTE_MS);
         let policy = checker
             .optional("policy", "origin_first or time_first")
             .unwrap_or_default();
@@ -101,6 +106,7 @@
                 peers: peers?,
                 object_store: object_store?,
                 weights_rate: weights_rate?,
+                weights_grace,
                 policy,
                 log_level,
             })
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -1,7 +1,6 @@
 //! Weights: pulled from peers and the origin, verified, and passed on.
 //!
-//! At most two sets are held: the one in service and the one that the configuration names. What
-//! is held whole stays for machines that join later, so that they need nothing from the origin.
+//! Few sets are held, among them the one in service and the one that is wanted. What is held whole stays for machines that join later, so that they need nothing from the origin.
 
 use std::{fmt, net, sync, time};
 
@@ -22,7 +21,6 @@
 
 use crate::app::{self, lock};
 
-const LINK_PERCENT_MAX: u32 = 200;
 const UPLOAD_SLOTS: u32 = 3;
 const OPEN_MAX: usize = 3;
 const PEERS_MAX: usize = 32;
@@ -34,7 +32,6 @@
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 /// Small pieces keep the queue at the link short for the messages that share it.
 const PIECE_BYTES: usize = 8 << 10;
-const SETS_MAX: usize = 2;
 
 /// A chunk on its way from the origin.
 pub type OriginPull = future::BoxFuture<'static, Result<Bytes, String>>;
@@ -75,8 +72,14 @@
     pub client: sync::Arc<client::Client>,
     /// The failure domain of this VM.
     pub failure_domain: id::FailureDomain,
-    /// What the link carries, each way.
-    pub rate: size::ByteRate,
+    /// What is passed on at most.
+    pub outgoing_rate: size::ByteRate,
+    /// What is taken in at most, where nothing else holds it to a rate.
+    pub incoming_rate: Option<size::ByteRate>,
+    /// What may go in and out together during a burst, in hundredths of a copy.
+    pub link_percent_max: u32,
+    /// How many sets are held.
+    pub sets_max: usize,
     /// How long a chunk may stall.
     pub stall_max: time::Duration,
     /// Whether peers of the same failure domain go before all others.
@@ -91,7 +94,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Link")
             .field("failure_domain", &self.failure_domain)
-            .field("rate", &self.rate)
+            .field("outgoing_rate", &self.outgoing_rate)
             .finish_non_exhaustive()
     }
 }
@@ -111,7 +114,7 @@
     sets: sync::Mutex<IndexMap<id::Digest, Set>>,
     changed: Notify,
     link: Link,
-    incoming: pacer::Pacer,
+    incoming: Option<pacer::Pacer>,
     outgoing: pacer::Pacer,
 }
 
@@ -122,8 +125,8 @@
         Self {
             sets: sync::Mutex::new(IndexMap::new()),
             changed: Notify::new(),
-            incoming: pacer::Pacer::new(link.rate),
-            outgoing: pacer::Pacer::new(link.rate),
+            incoming: link.incoming_rate.map(pacer::Pacer::new),
+            outgoing: pacer::Pacer::new(link.outgoing_rate),
             link,
         }
     }
@@ -150,7 +153,12 @@
         log::info!("transfer: {} begins, {count} chunks.", content.version);
         let set = Set {
             receiver: receiver::Receiver::new(limits, domain, count),
-            giver: giver::Giver::new(count, LINK_PERCENT_MAX, UPLOAD_SLOTS, self.link.refill),
+            giver: giver::Giver::new(
+                count,
+                self.link.link_percent_max,
+                UPLOAD_SLOTS,
+                self.link.refill,
+            ),
             chunks: vec![None; count as usize],
             content: sync::Arc::new(content),
         };
@@ -245,7 +253,7 @@
         let mut sets = lock(&self.sets);
         let target = set.content.weights.manifest;
         sets.insert(target, set);
-        while sets.len() > SETS_MAX {
+        while sets.len() > self.link.sets_max {
             let dropped = sets
                 .keys()
                 .position(|digest| *digest != target && Some(*digest) != serving);
@@ -352,6 +360,12 @@
 }
 
 impl Transfers {
+    async fn pace_incoming(&self, bytes: &Bytes) {
+        if let Some(incoming) = &self.incoming {
+            incoming.pass(size_of(bytes)).await;
+        }
+    }
+
     /// Starts the pulls that are due and waits until more may be.
     pub async fn pull_once(self: &sync::Arc<Self>, stop: &process::Stop) {
         start_pulls(self);
@@ -442,7 +456,7 @@
     async fn pull_origin(&self, transfers: &Transfers) -> Result<Bytes, receiver::FetchFailure> {
         match (self.content.pull_origin)(self.fetch.chunk).await {
             Ok(bytes) => {
-                transfers.incoming.pass(size_of(&bytes)).await;
+                transfers.pace_incoming(&bytes).await;
                 Ok(bytes)
             }
             Err(error) => {
@@ -480,7 +494,7 @@
         let mut content = Vec::new();
         let mut reply: Option<messages::ChunkReply> = None;
         while let Some(bytes) = next_piece(&mut body, stall_max).await? {
-            transfers.incoming.pass(size_of(&bytes)).await;
+            transfers.pace_incoming(&bytes).await;
             if reply.is_some() {
                 content.extend_from_slice(&bytes);
             } else {
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -134,7 +134,7 @@
 }
 
 /// Requests sent on this long before the grace ends may begin after it.
-const BEGIN_MARGIN: time::Duration = time::Duration::from_millis(1_500);
+const BEGIN_MARGIN: time::Duration = time::Duration::from_millis(900);
 
 fn allowed(app: &app::App, model: &str) -> Allowed {
     let wanted = app.wanted.load();
@@ -167,14 +167,18 @@
         let closed = one.live.closed_until_ms.load(atomic::Ordering::Relaxed) > now_ms;
         let ejected = one.live.record.is_ejected(now_ms);
         let own = one.live.in_flight.load(atomic::Ordering::Relaxed);
-        (ejected, closed, own, rand::rng().random::<u32>())
+        let far = one.upstream.failure_domain != app.settings.failure_domain;
+        (ejected, closed, own, far, rand::rng().random::<u32>())
     };
     serving.sort_by_cached_key(rank);
     for candidate in serving.into_iter().take(ASKED_MAX) {
         if is_granted(app, need, figures, model, allowed, candidate).await {
+            // An engine that has been loaded meanwhile must not run it unnoticed on weights that
+            // are too old; which of the allowed ones it has does not matter otherwise.
+            let weights_version = allowed.version_min.and_then(|_| candidate.weights(model));
             return Ok(Place {
                 candidate: candidate.clone(),
-                weights_version: allowed.version_min,
+                weights_version,
             });
         }
     }
