Grant chunks that were never granted within the hard limit of the origin

Ruled out: silent peers, spent credit, store writes (the log of progress shows that all agents lack the same two chunks and that no write failed). Change: a chunk that nobody holds may be granted up to four copies, first grants included. Engines that will be loaded soon begin only what ends in time. Agents log their progress once a second while a set is under way. Test: chunks_not_granted_yet_get_their_grant_after_repeated_ones, red before.

--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -97,6 +97,7 @@
         if report.busy {
             return;
         }
+        close_in_time(app, report);
         let Some(target) = next_target(app, report) else {
             return;
         };
@@ -144,15 +145,35 @@
     }
 }
 
-/// Returns whether it is this engine's turn; they take turns evenly over the time that there is, so
-/// that the others carry the requests meanwhile.
+/// Lets the gate know when the wanted version is to be loaded.
+fn close_in_time(app: &app::App, report: &runner::Report) {
+    let named = app.named.load();
+    let served = |one: &app::Target| report.weights.get(&one.model).copied();
+    let next = named.iter().find(|one| served(one) < Some(one.version));
+    let now = app.clock.now();
+    // While its turn has come and the chunks have not, the engine serves on.
+    let closes_at = next
+        .map(|one| (one.since + turn(app, one), swarm::is_whole(app, one)))
+        .filter(|(at, is_whole)| *at > now || *is_whole)
+        .map(|(at, _)| at.max(now));
+    lock(&app.gate).set_closes_at(closes_at);
+}
+
+/// Returns whether it is this engine's turn.
 fn is_due(app: &app::App, target: &app::Target) -> bool {
+    app.clock.now().duration_since(target.since) >= turn(app, target)
+}
+
+/// Returns when it is this engine's turn, after the version was named.
+///
+/// Engines take turns evenly over the time that there is, so that the others carry the requests
+/// meanwhile.
+fn turn(app: &app::App, target: &app::Target) -> time::Duration {
     let count = u32::try_from(app.others.load().len() + 1).unwrap_or(u32::MAX);
     let rank = u32::try_from(app.rank(target)).unwrap_or(u32::MAX);
     let last = app.settings.weights_grace.saturating_sub(LAST_LOAD_MARGIN);
     let span = last.saturating_sub(FIRST_LOAD);
-    let due = FIRST_LOAD + span.mul_f64(f64::from(rank) / f64::from(count));
-    app.clock.now().duration_since(target.since) >= due
+    FIRST_LOAD + span.mul_f64(f64::from(rank) / f64::from(count))
 }
 
 /// Puts all chunks beside the engine; false where one was not taken.
--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -25,6 +25,7 @@
     let ask = gate::Ask {
         model: &request.model,
         prompt_tokens: request.prompt_tokens,
+        answer_tokens: request.answer_tokens,
         first_token_max: time::Duration::from_millis(u64::from(request.first_token_max_ms)),
         version_min: request.version_min,
     };
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -20,6 +20,7 @@
 use crate::{app::lock, transfer};
 
 const EVERY: time::Duration = time::Duration::from_millis(120);
+const LOG_EVERY: time::Duration = time::Duration::from_secs(1);
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 const FANOUT: usize = 7;
 /// Those first in the order are told always, since one of them makes grants.
@@ -33,6 +34,7 @@
 /// Brings the wanted version's chunks here, until the process ends.
 pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
     tokio::spawn(pull(app.clone(), stop.clone()));
+    let mut logged_at = app.clock.now();
     while stop.sleep(EVERY).await {
         let (Some(target), Some(service)) = (app.target.load_full(), app.service.load_full())
         else {
@@ -45,9 +47,27 @@
             grants::extend(&app, &target).await;
         }
         call_others(&app, &target);
+        if app.clock.now().duration_since(logged_at) >= LOG_EVERY {
+            logged_at = app.clock.now();
+            log_progress(&app, &target);
+        }
     }
 }
 
+/// Says how far a set that takes long has come.
+fn log_progress(app: &app::App, target: &app::Target) {
+    let progress = request(app, target).progress;
+    log::info!(
+        "swarm: event=under_way version={} held={:?} starved={:?} heard={} others={} age_ms={}",
+        target.version,
+        progress.as_ref().map(|one| one.held.len()),
+        progress.as_ref().map(|one| one.starved),
+        lock(&app.heard).len(),
+        app.others.load().len(),
+        app.clock.now().duration_since(target.since).as_millis()
+    );
+}
+
 async fn pull(app: sync::Arc<app::App>, stop: process::Stop) {
     while !stop.is_set() {
         app.transfers.pull_once(&stop).await;
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -21,8 +21,6 @@
 
 use crate::app::{self, lock};
 
-const UPLOAD_SLOTS: u32 = 3;
-const OPEN_MAX: usize = 3;
 const PEERS_MAX: usize = 32;
 const BUSY_PAUSE: time::Duration = time::Duration::from_millis(30);
 const FAULT_PAUSE: time::Duration = time::Duration::from_secs(1);
@@ -78,6 +76,10 @@
     pub incoming_rate: Option<size::ByteRate>,
     /// What may go in and out together during a burst, in hundredths of a copy.
     pub link_percent_max: u32,
+    /// How many chunks are pulled from peers at once.
+    pub open_max: usize,
+    /// How many chunks are passed on at once.
+    pub upload_slots: u32,
     /// How many sets are held.
     pub sets_max: usize,
     /// How long a chunk may stall.
@@ -144,7 +146,7 @@
             busy_pause: BUSY_PAUSE,
             fault_pause: FAULT_PAUSE,
             overdraft_after: OVERDRAFT_AFTER,
-            open_max: OPEN_MAX,
+            open_max: self.link.open_max,
             peers_max: PEERS_MAX,
             near_first: self.link.near_first,
         };
@@ -156,7 +158,7 @@
             giver: giver::Giver::new(
                 count,
                 self.link.link_percent_max,
-                UPLOAD_SLOTS,
+                self.link.upload_slots,
                 self.link.refill,
             ),
             chunks: vec![None; count as usize],
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -134,12 +134,13 @@
     /// Returns whether the limits leave room for a grant of a chunk.
     ///
     /// A repeated grant leaves room for the first one of each chunk. The policy's share gives way
-    /// to the hard limit only for a chunk that is held nowhere, which nobody could get otherwise.
+    /// to the hard limit for a chunk that is held nowhere, which nobody could get otherwise:
+    /// grants that an origin did not answer may have used up the share.
     fn may_grant(&self, chunk: u32, supply: &Supply, counts: &[u32]) -> bool {
         let index = chunk as usize;
         let repeated = counts.get(index) > Some(&0);
         let held_nowhere = supply.holder_counts.get(index) == Some(&0);
-        let max = if repeated && held_nowhere {
+        let max = if held_nowhere {
             self.percent_of_chunks(ORIGIN_LIMIT_PERCENT)
         } else {
             self.grant_max()
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -49,6 +49,15 @@
         millis(step_ms * f64::from(self.steps_per_pass.max(1)))
     }
 
+    /// Returns the time that writing an answer takes beside others, prompts read between its passes
+    /// included.
+    #[must_use]
+    pub fn answer(&self, writing_count: u32, answer_tokens: u32) -> time::Duration {
+        let passes = f64::from(answer_tokens) / f64::from(self.steps_per_pass.max(1));
+        let pass = self.pass(writing_count);
+        pass.mul_f64(passes * READING_STRETCH)
+    }
+
     /// Returns the time that reading a prompt takes.
     #[must_use]
     pub fn read(&self, prompt_tokens: f64) -> time::Duration {
@@ -56,6 +65,9 @@
     }
 }
 
+/// How much longer passes take while prompts are read between them.
+const READING_STRETCH: f64 = 1.4;
+
 fn millis(value_ms: f64) -> time::Duration {
     time::Duration::from_secs_f64(value_ms.max(0.0) / 1_000.0)
 }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -13,6 +13,9 @@
 /// A request let in counts beside the reports for this long, since it is still on its way.
 const ARRIVAL_MAX: time::Duration = time::Duration::from_millis(40);
 
+/// How much longer than until the load answers may take.
+const CLOSING_SLACK: time::Duration = time::Duration::from_millis(400);
+
 /// A report that is older than this says nothing.
 const REPORT_AGE_MAX: time::Duration = time::Duration::from_millis(1_500);
 
@@ -23,6 +26,8 @@
     pub model: &'a str,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
+    /// Tokens that the answer will have, as far as can be guessed.
+    pub answer_tokens: u32,
     /// The longest that the first token may take.
     pub first_token_max: time::Duration,
     /// The oldest version of the weights that may be used.
@@ -54,6 +59,8 @@
     Full,
     /// The first token would come too late.
     Late,
+    /// The answer would not end before weights are to be loaded.
+    Closing,
 }
 
 /// Admission at one engine.
@@ -61,6 +68,7 @@
 pub struct Gate {
     report: Option<(time::Instant, EngineReport)>,
     loading: bool,
+    closes_at: Option<time::Instant>,
     let_in: VecDeque<time::Instant>,
     fill: engine::Fill,
 }
@@ -72,6 +80,7 @@
         Self {
             report: None,
             loading: false,
+            closes_at: None,
             let_in: VecDeque::new(),
             fill: engine::Fill::new(now),
         }
@@ -90,6 +99,12 @@
         self.loading = loading;
     }
 
+    /// Sets when weights are to be loaded; until then only answers are begun that end in time, so
+    /// that the engine does not wait long for the last one.
+    pub const fn set_closes_at(&mut self, closes_at: Option<time::Instant>) {
+        self.closes_at = closes_at;
+    }
+
     /// Returns whether weights are being loaded.
     #[must_use]
     pub const fn is_loading(&self) -> bool {
@@ -136,6 +151,11 @@
         if first_token > ask.first_token_max {
             return Err(Closed::Late);
         }
+        let answer = figures.answer(occupied + 1, ask.answer_tokens);
+        let closes_at = self.closes_at.map(|at| at + CLOSING_SLACK);
+        if closes_at.is_some_and(|at| now + first_token + answer > at) {
+            return Err(Closed::Closing);
+        }
         self.fill.admit(figures, now, occupied, ask.prompt_tokens);
         self.let_in.push_back(now);
         Ok(first_token)
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -14,6 +14,7 @@
 use proptest::prelude::*;
 use rounds::{Fault, Run};
 use rstest::rstest;
+use std::time::{Duration, Instant};
 
 const SEED: u64 = 7;
 
@@ -229,3 +230,46 @@
     let granted = u32::try_from(ledger.grants().len()).expect("few grants");
     assert!(granted * 100 <= CHUNKS * ORIGIN_LIMIT_PERCENT);
 }
+
+/// An origin that is away for a while uses up the policy's share in repeated grants; what was not
+/// granted before is granted all the same.
+#[test]
+fn chunks_not_granted_yet_get_their_grant_after_repeated_ones() {
+    let patience = Duration::from_millis(1_500);
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut clock = ledger::GrantClock::default();
+    let start = Instant::now();
+    // Nothing that is granted comes, and only the first chunks are asked for again and again.
+    let machines = machines_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    for round in 0..4 {
+        let now = start + patience * round * 2;
+        ledger.extend(now, &supply(&machines), &mut clock, patience);
+    }
+    let granted: Vec<u32> = ledger.grants().iter().map(|grant| grant.chunk).collect();
+    assert!(granted.len() > ledger.grant_max(), "{granted:?}");
+    let missing: Vec<u32> = (0..CHUNKS).filter(|one| !granted.contains(one)).collect();
+    assert!(!missing.is_empty(), "{granted:?}");
+    // Then the others come, and the origin is back.
+    let mut held = chunks::ChunkSet::full(CHUNKS);
+    missing.iter().for_each(|chunk| held.remove(*chunk));
+    let machines = machines_holding(|_| held.clone());
+    let now = start + patience * 10;
+    ledger.extend(now, &supply(&machines), &mut clock, patience);
+    for chunk in missing {
+        let is_granted = ledger.grants().iter().any(|grant| grant.chunk == chunk);
+        assert!(is_granted, "chunk {chunk}");
+    }
+}
+
+fn machines_holding<H>(held: H) -> Vec<ledger::Receiver>
+where
+    H: Fn(usize) -> chunks::ChunkSet,
+{
+    let receiver = |index| ledger::Receiver {
+        vm: format!("vm-{index}").parse().expect("a name"),
+        incarnation: id::Incarnation::new(1),
+        starved: false,
+        held: held(index),
+    };
+    (0..MACHINES).map(receiver).collect()
+}
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -41,6 +41,8 @@
     pub model: Option<&'a str>,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
+    /// Tokens that the answer will have, as far as can be guessed.
+    pub answer_tokens: u32,
     /// What is left of the time to the first token.
     pub first_token_max: time::Duration,
     /// Instances that have failed this request already.
@@ -203,6 +205,7 @@
         instance: candidate.upstream.instance.clone(),
         model: String::from(model),
         prompt_tokens: need.prompt_tokens,
+        answer_tokens: need.answer_tokens,
         first_token_max_ms: u32::try_from(max_ms).unwrap_or(u32::MAX),
         version_min: allowed.version_min,
     };
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -288,6 +288,7 @@
         figures: service.and_then(|service| service.engine.as_ref()),
         model: job.caller.model.as_deref(),
         prompt_tokens: job.caller.prompt_tokens,
+        answer_tokens: job.caller.answer_tokens,
         first_token_max: job.goal_remaining(),
         excluded: tried,
     };
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -126,6 +126,7 @@
             figures: service.and_then(|service| service.engine.as_ref()),
             model: self.job.caller.model.as_deref(),
             prompt_tokens: self.job.caller.prompt_tokens,
+            answer_tokens: self.job.caller.answer_tokens,
             first_token_max: route.goal,
             excluded: &excluded,
         };
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -27,6 +27,8 @@
     pub model: String,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
+    /// Tokens that the answer will have, as far as can be guessed.
+    pub answer_tokens: u32,
     /// The longest that the first token may take, in milliseconds.
     pub first_token_max_ms: u32,
     /// The oldest version of the weights that may be used.
