--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -19,8 +19,8 @@
 const STALL_MAX: time::Duration = time::Duration::from_millis(700);
 /// Peers of the own failure domain go first, so that some VMs pass on more than others.
 const LINK_PERCENT_MAX: u32 = 300;
-const OPEN_MAX: usize = 6;
-const UPLOAD_SLOTS: u32 = 5;
+const OPEN_MAX: usize = 2;
+const UPLOAD_SLOTS: u32 = 2;
 /// VMs that come after the burst get whole copies too.
 const REFILL: giver::Refill = giver::Refill {
     delay: time::Duration::from_millis(500),
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -24,7 +24,7 @@
 /// An engine that let nothing in is asked again after this long.
 const CLOSED_MS: u64 = 30;
 /// Agents asked for one request, one after the other.
-const ASKED_MAX: usize = 4;
+const ASKED_MAX: usize = 10;
 /// The part of the time to the first token that may be planned for, in hundredths; the rest is for
 /// what the model does not know.
 const PLANNED_PERCENT: u32 = 85;
