Keep requests within the grace of a version; a hangup ends no process

Change: turns and the last use of an older version are decided in core::rollover and leave 1.4 s for a request that waits. SIGHUP checks the settings file and says so.

--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use futures_util::future;
-use pimentohook_core::gate;
+use pimentohook_core::{gate, rollover};
 use pimentohook_platform::{origin, runner};
 use pimentohook_runtime::process;
 use pimentohook_wire::direct;
@@ -14,10 +14,6 @@
 const REPORT_EVERY: time::Duration = time::Duration::from_millis(50);
 const NOTICE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 const NOTICE_EVERY: time::Duration = time::Duration::from_secs(2);
-/// When the first engine that serves may be loaded, after the version was named.
-const FIRST_LOAD: time::Duration = time::Duration::from_millis(2_600);
-/// The last engine begins to load this long before the grace of the version ends.
-const LAST_LOAD_MARGIN: time::Duration = time::Duration::from_millis(900);
 /// The version that a model has before one is named.
 const FIRST_VERSION: u64 = 1;
 
@@ -165,15 +161,10 @@
 }
 
 /// Returns when it is this engine's turn, after the version was named.
-///
-/// Engines take turns evenly over the time that there is, so that the others carry the requests
-/// meanwhile.
 fn turn(app: &app::App, target: &app::Target) -> time::Duration {
     let count = u32::try_from(app.others.load().len() + 1).unwrap_or(u32::MAX);
     let rank = u32::try_from(app.rank(target)).unwrap_or(u32::MAX);
-    let last = app.settings.weights_grace.saturating_sub(LAST_LOAD_MARGIN);
-    let span = last.saturating_sub(FIRST_LOAD);
-    FIRST_LOAD + span.mul_f64(f64::from(rank) / f64::from(count))
+    rollover::turn(app.settings.weights_grace, rank, count)
 }
 
 /// Puts all chunks beside the engine; false where one was not taken.
--- a/crates/agent/src/direct/settings.rs
+++ b/crates/agent/src/direct/settings.rs
@@ -23,12 +23,20 @@
     ///
     /// [`settings::SettingsError`] with every fault.
     pub fn from_file(path: &path::Path) -> Result<Self, settings::SettingsError> {
-        let checker = settings::Checker::from_file(path);
+        Self::check(settings::Checker::from_file(path))
+    }
+
+    /// Checks what a checker has read.
+    ///
+    /// # Errors
+    ///
+    /// [`settings::SettingsError`] with every fault.
+    pub fn check(checker: settings::Checker) -> Result<Self, settings::SettingsError> {
         if checker.has("engine") {
-            let direct = DirectSettings::from_checker(checker)?;
+            let direct = DirectSettings::check(checker)?;
             return Ok(Self::Direct(Box::new(direct)));
         }
-        let gateway = gateway::AgentSettings::from_file(path)?;
+        let gateway = gateway::AgentSettings::check(checker)?;
         Ok(Self::Gateway(Box::new(gateway)))
     }
 
@@ -82,7 +90,7 @@
     /// # Errors
     ///
     /// [`settings::SettingsError`] with every fault.
-    pub fn from_checker(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
+    pub fn check(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
         let vm = checker.required("vm", "a name");
         let failure_domain = checker.required("failure_domain", NAME);
         let service = checker.required("service", NAME);
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -13,17 +13,17 @@
 }
 
 #[tokio::main(worker_threads = 2)]
-async fn run(settings: Settings) -> Result<(), Box<dyn error::Error>> {
+async fn run(settings: Settings, recheck: Box<dyn Fn()>) -> Result<(), Box<dyn error::Error>> {
     let _logs = logs::start(settings.log_level())?;
     match settings {
         Settings::Gateway(settings) => {
             let running = agent::start(*settings).await?;
-            runtime_process::wait_for_signal().await?;
+            runtime_process::wait_for_signal(recheck).await?;
             running.drain().await;
         }
         Settings::Direct(settings) => {
             let running = direct::start(*settings).await?;
-            runtime_process::wait_for_signal().await?;
+            runtime_process::wait_for_signal(recheck).await?;
             running.stop.set();
             log::info!("agent: event=stopped");
         }
--- a/crates/cli/src/queries.rs
+++ b/crates/cli/src/queries.rs
@@ -3,9 +3,9 @@
 use std::{fs, path};
 
 use clap::ArgMatches;
-use pimentohook_agent::settings as agent_settings;
+use pimentohook_agent::direct::settings as agent_settings;
 use pimentohook_core::report;
-use pimentohook_entry::settings as entry_settings;
+use pimentohook_entry::direct::settings as entry_settings;
 use pimentohook_runtime::settings;
 use pimentohook_wire::public;
 
@@ -18,9 +18,9 @@
     let kind = matches.get_one::<String>("kind").map(String::as_str);
     let kind = kind.unwrap_or_else(|| if checker.has("vm") { "agent" } else { "entry" });
     let result = if kind == "agent" {
-        agent_settings::AgentSettings::check(checker).map(|_| ())
+        agent_settings::Settings::check(checker).map(|_| ())
     } else {
-        entry_settings::EntrySettings::check(checker).map(|_| ())
+        entry_settings::Settings::check(checker).map(|_| ())
     };
     match result {
         Ok(()) => {
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -25,6 +25,8 @@
 #[case("entry-typos", "entry")]
 #[case("agent-wrong", "agent")]
 #[case("agent-no-store", "agent")]
+#[case("entry-direct-wrong", "entry")]
+#[case("agent-direct-wrong", "agent")]
 #[case("not-yaml", "entry")]
 #[case("missing", "entry")]
 fn bad_settings_are_refused_with_every_fault(#[case] file: &str, #[case] kind: &str) {
@@ -36,6 +38,8 @@
 #[rstest]
 #[case("entry")]
 #[case("agent")]
+#[case("entry-direct")]
+#[case("agent-direct")]
 fn the_examples_are_good_settings(#[case] name: &str) {
     let examples = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
     let file = examples.join(format!("{name}.yaml"));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`id`], [`size`], [`clock`]: the vocabulary.
 //! * [`routes`], [`upstreams`]: where callers' requests go.
 //! * [`engine`], [`gate`]: how full engines get, and what is let in.
+//! * [`rollover`]: when engines change to a newer version of weights.
 //! * [`membership`]: which agents an entry knows, and how old that knowledge is.
 //! * [`routing`]: which agent gets a request, and what may be done when that fails.
 //! * [`admission`]: whether a request starts at an agent, and the proof that it did not.
@@ -31,6 +32,7 @@
 pub mod limits;
 pub mod membership;
 pub mod report;
+pub mod rollover;
 pub mod routes;
 pub mod routing;
 pub mod size;
--- /dev/null
+++ b/crates/core/src/rollover.rs
@@ -0,0 +1,36 @@
+//! When engines are brought to a newer version of weights, and until when an older one is used.
+//!
+//! From its naming on a version has a grace: until it ends, requests may begin on the version
+//! before. Engines take turns within it, so that the others carry the requests meanwhile. A request
+//! that was sent on may wait at its engine for a while before it begins, so both the last turn and
+//! the last use of an older version come earlier than the end of the grace.
+
+use std::time;
+
+/// How long a request that an engine took may wait until it begins.
+pub const WAIT_MAX: time::Duration = time::Duration::from_millis(1_400);
+
+/// The first turn comes no sooner; before that the chunks are on their way.
+const FIRST_TURN: time::Duration = time::Duration::from_millis(2_600);
+
+/// What a last turn needs beside [`WAIT_MAX`] until the engine has the order.
+const ORDER_MAX: time::Duration = time::Duration::from_millis(100);
+
+/// Returns when it is an engine's turn to be loaded, after the version was named.
+///
+/// `rank` is its place among `count` engines. Turns are spread evenly, so that few engines drain
+/// at the same time.
+#[must_use]
+pub fn turn(grace: time::Duration, rank: u32, count: u32) -> time::Duration {
+    let last = grace.saturating_sub(WAIT_MAX + ORDER_MAX);
+    let first = FIRST_TURN.min(last);
+    let share = f64::from(rank.min(count)) / f64::from(count.max(1));
+    first + last.saturating_sub(first).mul_f64(share)
+}
+
+/// Returns until when requests are sent to engines with an older version, after a newer one was
+/// named.
+#[must_use]
+pub fn last_use(grace: time::Duration) -> time::Duration {
+    grace.saturating_sub(WAIT_MAX)
+}
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -251,7 +251,9 @@
     assert!(!missing.is_empty(), "{granted:?}");
     // Then the others come, and the origin is back.
     let mut held = chunks::ChunkSet::full(CHUNKS);
-    missing.iter().for_each(|chunk| held.remove(*chunk));
+    for chunk in &missing {
+        held.remove(*chunk);
+    }
     let machines = machines_holding(|_| held.clone());
     let now = start + patience * 10;
     ledger.extend(now, &supply(&machines), &mut clock, patience);
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -9,7 +9,7 @@
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
 use pimentohook_core::{
-    engine, id,
+    engine, id, rollover,
     routing::{choice, score},
     upstreams,
 };
@@ -135,13 +135,10 @@
     version_min: Option<u64>,
 }
 
-/// Requests sent on this long before the grace ends may begin after it.
-const BEGIN_MARGIN: time::Duration = time::Duration::from_millis(900);
-
 fn allowed(app: &app::App, model: &str) -> Allowed {
     let wanted = app.wanted.load();
-    let grace = app.settings.weights_grace.saturating_sub(BEGIN_MARGIN);
-    let due = |wanted: &&app::Wanted| wanted.since.elapsed() >= grace;
+    let last_use = rollover::last_use(app.settings.weights_grace);
+    let due = |wanted: &&app::Wanted| wanted.since.elapsed() >= last_use;
     let named = wanted.get(model).map_or(&[][..], Vec::as_slice);
     Allowed {
         version_min: named.iter().filter(due).map(|wanted| wanted.version).max(),
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -22,12 +22,20 @@
     ///
     /// [`settings::SettingsError`] with every fault.
     pub fn from_file(path: &path::Path) -> Result<Self, settings::SettingsError> {
-        let checker = settings::Checker::from_file(path);
+        Self::check(settings::Checker::from_file(path))
+    }
+
+    /// Checks what a checker has read.
+    ///
+    /// # Errors
+    ///
+    /// [`settings::SettingsError`] with every fault.
+    pub fn check(checker: settings::Checker) -> Result<Self, settings::SettingsError> {
         if checker.has("callers") {
-            let direct = DirectSettings::from_checker(checker)?;
+            let direct = DirectSettings::check(checker)?;
             return Ok(Self::Direct(Box::new(direct)));
         }
-        let agents = agents::EntrySettings::from_file(path)?;
+        let agents = agents::EntrySettings::check(checker)?;
         Ok(Self::Agents(Box::new(agents)))
     }
 
@@ -96,7 +104,7 @@
     /// # Errors
     ///
     /// [`settings::SettingsError`] with every fault.
-    pub fn from_checker(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
+    pub fn check(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
         let entry = checker.required("entry", "a name");
         let failure_domain = checker.required("failure_domain", "a name");
         let callers = checker.required("callers", ADDRESS);
--- a/crates/entry/tests/program.rs
+++ b/crates/entry/tests/program.rs
@@ -1,6 +1,6 @@
 //! The program: what it says when it can't start.
 
-use std::{net, path, process};
+use std::{net, path, process, thread, time};
 
 fn run(settings: &str) -> process::Output {
     process::Command::new(env!("CARGO_BIN_EXE_pimentohook-entry"))
@@ -38,3 +38,35 @@
         "{error}"
     );
 }
+
+fn kill(signal: &str, child: &process::Child) {
+    let status = process::Command::new("kill")
+        .args([signal, &child.id().to_string()])
+        .status();
+    assert!(status.expect("kill runs").success());
+}
+
+#[test]
+fn a_hangup_ends_nothing_and_a_termination_ends_cleanly() {
+    let example = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let text = std::fs::read_to_string(example.join("entry-direct.yaml")).expect("the example");
+    let text = text.replace("leave_ms: 4500", "leave_ms: 10");
+    let text = text.replace("127.0.0.1:720", "127.0.0.9:720");
+    let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("hangup-entry.yaml");
+    std::fs::write(&file, text).expect("settings can be written");
+    let mut child = process::Command::new(env!("CARGO_BIN_EXE_pimentohook-entry"))
+        .env("PIMENTOHOOK_SETTINGS", &file)
+        .stdout(process::Stdio::null())
+        .spawn()
+        .expect("the program runs");
+    let started = time::Instant::now();
+    while net::TcpStream::connect("127.0.0.9:7201").is_err() {
+        assert!(started.elapsed() < time::Duration::from_secs(5));
+        thread::sleep(time::Duration::from_millis(20));
+    }
+    kill("-HUP", &child);
+    thread::sleep(time::Duration::from_millis(300));
+    assert_eq!(child.try_wait().expect("a child"), None);
+    kill("-TERM", &child);
+    assert!(child.wait().expect("an end").success());
+}
--- a/crates/runtime/src/process.rs
+++ b/crates/runtime/src/process.rs
@@ -52,17 +52,23 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM or SIGINT; SIGHUP calls `reload` and ends nothing.
 ///
 /// # Errors
 ///
 /// [`io::Error`] where the handlers can't be installed.
-pub async fn wait_for_signal() -> io::Result<()> {
+pub async fn wait_for_signal<R>(mut reload: R) -> io::Result<()>
+where
+    R: FnMut(),
+{
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => reload(),
+        }
     }
-    Ok(())
 }
--- a/crates/runtime/src/program.rs
+++ b/crates/runtime/src/program.rs
@@ -13,10 +13,13 @@
 ///
 /// Faults go to standard error. The exit code is 2 for wrong use or settings and 1 for anything
 /// that ends the program before its time.
+///
+/// `run` gets the settings and a function that reads the file anew and says in the log whether a
+/// restart would take it; what runs keeps the settings that it started with.
 pub fn start<S, L, R>(command: clap::Command, load: L, run: R) -> process::ExitCode
 where
-    L: FnOnce(&path::Path) -> Result<S, settings::SettingsError>,
-    R: FnOnce(S) -> Result<(), Box<dyn error::Error>>,
+    L: Fn(&path::Path) -> Result<S, settings::SettingsError> + 'static,
+    R: FnOnce(S, Box<dyn Fn()>) -> Result<(), Box<dyn error::Error>>,
 {
     let argument = clap::Arg::new("settings")
         .help("Settings in YAML")
@@ -39,7 +42,15 @@
             return process::ExitCode::from(SETTINGS_FAULT);
         }
     };
-    match run(settings) {
+    let recheck = Box::new(move || match load(&file) {
+        Ok(_) => {
+            log::info!("program: event=settings_checked outcome=good in_force=at_next_start");
+        }
+        Err(error) => {
+            log::error!("program: event=settings_checked outcome=refused error={error}");
+        }
+    });
+    match run(settings, recheck) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- a/crates/standin/src/bin/pimentohook-scale.rs
+++ b/crates/standin/src/bin/pimentohook-scale.rs
@@ -55,7 +55,7 @@
     tokio::select! {
         measured = measure_all() => measured,
         // Dropping the sites ends their processes.
-        stopped = pimentohook_runtime::process::wait_for_signal() => Ok(stopped?),
+        stopped = pimentohook_runtime::process::wait_for_signal(|| {}) => Ok(stopped?),
     }
 }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -78,7 +78,7 @@
         }
     };
     println!("listening on {}", running.address);
-    runtime_process::wait_for_signal().await?;
+    runtime_process::wait_for_signal(|| {}).await?;
     running.stop.set();
     Ok(())
 }
