Bring chunks first to engines with an early turn, forecast when they are whole

Cause: all engines became whole at the same time, 3.9 s after the naming; a third of the turns had passed by then, so ten engines drained at once with long answers in them; a replaced version was dropped although its grace ended sooner. Change: engines with a late turn pull two chunks at a time, the others three; a replaced version that is more than half here is finished first; the gate closes by the forecast of the chunks; the first turn comes after 3 s.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -18,7 +18,6 @@
 
 const ACTIVE_WINDOW: time::Duration = time::Duration::from_secs(2);
 const LINK_PERCENT_MAX: u32 = 200;
-const OPEN_MAX: usize = 3;
 const UPLOAD_SLOTS: u32 = 3;
 /// The set in service and the one that the configuration names.
 const SETS_MAX: usize = 2;
@@ -103,7 +102,6 @@
             outgoing_rate: settings.weights_rate,
             incoming_rate: Some(settings.weights_rate),
             link_percent_max: LINK_PERCENT_MAX,
-            open_max: OPEN_MAX,
             upload_slots: UPLOAD_SLOTS,
             sets_max: SETS_MAX,
             stall_max: settings.stall_max,
--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -19,8 +19,7 @@
 const STALL_MAX: time::Duration = time::Duration::from_millis(700);
 /// Peers of the own failure domain go first, so that some VMs pass on more than others.
 const LINK_PERCENT_MAX: u32 = 300;
-const OPEN_MAX: usize = 2;
-const UPLOAD_SLOTS: u32 = 2;
+const UPLOAD_SLOTS: u32 = 3;
 /// VMs that come after the burst get whole copies too.
 const REFILL: giver::Refill = giver::Refill {
     delay: time::Duration::from_millis(500),
@@ -131,7 +130,6 @@
             outgoing_rate: settings.weights_rate,
             incoming_rate: None,
             link_percent_max: LINK_PERCENT_MAX,
-            open_max: OPEN_MAX,
             upload_slots: UPLOAD_SLOTS,
             sets_max: MANIFESTS_MAX,
             stall_max: STALL_MAX,
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -147,14 +147,24 @@
     let served = |one: &app::Target| report.weights.get(&one.model).copied();
     let next = named.iter().find(|one| served(one) < Some(one.version));
     let now = app.clock.now();
-    // While its turn has come and the chunks have not, the engine serves on.
+    // While its turn has come and the chunks can't be expected, the engine serves on.
     let closes_at = next
-        .map(|one| (one.since + turn(app, one), swarm::is_whole(app, one)))
-        .filter(|(at, is_whole)| *at > now || *is_whole)
-        .map(|(at, _)| at.max(now));
+        .and_then(|one| Some(one.since + turn(app, one).max(whole_after(app, one)?)))
+        .map(|at| at.max(now));
     lock(&app.gate).set_closes_at(closes_at);
 }
 
+/// Returns how long after its naming a version is expected to be here whole.
+fn whole_after(app: &app::App, target: &app::Target) -> Option<time::Duration> {
+    let manifest = app.manifest(&(target.model.clone(), target.version))?;
+    let held = app.transfers.held_of(manifest.digest())?;
+    let age = app.clock.now().duration_since(target.since);
+    if held.is_full() {
+        return Some(time::Duration::ZERO);
+    }
+    rollover::whole_after(age, held.len(), held.range())
+}
+
 /// Returns whether it is this engine's turn.
 fn is_due(app: &app::App, target: &app::Target) -> bool {
     app.clock.now().duration_since(target.since) >= turn(app, target)
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -25,6 +25,8 @@
 const FANOUT: usize = 7;
 /// Those first in the order are told always, since one of them makes grants.
 const GRANTORS: usize = 2;
+const OPEN_EARLY: usize = 3;
+const OPEN_LATE: usize = 2;
 const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Each agent waits this much longer than the one before it until it asks the origin for a
 /// manifest, so that most get it from each other.
@@ -36,14 +38,16 @@
     tokio::spawn(pull(app.clone(), stop.clone()));
     let mut logged_at = app.clock.now();
     while stop.sleep(EVERY).await {
-        let (Some(target), Some(service)) = (app.target.load_full(), app.service.load_full())
+        let (Some(newest), Some(service)) = (app.target.load_full(), app.service.load_full())
         else {
             continue;
         };
+        let target = pulled(&app).map_or(newest.clone(), sync::Arc::new);
         if is_whole(&app, &target) {
             continue;
         }
-        if open(&app, &target, &service).await {
+        let is_open = open(&app, &target, &service).await;
+        if is_open && target.version == newest.version {
             grants::extend(&app, &target).await;
         }
         call_others(&app, &target);
@@ -54,6 +58,21 @@
     }
 }
 
+/// Returns the replaced version to finish first, if any.
+///
+/// Its grace ends sooner than that of the newest one, so a set that is more than half here is worth
+/// more than one that has hardly begun.
+fn pulled(app: &app::App) -> Option<app::Target> {
+    let named = app.named.load();
+    let (_, replaced) = named.split_last()?;
+    let half_here = |one: &&app::Target| {
+        let manifest = app.manifest(&(one.model.clone(), one.version));
+        let held = manifest.and_then(|manifest| app.transfers.held_of(manifest.digest()));
+        held.is_some_and(|held| !held.is_full() && held.len() * 2 > held.range())
+    };
+    replaced.iter().rev().find(half_here).cloned()
+}
+
 /// Says how far a set that takes long has come.
 fn log_progress(app: &app::App, target: &app::Target) {
     let progress = request(app, target).progress;
@@ -98,12 +117,26 @@
         log::warn!("swarm: event=no_origin model={}", target.model);
         return false;
     };
-    app.transfers
-        .open(content(app, &manifest, origin), serving(app));
+    app.transfers.open(
+        content(app, &manifest, origin, open_max(app, target)),
+        serving(app),
+    );
     take_staged(app, &manifest).await;
     true
 }
 
+/// Returns how many chunks to pull at once: engines that wait for weights or have an early turn go
+/// before those that serve on for a while, whose links carry other messages too.
+fn open_max(app: &app::App, target: &app::Target) -> usize {
+    let is_empty = !lock(&app.gate).weights().contains_key(&target.model);
+    let is_early = app.rank(target) * 2 <= app.others.load().len();
+    if is_empty || is_early {
+        OPEN_EARLY
+    } else {
+        OPEN_LATE
+    }
+}
+
 fn serving(app: &app::App) -> Option<id::Digest> {
     let weights = lock(&app.gate).weights();
     let (model, version) = weights.first()?;
@@ -147,6 +180,7 @@
     app: &sync::Arc<app::App>,
     manifest: &sync::Arc<origin::Manifest>,
     origin: net::SocketAddr,
+    open_max: usize,
 ) -> transfer::Content {
     let digest = manifest.digest();
     let (checked, pulled) = (manifest.clone(), manifest.clone());
@@ -159,6 +193,7 @@
         version: format!("{} {}", manifest.model, manifest.version),
         chunk_count: manifest.chunk_count(),
         chunk_bytes: manifest.chunk_bytes as usize,
+        open_max,
         verifies: Box::new(move |chunk, bytes| checked.verifies(chunk, bytes)),
         pull_origin: Box::new(move |chunk| {
             let (client, manifest) = (client.clone(), pulled.clone());
@@ -335,7 +370,7 @@
         .and_then(|manifest| serde_json::to_string(manifest).ok());
     let ledger = app.ledger.load();
     let grants = match (vm, ledger.as_ref()) {
-        (Some(vm), Some(ledger)) if request.progress.is_some() => ledger
+        (Some(vm), Some(ledger)) if is_granted_for(&app, &request) => ledger
             .grants_of(&vm, incarnation)
             .map(|grant| (grant.chunk, grant.serial))
             .collect(),
@@ -349,3 +384,12 @@
         grants,
     })
 }
+
+/// Whether the recorded grants are for the version that an agent asks about.
+fn is_granted_for(app: &app::App, request: &direct::SwarmRequest) -> bool {
+    let newest = app.target.load();
+    let is_newest = newest
+        .as_ref()
+        .is_some_and(|newest| newest.version == request.version);
+    is_newest && request.progress.is_some()
+}
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -21,6 +21,7 @@
 
 use crate::app::{self, lock};
 
+const OPEN_MAX: usize = 3;
 const PEERS_MAX: usize = 32;
 const BUSY_PAUSE: time::Duration = time::Duration::from_millis(30);
 const FAULT_PAUSE: time::Duration = time::Duration::from_secs(1);
@@ -47,6 +48,8 @@
     pub chunk_count: u32,
     /// The size of the largest chunk.
     pub chunk_bytes: usize,
+    /// How many chunks are pulled from peers at once.
+    pub open_max: usize,
     /// Returns whether bytes are the content of a chunk.
     pub verifies: Box<Verifier>,
     /// Starts to pull a chunk from the origin.
@@ -76,8 +79,6 @@
     pub incoming_rate: Option<size::ByteRate>,
     /// What may go in and out together during a burst, in hundredths of a copy.
     pub link_percent_max: u32,
-    /// How many chunks are pulled from peers at once.
-    pub open_max: usize,
     /// How many chunks are passed on at once.
     pub upload_slots: u32,
     /// How many sets are held.
@@ -146,7 +147,7 @@
             busy_pause: BUSY_PAUSE,
             fault_pause: FAULT_PAUSE,
             overdraft_after: OVERDRAFT_AFTER,
-            open_max: self.link.open_max,
+            open_max: content.open_max,
             peers_max: PEERS_MAX,
             near_first: self.link.near_first,
         };
@@ -347,6 +348,7 @@
         version: version.to_string(),
         chunk_count: manifest.chunk_count(),
         chunk_bytes,
+        open_max: OPEN_MAX,
         verifies: Box::new(move |chunk, bytes| manifest.verifies(chunk, bytes)),
         pull_origin: Box::new(move |chunk| {
             let (store, version) = (store.clone(), version.clone());
--- a/crates/core/src/rollover.rs
+++ b/crates/core/src/rollover.rs
@@ -11,7 +11,7 @@
 pub const WAIT_MAX: time::Duration = time::Duration::from_millis(1_400);
 
 /// The first turn comes no sooner; before that the chunks are on their way.
-const FIRST_TURN: time::Duration = time::Duration::from_millis(2_600);
+const FIRST_TURN: time::Duration = time::Duration::from_secs(3);
 
 /// What a last turn needs beside [`WAIT_MAX`] until the engine has the order.
 const ORDER_MAX: time::Duration = time::Duration::from_millis(100);
@@ -34,3 +34,16 @@
 pub fn last_use(grace: time::Duration) -> time::Duration {
     grace.saturating_sub(WAIT_MAX)
 }
+
+/// Chunks that have to be held before a forecast is made.
+const FORECAST_MIN: u32 = 8;
+
+/// Returns how long after its naming a version will be held whole, from how far it has come after
+/// `age`; `None` where it is too early to say.
+#[must_use]
+pub fn whole_after(age: time::Duration, held: u32, chunk_count: u32) -> Option<time::Duration> {
+    if held < FORECAST_MIN.min(chunk_count) || held == 0 {
+        return None;
+    }
+    Some(age.mul_f64(f64::from(chunk_count) / f64::from(held)))
+}
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -236,3 +236,16 @@
         prop_assert!(most.unwrap().saturating_sub(*least.unwrap()) < Duration::from_millis(1));
     }
 }
+
+#[rstest]
+#[case::too_early(500, 3, None)]
+#[case::half(1_500, 32, Some(3_000))]
+#[case::nearly(3_000, 60, Some(3_200))]
+fn a_set_is_forecast_from_its_progress(
+    #[case] age_ms: u64,
+    #[case] held: u32,
+    #[case] expected_ms: Option<u64>,
+) {
+    let forecast = rollover::whole_after(Duration::from_millis(age_ms), held, 64);
+    assert_eq!(forecast, expected_ms.map(Duration::from_millis));
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -24,8 +24,6 @@
     pub agent_silent_until_ms: atomic::AtomicU64,
     /// Until when its agent lets nothing in, in milliseconds of the entry's life.
     pub closed_until_ms: atomic::AtomicU64,
-    /// When the first token of a request would have come at the last asking, in milliseconds.
-    pub first_token_ms: atomic::AtomicU32,
     /// What its agent last said that it serves; newer than the list.
     pub told: ArcSwapOption<direct::AgentNotice>,
 }
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -223,8 +223,6 @@
             return is_within_share(app, figures, live);
         }
     };
-    live.first_token_ms
-        .store(reply.first_token_ms, atomic::Ordering::Relaxed);
     if !reply.granted {
         live.closed_until_ms
             .store(now_ms + CLOSED_MS, atomic::Ordering::Relaxed);
