Keep counters and latencies where they can be read

Cause: metrics were sent to a collector only, and the platform has none. Change: cadence clients may write to counters and histograms that a process shows at the address of the setting metrics; entries and agents in direct mode do.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -3,13 +3,14 @@
 use std::{net, sync, time};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
     burst::{self, giver, ledger},
     clock, engine, gate, id,
 };
 use pimentohook_platform::{origin, runner, store};
-use pimentohook_runtime::client;
+use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
 use tokio::sync::Notify;
 
@@ -101,6 +102,10 @@
     pub grant_clock: sync::Mutex<ledger::GrantClock>,
     /// Wakes whoever tells entries what the engine serves.
     pub notice: Notify,
+    /// Counters.
+    pub metrics: StatsdClient,
+    /// Where they are kept.
+    pub kept: sync::Arc<metrics::Kept>,
     /// This VM among the agents.
     pub me: id::VmId,
     /// The life of this agent.
@@ -137,7 +142,10 @@
             refill: REFILL,
             on_whole: Box::new(|| {}),
         };
+        let kept = sync::Arc::new(metrics::Kept::default());
         sync::Arc::new(Self {
+            metrics: kept.client("pimentohook.agent"),
+            kept,
             runner: runner::Runner::new(settings.engine, outside.clone()),
             store: store::Store::new(settings.object_store, outside.clone()),
             origin: origin::Origin::new(outside),
@@ -161,6 +169,11 @@
         })
     }
 
+    /// Counts an event.
+    pub fn count(&self, event: &str) {
+        metrics::Kept::count(&self.metrics, event);
+    }
+
     /// Returns the manifest of a version, if it is known.
     #[must_use]
     pub fn manifest(&self, version: &Version) -> Option<sync::Arc<origin::Manifest>> {
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -211,6 +211,7 @@
         if is_good {
             continue;
         }
+        app.count("chunk_spoilt");
         log::warn!("loader: event=chunk_spoilt chunk={chunk}");
         let Some(bytes) = app.transfers.chunk(manifest.digest(), chunk) else {
             return false;
@@ -227,6 +228,7 @@
     let (model, version) = (&target.model, target.version);
     let ordered = app.runner.load(model, version, report.order_count).await;
     let since_ms = app.clock.now().duration_since(target.since).as_millis();
+    app.count("ordered");
     match ordered {
         Ok(outcome) => log::info!(
             "loader: event=ordered model={model} version={version} outcome={outcome} \
--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -23,7 +23,7 @@
     prelude::{DefineSingleRoute as _, DrawRoutes as _},
     router,
 };
-use pimentohook_runtime::{process, server};
+use pimentohook_runtime::{metrics, process, server};
 use pimentohook_wire::direct;
 use snafu::{ResultExt, Snafu};
 
@@ -50,7 +50,15 @@
 /// [`DirectError`] where its address can't be listened on.
 pub async fn start(settings: settings::DirectSettings) -> Result<Running, DirectError> {
     let listener = server::bind(settings.peers).await.context(DirectSnafu)?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(server::bind(address).await.context(DirectSnafu)?),
+        None => None,
+    };
     let app = app::App::new(settings);
+    if let Some(listener) = metrics {
+        let shown = server::endpoint(&app.kept, metrics::show);
+        tokio::spawn(server::serve(listener, shown, process::Stop::new()));
+    }
     let stop = process::Stop::new();
     log::info!(
         "agent: event=started vm={} engine={}",
--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -31,6 +31,11 @@
     };
     let now = app.clock.now();
     let admitted = lock(&app.gate).admit(&service.figures, now, &ask);
+    app.count(if admitted.is_ok() {
+        "placed"
+    } else {
+        "refused"
+    });
     if let Err(closed) = admitted {
         log::debug!(
             "place: event=refused instance={} reason={closed}",
--- a/crates/agent/src/direct/settings.rs
+++ b/crates/agent/src/direct/settings.rs
@@ -71,6 +71,8 @@
     pub weights_grace: time::Duration,
     /// Whether few bytes from the origin or little time goes first.
     pub policy: burst::Policy,
+    /// Where metrics are read; `None` for nowhere.
+    pub metrics: Option<net::SocketAddr>,
     /// The level of logs.
     pub log_level: String,
 }
@@ -102,6 +104,7 @@
         let policy = checker
             .optional("policy", "origin_first or time_first")
             .unwrap_or_default();
+        let metrics = checker.optional("metrics", ADDRESS);
         let log_level = checker
             .optional("log_level", "error, warn, info, debug or trace")
             .unwrap_or_else(|| String::from("info"));
@@ -116,6 +119,7 @@
                 weights_rate: weights_rate?,
                 weights_grace,
                 policy,
+                metrics,
                 log_level,
             })
         })();
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -3,10 +3,11 @@
 use std::{net, sync, sync::atomic, time};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{clock, id, limits, routes, routing::score, upstreams};
 use pimentohook_platform::store;
-use pimentohook_runtime::client;
+use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
 
 use super::settings;
@@ -93,6 +94,10 @@
     pub kinds: ArcSwap<IndexMap<String, sync::Arc<direct::KindSnapshot>>>,
     /// Since when the configuration can't be followed; `None` while it can.
     pub store_lost_at: ArcSwapOption<time::Instant>,
+    /// Counters and latencies.
+    pub metrics: StatsdClient,
+    /// Where they are kept.
+    pub kept: sync::Arc<metrics::Kept>,
     budgets: ArcSwap<IndexMap<id::ServiceName, sync::Arc<limits::RetryBudget>>>,
     leaving: atomic::AtomicBool,
     started_at: time::Instant,
@@ -115,7 +120,10 @@
         let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock);
         let local = settings.callers.ip();
         let store_client = sync::Arc::new(client::Client::new(local));
+        let kept = sync::Arc::new(metrics::Kept::default());
         Self {
+            metrics: kept.client("pimentohook.entry"),
+            kept,
             store: store::Store::new(settings.object_store, store_client),
             upstreams: client::Client::new(local),
             own: client::Client::new(local),
@@ -133,6 +141,11 @@
         }
     }
 
+    /// Counts an event.
+    pub fn count(&self, event: &str) {
+        metrics::Kept::count(&self.metrics, event);
+    }
+
     /// Returns the milliseconds since the entry started.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -25,7 +25,7 @@
     prelude::{DefineSingleRoute as _, DrawRoutes as _},
     router,
 };
-use pimentohook_runtime::{process, server};
+use pimentohook_runtime::{metrics, process, server};
 use pimentohook_wire::direct;
 use snafu::{ResultExt, Snafu};
 use tokio::task::JoinHandle;
@@ -80,7 +80,15 @@
         .await
         .context(DirectSnafu)?;
     let peers = server::bind(settings.peers).await.context(DirectSnafu)?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(server::bind(address).await.context(DirectSnafu)?),
+        None => None,
+    };
     let app = sync::Arc::new(app::App::new(settings));
+    if let Some(listener) = metrics {
+        let shown = server::endpoint(&app.kept, metrics::show);
+        tokio::spawn(server::serve(listener, shown, process::Stop::new()));
+    }
     let stop = process::Stop::new();
     log::info!(
         "entry: event=started name={} callers={}",
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use bytes::Bytes;
+use cadence::Timed as _;
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri, header};
 use pimentohook_core::{id, routes};
@@ -99,6 +100,7 @@
     let mut response = match read(&app, call).await {
         Ok(job) => serve(&app, job).await,
         Err((id, rejected)) => {
+            app.count("rejected");
             log::info!(
                 "proxy: event=rejected request={id} status={} reason={}",
                 rejected.status.as_u16(),
@@ -225,7 +227,7 @@
     let deadline = tokio::time::Instant::from_std(job.deadline) - ANSWER_MARGIN;
     let mut tally = Tally::default();
     let result = tokio::time::timeout_at(deadline, run(app, &job, &mut tally)).await;
-    result.unwrap_or_else(|_| finish_late(&job, &tally))
+    result.unwrap_or_else(|_| finish_late(app, &job, &tally))
 }
 
 async fn run(app: &sync::Arc<app::App>, job: &sync::Arc<Job>, tally: &mut Tally) -> Response<Body> {
@@ -234,24 +236,24 @@
     loop {
         let place = match choose(app, job, &tally.tried).await {
             Ok(place) => place,
-            Err(denied) => return deny(job, tally, denied),
+            Err(denied) => return deny(app, job, tally, denied),
         };
         if !tally.tried.is_empty() && !budget.try_spend() {
-            return fail(job, tally, "the retry budget is spent");
+            return fail(app, job, tally, "the retry budget is spent");
         }
         tally.tried.push(place.candidate.upstream.instance.clone());
         let instance = place.candidate.upstream.instance.clone();
         match attempt::run(app, job, &place, None).await {
             Outcome::Whole(response) => {
-                log_answer(job, tally, &instance, response.status());
+                log_answer(app, job, tally, &instance, response.status());
                 return response;
             }
             Outcome::Stream(open) => {
-                log_answer(job, tally, &instance, open.head.status);
+                log_answer(app, job, tally, &instance, open.head.status);
                 return stream::respond(app.clone(), job.clone(), open, tally.ran_count);
             }
             Outcome::Failure(response) => {
-                log_answer(job, tally, &instance, response.status());
+                log_answer(app, job, tally, &instance, response.status());
                 tally.failure = Some(response);
                 tally.may_have_run = true;
                 tally.ran_count += 1;
@@ -272,7 +274,7 @@
         let may_go_on = !tally.may_have_run
             || (job.route.may_repeat() && tally.ran_count < job.route.attempts_max);
         if !may_go_on {
-            return fail(job, tally, "the upstream failed");
+            return fail(app, job, tally, "the upstream failed");
         }
     }
 }
@@ -295,7 +297,11 @@
     placement::choose(app, &need).await
 }
 
-fn log_answer(job: &Job, tally: &Tally, instance: &str, status: StatusCode) {
+fn log_answer(app: &app::App, job: &Job, tally: &Tally, instance: &str, status: StatusCode) {
+    app.count("answered");
+    if let Err(error) = app.metrics.time("first_byte", job.arrived_at.elapsed()) {
+        log::debug!("metrics: event=not_kept name=first_byte error={error:?}");
+    }
     log::info!(
         "proxy: event=answered request={} route={} instance={instance} status={} attempt={} \
          after_ms={} configuration={}",
@@ -308,14 +314,15 @@
     );
 }
 
-fn deny(job: &Job, tally: &mut Tally, denied: placement::Denied) -> Response<Body> {
+fn deny(app: &app::App, job: &Job, tally: &mut Tally, denied: placement::Denied) -> Response<Body> {
     if tally.may_have_run {
-        return fail(job, tally, "no other upstream can take it");
+        return fail(app, job, tally, "no other upstream can take it");
     }
     let retry_after = match denied {
         placement::Denied::Nobody => RETRY_AFTER_NOBODY,
         placement::Denied::Full => RETRY_AFTER_FULL,
     };
+    app.count("refused");
     log::info!(
         "proxy: event=refused request={} route={} service={} reason={denied} tried={} after_ms={}",
         job.id(),
@@ -329,7 +336,7 @@
 }
 
 /// Ends a request that was sent on; only where it did not run anywhere, the caller is told so.
-fn fail(job: &Job, tally: &mut Tally, reason: &str) -> Response<Body> {
+fn fail(app: &app::App, job: &Job, tally: &mut Tally, reason: &str) -> Response<Body> {
     if let Some(response) = tally.failure.take() {
         return response;
     }
@@ -338,6 +345,7 @@
     } else {
         StatusCode::SERVICE_UNAVAILABLE
     };
+    app.count("failed");
     log::warn!(
         "proxy: event=failed request={} route={} status={} may_have_run={} tried={:?} \
          after_ms={} reason={reason:?}",
@@ -352,7 +360,7 @@
     refusal(status, retry_after, reason)
 }
 
-fn finish_late(job: &Job, tally: &Tally) -> Response<Body> {
+fn finish_late(app: &app::App, job: &Job, tally: &Tally) -> Response<Body> {
     // An attempt that was cut off here may be running.
     let sent = !tally.tried.is_empty();
     let status = if sent {
@@ -360,6 +368,7 @@
     } else {
         StatusCode::SERVICE_UNAVAILABLE
     };
+    app.count("timed_out");
     log::warn!(
         "proxy: event=timeout request={} route={} status={} tried={:?} after_ms={}",
         job.id(),
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -84,6 +84,8 @@
     pub retry_percent: u64,
     /// Retries beyond that share that all entries together may send at once.
     pub retry_burst: u64,
+    /// Where metrics are read; `None` for nowhere.
+    pub metrics: Option<net::SocketAddr>,
     /// The level of logs.
     pub log_level: String,
 }
@@ -121,6 +123,7 @@
         let weights_grace = checker.millis("weights_grace_ms", WEIGHTS_GRACE_MS, 0..=MINUTE_MS);
         let retry_percent = checker.number("retry_percent", RETRY_PERCENT, 0..=100);
         let retry_burst = checker.number("retry_burst", RETRY_BURST, 0..=100_000);
+        let metrics = checker.optional("metrics", ADDRESS);
         let log_level = checker
             .optional("log_level", "error, warn, info, debug or trace")
             .unwrap_or_else(|| String::from("info"));
@@ -147,6 +150,7 @@
                 weights_grace,
                 retry_percent,
                 retry_burst,
+                metrics,
                 log_level,
             })
         })();
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -78,6 +78,7 @@
         let next = next.unwrap_or(Some(Err(BrokenStream)));
         if let Some(Err(_)) = &next {
             self.failed = true;
+            self.app.count("broken_off");
             log::warn!(
                 "stream: event=broken request={} route={} instance={} last_event={:?} after_ms={}",
                 self.job.id(),
@@ -139,6 +140,7 @@
         let Outcome::Stream(open) = outcome else {
             return false;
         };
+        self.app.count("resumed");
         log::info!(
             "stream: event=resumed request={} from={} to={} last_event={last:?}",
             self.job.id(),
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -1,8 +1,15 @@
-//! Metrics in the statsd format.
+//! Metrics: sent in the statsd format, or kept until they are read.
 
-use std::{io, net};
+use std::{fmt::Write as _, future, io, net, sync};
 
-use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
+use crate::server;
+use cadence::{
+    BufferedUdpMetricSink, CountedExt as _, NopMetricSink, QueuingMetricSink, StatsdClient,
+};
+use gotham::helpers::http::Body;
+use hdrhistogram::Histogram;
+use hyper::{Response, StatusCode};
+use indexmap::IndexMap;
 use snafu::{ResultExt, Snafu};
 
 /// Metrics that can't be sent.
@@ -49,3 +56,116 @@
         QueuingMetricSink::from(sink),
     ))
 }
+
+/// Handles a request for all kept values, whatever its path is.
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "endpoints hand their application over"
+)]
+pub fn show(kept: sync::Arc<Kept>, _call: server::Call) -> future::Ready<Response<Body>> {
+    future::ready(server::respond_text(StatusCode::OK, &kept.to_text()))
+}
+
+/// Counters and latency histograms that are kept here until somebody reads them.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    values: sync::Arc<sync::Mutex<IndexMap<String, Value>>>,
+}
+
+#[derive(Debug)]
+enum Value {
+    Count(u64),
+    Latency(Box<Histogram<u64>>),
+}
+
+const LATENCY_MAX_MS: u64 = 600_000;
+const LATENCY_DIGITS: u8 = 2;
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+
+impl Kept {
+    /// Returns a client that records here; counters and times are kept.
+    #[must_use]
+    pub fn client(&self, prefix: &str) -> StatsdClient {
+        StatsdClient::from_sink(prefix, self.clone())
+    }
+
+    /// Counts an event with a client of these values.
+    pub fn count(client: &StatsdClient, event: &str) {
+        if let Err(error) = client.incr(event) {
+            log::debug!("metrics: event=not_kept name={event} error={error:?}");
+        }
+    }
+
+    /// Returns all values as text, one on a line.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        for (name, value) in self.lock().iter() {
+            match value {
+                Value::Count(count) => {
+                    let _ = writeln!(text, "{name} {count}");
+                }
+                Value::Latency(histogram) => {
+                    let _ = writeln!(text, "{name}_count {}", histogram.len());
+                    for quantile in QUANTILES {
+                        let value_ms = histogram.value_at_quantile(quantile);
+                        let _ = writeln!(text, "{name}_ms{{quantile=\"{quantile}\"}} {value_ms}");
+                    }
+                }
+            }
+        }
+        text
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, IndexMap<String, Value>> {
+        self.values
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Takes in one line such as `name:1|c` or `name:12|ms`; false where it is neither.
+    fn record(&self, line: &str) -> bool {
+        let Some((name, rest)) = line.split_once(':') else {
+            return false;
+        };
+        let Some((number, kind)) = rest.split_once('|') else {
+            return false;
+        };
+        let Ok(number) = number.parse::<u64>() else {
+            return false;
+        };
+        let mut values = self.lock();
+        let name = name.replace('.', "_");
+        match kind {
+            "c" => {
+                let value = values.entry(name).or_insert(Value::Count(0));
+                if let Value::Count(count) = value {
+                    *count += number;
+                }
+                true
+            }
+            "ms" => {
+                let Ok(empty) = Histogram::new_with_max(LATENCY_MAX_MS, LATENCY_DIGITS) else {
+                    return false;
+                };
+                let value = values
+                    .entry(name)
+                    .or_insert(Value::Latency(Box::new(empty)));
+                if let Value::Latency(histogram) = value {
+                    histogram.saturating_record(number);
+                }
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+impl cadence::MetricSink for Kept {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        if self.record(metric) {
+            return Ok(metric.len());
+        }
+        Err(io::Error::other(format!("metric {metric:?} is not kept")))
+    }
+}
