Pull the named version first after an engine lost its weights

With the store slow while all machines come back, 11 of 27 agents first wanted version 1, and a replaced version that is more than half here was finished first though nobody grants its chunks any more. Change: core::rollover::to_pull decides what is pulled; an empty engine waits until the named versions were read; the life of an agent is a number that every JSON reader keeps. Test: the_version_to_pull, cases empty_engine and stuck_past_its_grace.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -1,6 +1,6 @@
 //! What the parts of the agent share.
 
-use std::{net, sync, time};
+use std::{net, sync, sync::atomic, time};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
@@ -88,6 +88,8 @@
     pub target: ArcSwapOption<Target>,
     /// The versions that were named, the newest last.
     pub named: ArcSwap<Vec<Target>>,
+    /// Whether the named versions were read from the store.
+    pub weights_read: atomic::AtomicBool,
     /// The other agents of the service.
     pub others: ArcSwap<Others>,
     /// Where entries take notices.
@@ -154,6 +156,7 @@
             service: ArcSwapOption::empty(),
             target: ArcSwapOption::empty(),
             named: ArcSwap::default(),
+            weights_read: atomic::AtomicBool::new(false),
             others: ArcSwap::default(),
             entries: ArcSwap::default(),
             manifests: sync::Mutex::new(IndexMap::new()),
@@ -162,7 +165,7 @@
             grant_clock: sync::Mutex::default(),
             notice: Notify::new(),
             me: vm_of(settings.engine),
-            incarnation: id::Incarnation::new(rand::random()),
+            incarnation: id::Incarnation::new(u64::from(rand::random::<u32>())),
             client,
             clock,
             settings,
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -1,6 +1,6 @@
 //! Configuration, named weights, other agents and entries, from the store.
 
-use std::{net, sync, time};
+use std::{net, sync, sync::atomic, time};
 
 use indexmap::IndexMap;
 use pimentohook_core::{routes, upstreams};
@@ -45,6 +45,7 @@
     let mut revision = listing.revision;
     loop {
         want_named(app, &objects);
+        app.weights_read.store(true, atomic::Ordering::Relaxed);
         let changes = app.store.watch(kind, revision, WATCH_WAIT).await?;
         revision = changes.revision;
         let kept = changes.changes.into_iter().filter(|one| !one.removed);
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -1,6 +1,6 @@
 //! Weights into the engine: staged chunks, orders, and what the engine reports.
 
-use std::{sync, time};
+use std::{sync, sync::atomic, time};
 
 use futures_util::future;
 use pimentohook_core::{gate, rollover};
@@ -136,8 +136,10 @@
     let served = report.weights.first();
     match (served, service.figures.models.first()) {
         (Some((model, version)), _) => app.want(model, *version),
-        (None, Some(model)) => app.want(model, FIRST_VERSION),
-        (None, None) => {}
+        (None, Some(model)) if app.weights_read.load(atomic::Ordering::Relaxed) => {
+            app.want(model, FIRST_VERSION);
+        }
+        (None, _) => {}
     }
 }
 
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -8,8 +8,8 @@
 use gotham::helpers::http::Body;
 use hyper::Response;
 use pimentohook_core::{
-    burst::{activation, receiver},
-    id,
+    burst::{activation, chunks, receiver},
+    id, rollover,
 };
 use pimentohook_platform::origin;
 use pimentohook_runtime::{process, server};
@@ -42,7 +42,7 @@
         else {
             continue;
         };
-        let target = pulled(&app).map_or(newest.clone(), sync::Arc::new);
+        let target = pulled(&app, &newest).map_or(newest.clone(), sync::Arc::new);
         if is_whole(&app, &target) {
             continue;
         }
@@ -58,19 +58,25 @@
     }
 }
 
-/// Returns the replaced version to finish first, if any.
-///
-/// Its grace ends sooner than that of the newest one, so a set that is more than half here is worth
-/// more than one that has hardly begun.
-fn pulled(app: &app::App) -> Option<app::Target> {
+/// Returns the version to pull now.
+fn pulled(app: &app::App, newest: &app::Target) -> Option<app::Target> {
     let named = app.named.load();
-    let (_, replaced) = named.split_last()?;
-    let half_here = |one: &&app::Target| {
+    let now = app.clock.now();
+    let underway = |one: &app::Target| {
         let manifest = app.manifest(&(one.model.clone(), one.version));
         let held = manifest.and_then(|manifest| app.transfers.held_of(manifest.digest()));
-        held.is_some_and(|held| !held.is_full() && held.len() * 2 > held.range())
+        rollover::Underway {
+            version: one.version,
+            age: now.duration_since(one.since),
+            held: held.as_ref().map(chunks::ChunkSet::len),
+            chunk_count: held.as_ref().map_or(0, chunks::ChunkSet::range),
+        }
     };
-    replaced.iter().rev().find(half_here).cloned()
+    let of_model = named.iter().filter(|one| one.model == newest.model);
+    let progress: Vec<_> = of_model.map(underway).collect();
+    let served = lock(&app.gate).weights().get(&newest.model).copied();
+    let version = rollover::to_pull(&progress, served, app.settings.weights_grace)?;
+    named.iter().find(|one| one.version == version).cloned()
 }
 
 /// Says how far a set that takes long has come.
--- a/crates/core/src/rollover.rs
+++ b/crates/core/src/rollover.rs
@@ -47,3 +47,34 @@
     }
     Some(age.mul_f64(f64::from(chunk_count) / f64::from(held)))
 }
+
+/// How far a named version has come at one VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Underway {
+    /// The version.
+    pub version: u64,
+    /// How long ago it was named.
+    pub age: time::Duration,
+    /// The chunks held; `None` while its manifest is not known.
+    pub held: Option<u32>,
+    /// How many chunks there are.
+    pub chunk_count: u32,
+}
+
+/// Returns the version to pull, of those named, oldest first.
+///
+/// That is the newest one, but for a replaced one that is more than half here and that the engine
+/// needs to go on serving: its grace ends sooner. After its grace it is of no use any more, and to
+/// an engine that serves nothing it never was.
+#[must_use]
+pub fn to_pull(named: &[Underway], served: Option<u64>, grace: time::Duration) -> Option<u64> {
+    let (newest, replaced) = named.split_last()?;
+    let worth_finishing = |one: &&Underway| {
+        let held = one.held.unwrap_or(0);
+        let is_near = held < one.chunk_count && held * 2 > one.chunk_count;
+        let is_needed = served.is_some_and(|served| served < one.version);
+        is_near && is_needed && one.age < grace
+    };
+    let finished_first = replaced.iter().rev().find(worth_finishing);
+    Some(finished_first.unwrap_or(newest).version)
+}
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -249,3 +249,31 @@
     let forecast = rollover::whole_after(Duration::from_millis(age_ms), held, 64);
     assert_eq!(forecast, expected_ms.map(Duration::from_millis));
 }
+
+const fn underway(version: u64, age_ms: u64, held: u32) -> rollover::Underway {
+    rollover::Underway {
+        version,
+        age: Duration::from_millis(age_ms),
+        held: Some(held),
+        chunk_count: 64,
+    }
+}
+
+#[rstest]
+#[case::alone(&[underway(2, 100, 0)], Some(1), 2)]
+#[case::more_than_half_here(&[underway(2, 4_000, 40), underway(3, 10, 0)], Some(1), 2)]
+#[case::hardly_begun(&[underway(2, 4_000, 20), underway(3, 10, 0)], Some(1), 3)]
+#[case::whole(&[underway(2, 4_000, 64), underway(3, 10, 0)], Some(1), 3)]
+#[case::served_already(&[underway(2, 4_000, 40), underway(3, 10, 0)], Some(2), 3)]
+// An engine that lost its weights while the store was away began with an old version, whose last
+// chunks nobody grants any more.
+#[case::empty_engine(&[underway(1, 1_500, 40), underway(2, 10, 0)], None, 2)]
+#[case::stuck_past_its_grace(&[underway(2, 8_100, 63), underway(3, 4_000, 0)], Some(1), 3)]
+fn the_version_to_pull(
+    #[case] named: &[rollover::Underway],
+    #[case] served: Option<u64>,
+    #[case] expected: u64,
+) {
+    let grace = Duration::from_secs(8);
+    assert_eq!(rollover::to_pull(named, served, grace), Some(expected));
+}
