--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -27,16 +27,10 @@
     pub prompt_mean_tokens: u32,
     /// Mean answer, in tokens.
     pub answer_mean_tokens: u32,
-    /// Layers of the model.
-    pub layer_count: u32,
     /// Chunks that a version of the weights consists of.
     pub chunk_count: u32,
-    /// Size of a chunk, in bytes.
-    pub chunk_bytes: u32,
     /// Models that the service serves.
     pub models: Vec<String>,
-    /// How long an engine takes to load a whole model.
-    pub load: time::Duration,
 }
 
 impl EngineFigures {
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -52,8 +52,6 @@
     pub timeout: time::Duration,
     /// The time within which an answer is worth most; for streams, its first event.
     pub goal: time::Duration,
-    /// Rank; 0 is the highest.
-    pub priority: u8,
     /// The services; never empty.
     pub targets: Vec<Target>,
     /// How many upstreams may run one sending of a request.
@@ -91,8 +89,6 @@
 /// A service as the configuration describes it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
-    /// How many connections one of its upstreams accepts from everybody together.
-    pub connections_max: Option<u32>,
     /// What its engines can do; `None` for a plain service.
     pub engine: Option<engine::EngineFigures>,
     /// Where weights come from first, if this service is the origin.
@@ -104,8 +100,6 @@
 pub struct Organisation {
     /// Its name, which upstreams are told.
     pub name: String,
-    /// Rank of its requests, before the route's; 0 is the highest.
-    pub priority: Option<u8>,
 }
 
 /// One version of the configuration for callers.
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -5,7 +5,7 @@
 
 use std::net;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use crate::id;
 
@@ -47,43 +47,3 @@
         self.born_unix_ms != other.born_unix_ms || self.address != other.address
     }
 }
-
-/// The instances of all services.
-#[derive(Clone, Debug, Default)]
-pub struct UpstreamSet {
-    by_service: IndexMap<id::ServiceName, Vec<Upstream>>,
-}
-
-impl UpstreamSet {
-    /// Sorts instances by service.
-    pub fn new<I>(upstreams: I) -> Self
-    where
-        I: IntoIterator<Item = Upstream>,
-    {
-        let mut by_service: IndexMap<_, Vec<Upstream>> = IndexMap::new();
-        for upstream in upstreams {
-            by_service
-                .entry(upstream.service.clone())
-                .or_default()
-                .push(upstream);
-        }
-        Self { by_service }
-    }
-
-    /// Returns the instances of a service.
-    #[must_use]
-    pub fn of(&self, service: &id::ServiceName) -> &[Upstream] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
-    }
-
-    /// Returns all instances.
-    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
-        self.by_service.values().flatten()
-    }
-
-    /// Returns the ids of all instances.
-    #[must_use]
-    pub fn instances(&self) -> IndexSet<&str> {
-        self.iter().map(|one| one.instance.as_str()).collect()
-    }
-}
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -21,11 +21,8 @@
         steps_per_pass: 5,
         prompt_mean_tokens: 979,
         answer_mean_tokens: 92,
-        layer_count: 16,
         chunk_count: 64,
-        chunk_bytes: 32_768,
         models: vec![String::from(MODEL)],
-        load: Duration::from_millis(300),
     }
 }
 
@@ -66,7 +63,6 @@
         resumable: false,
         timeout: Duration::from_secs(1),
         goal: Duration::from_millis(100),
-        priority: 0,
         targets: weights.iter().enumerate().map(target).collect(),
         attempts_max: 1,
         public: false,
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -154,7 +154,6 @@
         remaining: job.remaining(),
         weights_version: place.weights_version,
         last_event_id,
-        priority: None,
     };
     let mut request = Request::builder()
         .method(job.method.clone())
