--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,8 @@
 //! Messages between the processes of pimentohook.
 //!
-//! Each message is a typed value, encoded with `rmp-serde`. [`messages`] has the single ones;
-//! [`direct`] has those of the direct mode. [`frames`] has the stream of frames in which an answer travels, and its decoder. [`public`] has
-//! what callers and operators see, as JSON.
+//! Each message is a typed value, encoded with `rmp-serde`. [`messages`] has the single ones,
+//! [`direct`] those of the direct mode. [`frames`] has the stream of frames in which an answer
+//! travels, and its decoder. [`public`] has what callers and operators see, as JSON.
 
 pub mod direct;
 pub mod frames;
