Refuse late what a leaving entry could cut off

Ruled out: the settings check at SIGHUP (the entry cut had none), a lost upstream. Change: core::leaving decides; the refusal says that nothing ran and to come back at once, to another entry. Test: a_leaving_entry_begins_late_only_what_ends_before_it, red without the bound.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`id`], [`size`], [`clock`]: the vocabulary.
 //! * [`routes`], [`upstreams`]: where callers' requests go.
 //! * [`engine`], [`gate`]: how full engines get, and what is let in.
+//! * [`leaving`]: what a process that was told to stop still takes.
 //! * [`rollover`]: when engines change to a newer version of weights.
 //! * [`membership`]: which agents an entry knows, and how old that knowledge is.
 //! * [`routing`]: which agent gets a request, and what may be done when that fails.
@@ -29,6 +30,7 @@
 pub mod id;
 pub mod intent;
 pub mod lease;
+pub mod leaving;
 pub mod limits;
 pub mod membership;
 pub mod report;
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use pimentohook_core::{engine, gate, rollover, routes};
+use pimentohook_core::{engine, gate, leaving, rollover, routes};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -273,3 +273,20 @@
     let grace = Duration::from_secs(8);
     assert_eq!(rollover::to_pull(named, served, grace), Some(expected));
 }
+
+proptest! {
+    /// A stream of 6 s that came 3.09 s after the signal was cut off 7.5 s after it.
+    #[test]
+    fn a_leaving_entry_begins_late_only_what_ends_before_it(
+        after_ms in 0..8_000_u64,
+        deadline_ms in 100..10_000_u64,
+    ) {
+        let since = Instant::now();
+        let leaving = leaving::Leaving { since, ends_at: since + Duration::from_millis(7_500) };
+        let now = since + Duration::from_millis(after_ms);
+        let deadline = now + Duration::from_millis(deadline_ms);
+        let taken = leaving.takes(now, deadline);
+        prop_assert!(!taken || after_ms < 3_000 || deadline < leaving.ends_at);
+        prop_assert!(taken || after_ms > 2_000, "callers that do not know yet are served");
+    }
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -5,7 +5,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
 use indexmap::IndexMap;
-use pimentohook_core::{clock, id, limits, routes, routing::score, upstreams};
+use pimentohook_core::{clock, id, leaving, limits, routes, routing::score, upstreams};
 use pimentohook_platform::store;
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
@@ -99,7 +99,7 @@
     /// Where they are kept.
     pub kept: sync::Arc<metrics::Kept>,
     budgets: ArcSwap<IndexMap<id::ServiceName, sync::Arc<limits::RetryBudget>>>,
-    leaving: atomic::AtomicBool,
+    leaving: ArcSwapOption<leaving::Leaving>,
     started_at: time::Instant,
 }
 
@@ -134,7 +134,7 @@
             kinds: ArcSwap::default(),
             store_lost_at: ArcSwapOption::empty(),
             budgets: ArcSwap::default(),
-            leaving: atomic::AtomicBool::new(false),
+            leaving: ArcSwapOption::empty(),
             started_at: clock.now(),
             clock,
             settings,
@@ -163,7 +163,7 @@
     /// Returns whether the entry is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(atomic::Ordering::Relaxed)
+        self.leaving.load().is_some()
     }
 
     /// Returns whether the entry takes requests and goes on doing so.
@@ -172,9 +172,22 @@
         !self.is_leaving() && self.table.load().is_some()
     }
 
-    /// Makes the entry say that it is leaving.
-    pub fn begin_leaving(&self) {
-        self.leaving.store(true, atomic::Ordering::Relaxed);
+    /// Returns whether a request that may last until `deadline` is still taken.
+    #[must_use]
+    pub fn takes(&self, deadline: time::Instant) -> bool {
+        let leaving = self.leaving.load();
+        leaving
+            .as_ref()
+            .is_none_or(|leaving| leaving.takes(self.clock.now(), deadline))
+    }
+
+    /// Makes the entry say that it is leaving; returns when it ends.
+    pub fn begin_leaving(&self) -> time::Instant {
+        let since = self.clock.now();
+        let ends_at = since + self.settings.end;
+        let leaving = leaving::Leaving { since, ends_at };
+        self.leaving.store(Some(sync::Arc::new(leaving)));
+        ends_at
     }
 
     /// Returns what the entry says of itself.
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -56,8 +56,7 @@
             settings.leave.as_millis(),
             settings.end.as_millis()
         );
-        let ends_at = time::Instant::now() + settings.end;
-        self.app.begin_leaving();
+        let ends_at = self.app.begin_leaving();
         peers::announce(&self.app).await;
         peers::unregister(&self.app).await;
         tokio::time::sleep(settings.leave).await;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -21,6 +21,8 @@
 /// Time kept back so that a failure reaches the caller before its deadline.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(20);
 const RETRY_AFTER_NOBODY: time::Duration = time::Duration::from_millis(500);
+/// Another entry takes it at once.
+const RETRY_AFTER_LEAVING: time::Duration = time::Duration::from_millis(20);
 const RETRY_AFTER_FULL: time::Duration = time::Duration::from_millis(350);
 
 /// A caller's request, read whole.
@@ -148,6 +150,13 @@
         return Err(failed(unavailable("the route names no service")));
     };
     let wait = caller.wait.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived_at + wait;
+    if !app.takes(deadline) {
+        return Err(failed(Rejected {
+            retry_after: Some(RETRY_AFTER_LEAVING),
+            ..unavailable("this entry is leaving")
+        }));
+    }
     let (method, uri, headers) = (call.method.clone(), call.uri.clone(), call.headers.clone());
     let body_max = table.body_max_bytes.unwrap_or(BODY_MAX_BYTES);
     let body = match call.read_body(body_max).await {
@@ -165,7 +174,7 @@
         table,
         organisation,
         arrived_at,
-        deadline: arrived_at + wait,
+        deadline,
     })
 }
 
