Tell entries at changes only, as the loader does; read the clock that is passed in

Cause: the last read of the change: a pause of 2 s in the loop that tells entries did nothing, and one age was read from the system's clock. Behaviour stays.

--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -13,7 +13,6 @@
 
 const REPORT_EVERY: time::Duration = time::Duration::from_millis(50);
 const NOTICE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-const NOTICE_EVERY: time::Duration = time::Duration::from_secs(2);
 /// The version that a model has before one is named.
 const FIRST_VERSION: u64 = 1;
 
@@ -241,12 +240,12 @@
     }
 }
 
-/// Tells entries what the engine serves, at each change and now and then.
+/// Tells entries what the engine serves, at each change.
 pub async fn notify_entries(app: sync::Arc<app::App>, stop: process::Stop) {
-    while !stop.is_set() {
+    loop {
         tokio::select! {
             () = app.notice.notified() => {}
-            _ = stop.sleep(NOTICE_EVERY) => continue,
+            () = stop.wait() => return,
         }
         let notice = app.state();
         let entries = app.entries.load_full();
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -138,7 +138,8 @@
 fn allowed(app: &app::App, model: &str) -> Allowed {
     let wanted = app.wanted.load();
     let last_use = rollover::last_use(app.settings.weights_grace);
-    let due = |wanted: &&app::Wanted| wanted.since.elapsed() >= last_use;
+    let now = app.clock.now();
+    let due = |wanted: &&app::Wanted| now.duration_since(wanted.since) >= last_use;
     let named = wanted.get(model).map_or(&[][..], Vec::as_slice);
     Allowed {
         version_min: named.iter().filter(due).map(|wanted| wanted.version).max(),
