Grant chunks to engines that stay, ask an absent origin again, serve on while a set has stopped

Four chunks were missing: granted to two agents whose engines were leaving, which took them along. The set was always about to be whole by the forecast, so every engine refused what would not end before its load, for 2.6 s in which the earlier version could have been served. When the origin was back, its chunks were asked for only with the next grants, 1.5 s later. Ruled out: too few grants; all 64 were granted 1.9 s after the naming. Change: a supply leaves out machines whose engines leave, and these pull no further versions; a grant is good for 1.4 s while no connection to the origin is made, and asked for again each 200 ms; no forecast where no chunk came for 600 ms. One constructor for supplies in place of three.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{
     burst::{self, giver, ledger},
     clock, engine, gate, id,
@@ -92,6 +92,8 @@
     pub weights_read: atomic::AtomicBool,
     /// The other agents of the service.
     pub others: ArcSwap<Others>,
+    /// The VMs whose engines are leaving.
+    pub leaving: ArcSwap<IndexSet<id::VmId>>,
     /// Where entries take notices.
     pub entries: ArcSwap<Vec<net::SocketAddr>>,
     /// The manifests of the versions held or under way.
@@ -158,6 +160,7 @@
             named: ArcSwap::default(),
             weights_read: atomic::AtomicBool::new(false),
             others: ArcSwap::default(),
+            leaving: ArcSwap::default(),
             entries: ArcSwap::default(),
             manifests: sync::Mutex::new(IndexMap::new()),
             heard: sync::Mutex::new(IndexMap::new()),
@@ -177,6 +180,12 @@
         metrics::Kept::count(&self.metrics, event);
     }
 
+    /// Returns whether the engine of a VM is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, vm: &id::VmId) -> bool {
+        self.leaving.load().contains(vm)
+    }
+
     /// Returns the manifest of a version, if it is known.
     #[must_use]
     pub fn manifest(&self, version: &Version) -> Option<sync::Arc<origin::Manifest>> {
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, sync::atomic, time};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{routes, upstreams};
 use pimentohook_platform::{decode, store};
 use pimentohook_wire::direct;
@@ -140,6 +140,18 @@
     let mut others: app::Others = listed.iter().filter(mine).map(agent).collect();
     others.shift_remove(&app.me);
     app.others.store(sync::Arc::new(others));
+    let vms_in = |state| {
+        let listed = listed.iter().filter(mine);
+        listed
+            .filter(move |one| one.state == state)
+            .map(|one| app::vm_of(one.address))
+    };
+    let mut leaving: IndexSet<_> = vms_in(upstreams::State::Draining).collect();
+    // One that has started again is listed beside the one that it replaces.
+    for vm in vms_in(upstreams::State::Ready) {
+        leaving.swap_remove(&vm);
+    }
+    app.leaving.store(sync::Arc::new(leaving));
 }
 
 fn apply_entries(app: &app::App, objects: &Objects) {
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -6,7 +6,7 @@
 use std::{net, sync, time};
 
 use pimentohook_core::{
-    burst::{chunks, ledger},
+    burst::{self, ledger},
     id,
 };
 use pimentohook_platform::store;
@@ -75,10 +75,10 @@
     };
     let chunk_count = manifest.chunk_count();
     let mut clock = lock(&app.grant_clock).clone();
-    let supply = supply(app, manifest.digest(), chunk_count);
+    let supply = supply(app, manifest.digest());
     let now = app.clock.now();
     let age = now.duration_since(target.since);
-    if supply.receivers.len() <= app.others.load().len() / 2 && age < GATHER_MAX {
+    if supply.receiver_count() <= app.others.load().len() / 2 && age < GATHER_MAX {
         return Ok(());
     }
     if let Some(known) = app.ledger.load_full() {
@@ -113,7 +113,7 @@
         log::info!(
             "grants: event=recorded name={name} grants={} receivers={}",
             ledger.grants().len(),
-            supply.receivers.len()
+            supply.receiver_count()
         );
     }
     *lock(&app.grant_clock) = clock;
@@ -142,47 +142,33 @@
     }
 }
 
-fn supply(app: &app::App, manifest: id::Digest, chunk_count: u32) -> ledger::Supply {
+fn supply(app: &app::App, manifest: id::Digest) -> ledger::Supply {
     let now = app.clock.now();
-    let mut supply = ledger::Supply {
-        receivers: Vec::new(),
-        holder_counts: vec![0; chunk_count as usize],
-    };
+    let mut supply = ledger::Supply::default();
     if let Some(own) = app.transfers.progress_of(manifest) {
-        add(
-            &mut supply,
-            app.me.clone(),
-            app.incarnation,
-            own.starved,
-            own.held,
-        );
+        supply.add(receiver(app, app.me.clone(), app.incarnation, own));
     }
     for (vm, heard) in lock(&app.heard).iter() {
         let is_live = now.duration_since(heard.at) < SILENCE_MAX;
         if is_live && heard.progress.manifest == manifest {
-            let (starved, held) = (heard.progress.starved, heard.progress.held.clone());
-            add(&mut supply, vm.clone(), heard.incarnation, starved, held);
+            let progress = heard.progress.clone();
+            supply.add(receiver(app, vm.clone(), heard.incarnation, progress));
         }
     }
     supply
 }
 
-fn add(
-    supply: &mut ledger::Supply,
+fn receiver(
+    app: &app::App,
     vm: id::VmId,
     incarnation: id::Incarnation,
-    starved: bool,
-    held: chunks::ChunkSet,
-) {
-    for chunk in held.iter() {
-        if let Some(count) = supply.holder_counts.get_mut(chunk as usize) {
-            *count += 1;
-        }
-    }
-    supply.receivers.push(ledger::Receiver {
+    progress: burst::Progress,
+) -> ledger::Receiver {
+    ledger::Receiver {
+        leaving: app.is_leaving(&vm),
         vm,
         incarnation,
-        starved,
-        held,
-    });
+        starved: progress.starved,
+        held: progress.held,
+    }
 }
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -159,11 +159,14 @@
 fn whole_after(app: &app::App, target: &app::Target) -> Option<time::Duration> {
     let manifest = app.manifest(&(target.model.clone(), target.version))?;
     let held = app.transfers.held_of(manifest.digest())?;
-    let age = app.clock.now().duration_since(target.since);
     if held.is_full() {
         return Some(time::Duration::ZERO);
     }
-    rollover::whole_after(age, held.len(), held.range())
+    let now = app.clock.now();
+    let progressed_at = app.transfers.progressed_at(manifest.digest());
+    let idle = now.duration_since(progressed_at.unwrap_or(target.since));
+    let age = now.duration_since(target.since);
+    rollover::whole_after(age, idle, held.len(), held.range())
 }
 
 /// Returns whether it is this engine's turn.
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -43,7 +43,8 @@
             continue;
         };
         let target = pulled(&app, &newest).map_or(newest.clone(), sync::Arc::new);
-        if is_whole(&app, &target) {
+        // Nothing more is sent to an engine that leaves.
+        if app.is_leaving(&app.me) || is_whole(&app, &target) {
             continue;
         }
         let is_open = open(&app, &target, &service).await;
@@ -205,7 +206,10 @@
             let (client, manifest) = (client.clone(), pulled.clone());
             Box::pin(async move {
                 let chunk = client.chunk(origin, &manifest, chunk, ORIGIN_TIMEOUT);
-                chunk.await.map_err(|error| error.to_string())
+                chunk.await.map_err(|error| transfer::OriginFault {
+                    reached: error.may_have_sent(),
+                    reason: error.to_string(),
+                })
             })
         }),
     }
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -26,6 +26,9 @@
 const BUSY_PAUSE: time::Duration = time::Duration::from_millis(30);
 const FAULT_PAUSE: time::Duration = time::Duration::from_secs(1);
 const OVERDRAFT_AFTER: time::Duration = time::Duration::from_secs(3);
+const ORIGIN_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// After it the chunk may have been granted to somebody else.
+const GRANT_LIFE: time::Duration = time::Duration::from_millis(1_400);
 const IDLE_POLL: time::Duration = time::Duration::from_millis(20);
 const MANIFEST_RETRY: time::Duration = time::Duration::from_millis(300);
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
@@ -33,7 +36,16 @@
 const PIECE_BYTES: usize = 8 << 10;
 
 /// A chunk on its way from the origin.
-pub type OriginPull = future::BoxFuture<'static, Result<Bytes, String>>;
+pub type OriginPull = future::BoxFuture<'static, Result<Bytes, OriginFault>>;
+
+/// Why a chunk did not come from the origin.
+#[derive(Clone, Debug)]
+pub struct OriginFault {
+    /// Whether the origin may have sent something.
+    pub reached: bool,
+    /// What happened.
+    pub reason: String,
+}
 
 /// Says whether bytes are the content of a chunk.
 pub type Verifier = dyn Fn(u32, &[u8]) -> bool + Send + Sync;
@@ -109,6 +121,8 @@
     receiver: receiver::Receiver,
     giver: giver::Giver,
     chunks: Vec<Option<Bytes>>,
+    /// When the last chunk came.
+    progressed_at: Option<time::Instant>,
 }
 
 /// All sets of the agent.
@@ -147,6 +161,8 @@
             busy_pause: BUSY_PAUSE,
             fault_pause: FAULT_PAUSE,
             overdraft_after: OVERDRAFT_AFTER,
+            origin_pause: ORIGIN_PAUSE,
+            grant_life: GRANT_LIFE,
             open_max: content.open_max,
             peers_max: PEERS_MAX,
             near_first: self.link.near_first,
@@ -163,6 +179,7 @@
                 self.link.refill,
             ),
             chunks: vec![None; count as usize],
+            progressed_at: None,
             content: sync::Arc::new(content),
         };
         self.begin(set, serving);
@@ -205,6 +222,12 @@
         sets.get(&manifest).map(|set| set.receiver.held().clone())
     }
 
+    /// Returns when the last chunk of one set came.
+    #[must_use]
+    pub fn progressed_at(&self, manifest: id::Digest) -> Option<time::Instant> {
+        lock(&self.sets).get(&manifest)?.progressed_at
+    }
+
     /// Returns what is held of the set that is wanted, which is the last one.
     #[must_use]
     pub fn progress(&self) -> Option<burst::Progress> {
@@ -232,7 +255,8 @@
     /// Takes in a grant; one for a set that is no longer held is dropped.
     pub fn record_grant(&self, manifest: id::Digest, chunk: u32, serial: u32) {
         if let Some(set) = lock(&self.sets).get_mut(&manifest) {
-            set.receiver.record_grant(chunk, serial);
+            let now = self.link.clock.now();
+            set.receiver.record_grant(now, chunk, serial);
         }
         self.changed.notify_one();
     }
@@ -357,7 +381,10 @@
                 let pulled = store
                     .chunk(&version, chunk, chunk_bytes, stall_max * 4)
                     .await;
-                pulled.map_err(|error| error.to_string())
+                pulled.map_err(|error| OriginFault {
+                    reached: error.may_have_sent(),
+                    reason: error.to_string(),
+                })
             })
         }),
     }
@@ -445,6 +472,7 @@
                     *slot = Some(bytes);
                 }
                 set.receiver.record_verified(&self.fetch);
+                set.progressed_at = Some(transfers.link.clock.now());
                 if set.receiver.is_complete() {
                     (transfers.link.on_whole)();
                     log::info!("transfer: {} is whole.", self.content.version);
@@ -463,9 +491,17 @@
                 transfers.pace_incoming(&bytes).await;
                 Ok(bytes)
             }
-            Err(error) => {
-                log::warn!("transfer: {error}.");
-                Err(receiver::FetchFailure::Stalled)
+            Err(fault) => {
+                log::warn!(
+                    "transfer: chunk {} did not come: {}.",
+                    self.fetch.chunk,
+                    fault.reason
+                );
+                Err(if fault.reached {
+                    receiver::FetchFailure::Stalled
+                } else {
+                    receiver::FetchFailure::Unreached
+                })
             }
         }
     }
--- a/crates/core/benches/rounds/mod.rs
+++ b/crates/core/benches/rounds/mod.rs
@@ -202,18 +202,13 @@
     }
 
     fn grant(&mut self) {
-        let mut supply = ledger::Supply {
-            receivers: Vec::new(),
-            holder_counts: vec![0; CHUNK_COUNT as usize],
-        };
+        let mut supply = ledger::Supply::default();
         for machine in self.machines.iter().filter(|machine| !machine.dead) {
-            for chunk in machine.news.held.iter() {
-                supply.holder_counts[chunk as usize] += 1;
-            }
-            supply.receivers.push(ledger::Receiver {
+            supply.add(ledger::Receiver {
                 vm: machine.vm.clone(),
                 incarnation: id::Incarnation::new(1),
                 starved: machine.news.starved,
+                leaving: false,
                 held: machine.news.held.clone(),
             });
         }
@@ -223,7 +218,9 @@
         for grant in &self.ledger.grants()[before..] {
             let machine = self.machines.iter_mut().find(|one| one.vm == grant.vm);
             if let Some(machine) = machine {
-                machine.receiver.record_grant(grant.chunk, grant.serial);
+                machine
+                    .receiver
+                    .record_grant(now, grant.chunk, grant.serial);
             }
         }
     }
@@ -375,6 +372,8 @@
             busy_pause: ROUND / 2,
             fault_pause: ROUND * 5,
             overdraft_after: ROUND * 15,
+            origin_pause: ROUND,
+            grant_life: PATIENCE,
             open_max: 1,
             peers_max: 32,
             near_first: false,
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -39,10 +39,32 @@
 /// What the fleet holds, as the grantor sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Supply {
-    /// The machines that take part, in a fixed order, with whether each lacks the chunk.
-    pub receivers: Vec<Receiver>,
-    /// For each chunk, how many live machines hold it.
-    pub holder_counts: Vec<u32>,
+    receivers: Vec<Receiver>,
+    /// For each chunk, how many machines hold it.
+    holder_counts: Vec<u32>,
+}
+
+impl Supply {
+    /// Adds a live machine, unless it is leaving: what it holds goes with it.
+    pub fn add(&mut self, receiver: Receiver) {
+        if receiver.leaving {
+            return;
+        }
+        let chunk_count = receiver.held.range() as usize;
+        if self.holder_counts.len() < chunk_count {
+            self.holder_counts.resize(chunk_count, 0);
+        }
+        for chunk in receiver.held.iter() {
+            self.holder_counts[chunk as usize] += 1;
+        }
+        self.receivers.push(receiver);
+    }
+
+    /// Returns how many machines take part.
+    #[must_use]
+    pub const fn receiver_count(&self) -> usize {
+        self.receivers.len()
+    }
 }
 
 /// One machine that takes part.
@@ -54,6 +76,8 @@
     pub incarnation: id::Incarnation,
     /// Whether no peer can give it what it lacks.
     pub starved: bool,
+    /// Whether it is about to go.
+    pub leaving: bool,
     /// The chunks that it holds.
     pub held: super::chunks::ChunkSet,
 }
--- a/crates/core/src/burst/receiver.rs
+++ b/crates/core/src/burst/receiver.rs
@@ -24,6 +24,10 @@
     pub fault_pause: time::Duration,
     /// After spent peers have kept it waiting for this long, it asks for more than their share.
     pub overdraft_after: time::Duration,
+    /// After the origin could not be reached.
+    pub origin_pause: time::Duration,
+    /// How long a grant is good for while the origin can't be reached.
+    pub grant_life: time::Duration,
     /// How many chunks are pulled from peers at once; granted ones come in addition.
     pub open_max: usize,
     /// How many peers are kept.
@@ -55,6 +59,13 @@
     open: bool,
 }
 
+/// A grant that has not been used yet.
+#[derive(Clone, Copy, Debug)]
+struct Permit {
+    granted_at: time::Instant,
+    not_before: time::Instant,
+}
+
 /// Where a chunk is pulled from.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Source {
@@ -81,7 +92,9 @@
 pub enum FetchFailure {
     /// The peer refused.
     Denied(giver::Denial),
-    /// The source stalled, broke off or could not be reached.
+    /// No connection to the source could be made, so it sent nothing.
+    Unreached,
+    /// The source stalled or broke off.
     Stalled,
     /// The bytes are not those of the chunk.
     Corrupt,
@@ -95,7 +108,7 @@
     held: chunks::ChunkSet,
     open: chunks::ChunkSet,
     peers: IndexMap<id::VmId, Peer>,
-    grants: IndexSet<u32>,
+    grants: IndexMap<u32, Permit>,
     used_grants: IndexSet<(u32, u32)>,
     open_count: usize,
     /// When a peer was first found spent since the last chunk came.
@@ -117,7 +130,7 @@
             held: chunks::ChunkSet::new(chunk_count),
             open: chunks::ChunkSet::new(chunk_count),
             peers: IndexMap::new(),
-            grants: IndexSet::new(),
+            grants: IndexMap::new(),
             used_grants: IndexSet::new(),
             open_count: 0,
             refused_since: None,
@@ -182,9 +195,13 @@
     /// Takes in a grant of the origin ledger; `serial` tells repeated grants of a chunk apart.
     ///
     /// The same grant said again changes nothing, so each is used at most once.
-    pub fn record_grant(&mut self, chunk: u32, serial: u32) {
+    pub fn record_grant(&mut self, now: time::Instant, chunk: u32, serial: u32) {
         if self.used_grants.insert((chunk, serial)) && !self.held.contains(chunk) {
-            self.grants.insert(chunk);
+            let permit = Permit {
+                granted_at: now,
+                not_before: now,
+            };
+            self.grants.insert(chunk, permit);
         }
     }
 
@@ -193,7 +210,7 @@
     where
         R: Rng,
     {
-        if let Some(fetch) = self.next_granted() {
+        if let Some(fetch) = self.next_granted(now) {
             self.open.insert(fetch.chunk);
             return Some(fetch);
         }
@@ -228,10 +245,15 @@
     /// Records that a pull ended without its chunk.
     pub fn record_failure(&mut self, now: time::Instant, fetch: &Fetch, failure: FetchFailure) {
         self.close(fetch);
+        let limits = self.limits;
         let Source::Peer(vm) = &fetch.source else {
+            if failure == FetchFailure::Unreached {
+                self.postpone_grant(now, fetch.chunk);
+            } else {
+                self.grants.shift_remove(&fetch.chunk);
+            }
             return;
         };
-        let limits = self.limits;
         let Some(peer) = self.peers.get_mut(vm) else {
             return;
         };
@@ -248,7 +270,7 @@
             FetchFailure::Denied(giver::Denial::Busy) => {
                 peer.paused_until = Some(now + limits.busy_pause);
             }
-            FetchFailure::Stalled | FetchFailure::Corrupt => {
+            FetchFailure::Unreached | FetchFailure::Stalled | FetchFailure::Corrupt => {
                 // A dead peer is known to have passed on little, so it would be chosen again at
                 // the end of each pause; doubling the pause keeps that from taking all the time.
                 let doublings = peer.fault_count.min(FAULT_DOUBLINGS_MAX);
@@ -258,6 +280,14 @@
         }
     }
 
+    /// An origin that was not reached has sent nothing, so the grant is still good.
+    fn postpone_grant(&mut self, now: time::Instant, chunk: u32) {
+        let pause = self.limits.origin_pause;
+        if let Some(permit) = self.grants.get_mut(&chunk) {
+            permit.not_before = now + pause;
+        }
+    }
+
     /// Returns whether everybody known who holds a missing chunk has passed on all it may.
     ///
     /// A machine that knows nobody with a missing chunk is not starved: it waits for news.
@@ -279,17 +309,22 @@
         }
     }
 
-    fn next_granted(&mut self) -> Option<Fetch> {
-        while let Some(chunk) = self.grants.shift_remove_index(0) {
-            if !self.held.contains(chunk) && !self.open.contains(chunk) {
-                return Some(Fetch {
-                    chunk,
-                    source: Source::Origin,
-                    overdraft: false,
-                });
-            }
-        }
-        None
+    /// A granted chunk stays granted until it is known whether its origin was reached.
+    fn next_granted(&mut self, now: time::Instant) -> Option<Fetch> {
+        let life = self.limits.grant_life;
+        let held = &self.held;
+        self.grants.retain(|chunk, permit| {
+            now.duration_since(permit.granted_at) < life && !held.contains(*chunk)
+        });
+        let open = &self.open;
+        let is_due =
+            |(chunk, permit): &(&u32, &Permit)| permit.not_before <= now && !open.contains(**chunk);
+        let (chunk, _) = self.grants.iter().find(is_due)?;
+        Some(Fetch {
+            chunk: *chunk,
+            source: Source::Origin,
+            overdraft: false,
+        })
     }
 
     fn next_from_peers<R>(&self, now: time::Instant, rng: &mut R) -> Option<Fetch>
--- a/crates/core/src/rollover.rs
+++ b/crates/core/src/rollover.rs
@@ -38,11 +38,21 @@
 /// Chunks that have to be held before a forecast is made.
 const FORECAST_MIN: u32 = 8;
 
+/// A version of which no chunk came for this long has come to a stop.
+const STALL: time::Duration = time::Duration::from_millis(600);
+
 /// Returns how long after its naming a version will be held whole, from how far it has come after
-/// `age`; `None` where it is too early to say.
+/// `age`; `None` where it is too early to say or it has come to a stop.
+///
+/// `idle` is the time since the last chunk.
 #[must_use]
-pub fn whole_after(age: time::Duration, held: u32, chunk_count: u32) -> Option<time::Duration> {
-    if held < FORECAST_MIN.min(chunk_count) || held == 0 {
+pub fn whole_after(
+    age: time::Duration,
+    idle: time::Duration,
+    held: u32,
+    chunk_count: u32,
+) -> Option<time::Duration> {
+    if held < FORECAST_MIN.min(chunk_count) || held == 0 || idle > STALL {
         return None;
     }
     Some(age.mul_f64(f64::from(chunk_count) / f64::from(held)))
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -7,11 +7,13 @@
     burst::{
         ORIGIN_LIMIT_PERCENT, Policy, chunks,
         giver::{Denial, Giver, Refill},
-        ledger,
+        ledger, receiver,
     },
     id,
 };
 use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 use rounds::{Fault, Run};
 use rstest::rstest;
 use std::time::{Duration, Instant};
@@ -88,17 +90,9 @@
 }
 
 fn supply(machines: &[ledger::Receiver]) -> ledger::Supply {
-    let mut holder_counts = vec![0; CHUNKS as usize];
-    for machine in machines {
-        machine
-            .held
-            .iter()
-            .for_each(|chunk| holder_counts[chunk as usize] += 1);
-    }
-    ledger::Supply {
-        receivers: machines.to_vec(),
-        holder_counts,
-    }
+    let mut supply = ledger::Supply::default();
+    machines.iter().cloned().for_each(|one| supply.add(one));
+    supply
 }
 
 proptest! {
@@ -119,6 +113,7 @@
                 vm: format!("vm-{index}").parse().expect("a name"),
                 incarnation: id::Incarnation::new(1),
                 starved: false,
+                leaving: false,
                 held: chunks::ChunkSet::new(CHUNKS),
             })
             .collect();
@@ -202,6 +197,7 @@
         vm: format!("vm-{index}").parse().expect("a name"),
         incarnation: id::Incarnation::new(1),
         starved: !held.is_full(),
+        leaving: false,
         held,
     };
     let whole = receiver(0, chunks::ChunkSet::full(CHUNKS));
@@ -271,7 +267,78 @@
         vm: format!("vm-{index}").parse().expect("a name"),
         incarnation: id::Incarnation::new(1),
         starved: false,
+        leaving: false,
         held: held(index),
     };
     (0..MACHINES).map(receiver).collect()
 }
+
+/// Two machines whose engines were leaving were granted chunks and went with them; the origin went
+/// away before those were granted again.
+#[test]
+fn machines_that_leave_are_granted_nothing_and_hold_nothing() {
+    let patience = Duration::from_millis(1_500);
+    let now = Instant::now();
+    let mut machines = machines_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    machines[0].held = chunks::ChunkSet::full(CHUNKS);
+    machines[0].leaving = true;
+    machines[1].leaving = true;
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut clock = ledger::GrantClock::default();
+    ledger.extend(now, &supply(&machines), &mut clock, patience);
+    assert!(!ledger.grants().is_empty());
+    for grant in ledger.grants() {
+        let is_leaving = |one: &ledger::Receiver| one.vm == grant.vm && one.leaving;
+        assert!(!machines.iter().any(is_leaving), "{grant:?}");
+    }
+}
+
+const LIMITS: receiver::ReceiverLimits = receiver::ReceiverLimits {
+    busy_pause: Duration::from_millis(30),
+    fault_pause: Duration::from_secs(1),
+    overdraft_after: Duration::from_secs(3),
+    origin_pause: Duration::from_millis(200),
+    grant_life: Duration::from_millis(1_400),
+    open_max: 3,
+    peers_max: 32,
+    near_first: false,
+};
+
+/// An origin that was away for six seconds was not asked again until the next grant, a second and
+/// more after its return.
+#[test]
+fn a_granted_chunk_is_asked_for_again_until_the_origin_can_be_reached() {
+    let domain = "domain-0".parse().expect("a name");
+    let mut receiver = receiver::Receiver::new(LIMITS, domain, CHUNKS);
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let start = Instant::now();
+    receiver.record_grant(start, 3, 0);
+    let mut asked_ms = Vec::new();
+    for after_ms in (0..3_000).step_by(20) {
+        let now = start + Duration::from_millis(after_ms);
+        if let Some(fetch) = receiver.start_next(now, &mut rng) {
+            asked_ms.push(after_ms);
+            receiver.record_failure(now, &fetch, receiver::FetchFailure::Unreached);
+        }
+    }
+    assert_eq!(asked_ms, [0, 200, 400, 600, 800, 1_000, 1_200]);
+}
+
+/// Bytes that came in vain were sent all the same, so the grant is used.
+#[rstest]
+#[case(receiver::FetchFailure::Stalled)]
+#[case(receiver::FetchFailure::Corrupt)]
+fn a_grant_is_used_once_where_the_origin_was_reached(#[case] failure: receiver::FetchFailure) {
+    let domain = "domain-0".parse().expect("a name");
+    let mut receiver = receiver::Receiver::new(LIMITS, domain, CHUNKS);
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let start = Instant::now();
+    receiver.record_grant(start, 3, 0);
+    let fetch = receiver
+        .start_next(start, &mut rng)
+        .expect("a granted chunk");
+    receiver.record_failure(start, &fetch, failure);
+    receiver.record_grant(start, 3, 0);
+    let later = start + Duration::from_secs(1);
+    assert_eq!(receiver.start_next(later, &mut rng), None);
+}
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -234,15 +234,23 @@
 }
 
 #[rstest]
-#[case::too_early(500, 3, None)]
-#[case::half(1_500, 32, Some(3_000))]
-#[case::nearly(3_000, 60, Some(3_200))]
+#[case::too_early(500, 20, 3, None)]
+#[case::half(1_500, 20, 32, Some(3_000))]
+#[case::nearly(3_000, 300, 60, Some(3_200))]
+// The origin went away with four chunks to come, and engines refused all for as long as that
+// lasted, since the set was always about to be whole.
+#[case::stopped(4_000, 1_500, 60, None)]
 fn a_set_is_forecast_from_its_progress(
     #[case] age_ms: u64,
+    #[case] idle_ms: u64,
     #[case] held: u32,
     #[case] expected_ms: Option<u64>,
 ) {
-    let forecast = rollover::whole_after(Duration::from_millis(age_ms), held, 64);
+    let (age, idle) = (
+        Duration::from_millis(age_ms),
+        Duration::from_millis(idle_ms),
+    );
+    let forecast = rollover::whole_after(age, idle, held, 64);
     assert_eq!(forecast, expected_ms.map(Duration::from_millis));
 }
 
--- a/crates/entry/src/origin.rs
+++ b/crates/entry/src/origin.rs
@@ -3,11 +3,7 @@
 use std::sync;
 
 use indexmap::IndexMap;
-use pimentohook_core::{
-    burst::{chunks, ledger},
-    clock::Clock as _,
-    id, intent, membership,
-};
+use pimentohook_core::{burst::ledger, clock::Clock as _, id, intent, membership};
 use pimentohook_platform::objects;
 
 use crate::app;
@@ -121,20 +117,13 @@
             continue;
         }
         count = Some(progress.held.range());
-        add_holder(&mut supply.holder_counts, &progress.held);
-        supply.receivers.push(ledger::Receiver {
+        supply.add(ledger::Receiver {
             vm: member.report.vm.clone(),
             incarnation: member.report.incarnation,
             starved: progress.starved,
+            leaving: false,
             held: progress.held.clone(),
         });
     }
     (supply, count)
 }
-
-fn add_holder(counts: &mut Vec<u32>, held: &chunks::ChunkSet) {
-    counts.resize(held.range() as usize, 0);
-    for chunk in held.iter() {
-        counts[chunk as usize] += 1;
-    }
-}
