Begin to bring a version here at once when it is named

Cause: agents looked for a new version each 120 ms and waited as long again for its manifest and for the first grants, which came 0.3 s after the naming. Change: a naming wakes the swarm; until its first chunk an agent calls those that make grants each 40 ms. Conclusion: a small gain, kept; the origin is now busy from 0.25 s until its last chunk.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -88,6 +88,8 @@
     pub target: ArcSwapOption<Target>,
     /// The versions that were named, the newest last.
     pub named: ArcSwap<Vec<Target>>,
+    /// Wakes whoever brings weights here, when a version was named.
+    pub weights_named: Notify,
     /// Whether the named versions were read from the store.
     pub weights_read: atomic::AtomicBool,
     /// The other agents of the service.
@@ -158,6 +160,7 @@
             service: ArcSwapOption::empty(),
             target: ArcSwapOption::empty(),
             named: ArcSwap::default(),
+            weights_named: Notify::new(),
             weights_read: atomic::AtomicBool::new(false),
             others: ArcSwap::default(),
             leaving: ArcSwap::default(),
@@ -241,6 +244,7 @@
             named
         });
         self.target.store(Some(sync::Arc::new(target)));
+        self.weights_named.notify_one();
     }
 
     /// Returns the place of a VM in the order that all agents agree on for a version.
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -20,6 +20,8 @@
 use crate::{app::lock, transfer};
 
 const EVERY: time::Duration = time::Duration::from_millis(120);
+/// Until the first chunk is here, those that make grants are called more often.
+const OPENING_EVERY: time::Duration = time::Duration::from_millis(40);
 const LOG_EVERY: time::Duration = time::Duration::from_secs(1);
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 const FANOUT: usize = 7;
@@ -37,7 +39,10 @@
 pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
     tokio::spawn(pull(app.clone(), stop.clone()));
     let mut logged_at = app.clock.now();
-    while stop.sleep(EVERY).await {
+    let mut sampled_at = logged_at;
+    let mut pause = EVERY;
+    while wait(&app, &stop, pause).await {
+        pause = EVERY;
         let (Some(newest), Some(service)) = (app.target.load_full(), app.service.load_full())
         else {
             continue;
@@ -51,7 +56,16 @@
         if is_open && target.version == newest.version {
             grants::extend(&app, &target).await;
         }
-        call_others(&app, &target);
+        let sample_is_due = app.clock.now().duration_since(sampled_at) >= EVERY;
+        if has_begun(&app, &target) || sample_is_due {
+            sampled_at = app.clock.now();
+            call_others(&app, &target, FANOUT);
+        } else {
+            call_others(&app, &target, 0);
+        }
+        if !has_begun(&app, &target) {
+            pause = OPENING_EVERY;
+        }
         if app.clock.now().duration_since(logged_at) >= LOG_EVERY {
             logged_at = app.clock.now();
             log_progress(&app, &target);
@@ -59,6 +73,21 @@
     }
 }
 
+/// Waits until it is time to look again or a version was named; false where the process ends.
+async fn wait(app: &app::App, stop: &process::Stop, pause: time::Duration) -> bool {
+    tokio::select! {
+        goes_on = stop.sleep(pause) => goes_on,
+        () = app.weights_named.notified() => true,
+    }
+}
+
+/// Returns whether a chunk of a version is here.
+fn has_begun(app: &app::App, target: &app::Target) -> bool {
+    let manifest = app.manifest(&(target.model.clone(), target.version));
+    let held = manifest.and_then(|manifest| app.transfers.held_of(manifest.digest()));
+    held.is_some_and(|held| !held.is_empty())
+}
+
 /// Returns the version to pull now.
 fn pulled(app: &app::App, newest: &app::Target) -> Option<app::Target> {
     let named = app.named.load();
@@ -247,10 +276,10 @@
 }
 
 /// Calls a sample of the other agents, and those that make grants.
-fn call_others(app: &sync::Arc<app::App>, target: &sync::Arc<app::Target>) {
+fn call_others(app: &sync::Arc<app::App>, target: &sync::Arc<app::Target>, sample_size: usize) {
     let others = app.others.load_full();
     let all: Vec<_> = others.iter().collect();
-    let drawn = all.sample(&mut rand::rng(), FANOUT).copied();
+    let drawn = all.sample(&mut rand::rng(), sample_size).copied();
     let mut called: indexmap::IndexMap<_, _> = drawn.collect();
     called.extend(grants::first_in_order(&others, target).take(GRANTORS));
     for (vm, address) in called {
