Neither wait for agents whose engines leave nor let them make grants

Change: the others of an agent are those on VMs that stay, decided in core::upstreams with a test; the second in the order takes over after 0.5 s in place of 1.2 s.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -170,7 +170,7 @@
             ledger: ArcSwapOption::empty(),
             grant_clock: sync::Mutex::default(),
             notice: Notify::new(),
-            me: vm_of(settings.engine),
+            me: vm_of(settings.engine.ip()),
             incarnation: id::Incarnation::new(u64::from(rand::random::<u32>())),
             client,
             clock,
@@ -258,10 +258,10 @@
     }
 }
 
-/// Returns the name of the VM on which an engine runs, which is the same for all agents.
+/// Returns the name of a VM, which is the same for all agents.
 #[must_use]
-pub fn vm_of(engine: net::SocketAddr) -> id::VmId {
-    let text = engine.ip().to_string().replace(':', ".");
+pub fn vm_of(address: net::IpAddr) -> id::VmId {
+    let text = address.to_string().replace(':', ".");
     text.parse()
         .unwrap_or_else(|error| unreachable!("an address is a name: {error}"))
 }
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, sync::atomic, time};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use pimentohook_core::{routes, upstreams};
 use pimentohook_platform::{decode, store};
 use pimentohook_wire::direct;
@@ -132,25 +132,16 @@
 }
 
 fn apply_upstreams(app: &app::App, listed: &[upstreams::Upstream]) {
-    let mine = |one: &&upstreams::Upstream| one.service == app.settings.service;
-    let agent = |one: &upstreams::Upstream| {
-        let address = net::SocketAddr::new(one.address.ip(), app.settings.peers.port());
-        (app::vm_of(one.address), address)
+    let vms = upstreams::service_vms(listed, &app.settings.service);
+    let agent = |vm: &net::IpAddr| {
+        let address = net::SocketAddr::new(*vm, app.settings.peers.port());
+        (app::vm_of(*vm), address)
     };
-    let mut others: app::Others = listed.iter().filter(mine).map(agent).collect();
+    // Those that leave make no grants and get none, so they are not among the others.
+    let mut others: app::Others = vms.staying.iter().map(agent).collect();
     others.shift_remove(&app.me);
     app.others.store(sync::Arc::new(others));
-    let vms_in = |state| {
-        let listed = listed.iter().filter(mine);
-        listed
-            .filter(move |one| one.state == state)
-            .map(|one| app::vm_of(one.address))
-    };
-    let mut leaving: IndexSet<_> = vms_in(upstreams::State::Draining).collect();
-    // One that has started again is listed beside the one that it replaces.
-    for vm in vms_in(upstreams::State::Ready) {
-        leaving.swap_remove(&vm);
-    }
+    let leaving = vms.leaving.iter().map(|vm| app::vm_of(*vm)).collect();
     app.leaving.store(sync::Arc::new(leaving));
 }
 
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -21,7 +21,7 @@
 /// How long the first grants wait until half of the agents were heard, so that they are spread.
 const GATHER_MAX: time::Duration = time::Duration::from_millis(400);
 /// How long the first in the order may be unheard before the next one makes grants.
-const TAKE_OVER_AFTER: time::Duration = time::Duration::from_millis(1_200);
+const TAKE_OVER_AFTER: time::Duration = time::Duration::from_millis(500);
 
 /// Returns other agents in the order of a version, the first ones first.
 pub fn first_in_order<'a>(
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -5,7 +5,7 @@
 
 use std::net;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::id;
 
@@ -47,3 +47,25 @@
         self.born_unix_ms != other.born_unix_ms || self.address != other.address
     }
 }
+
+/// The VMs of a service, by whether they stay.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServiceVms {
+    /// Those with an instance that takes new requests.
+    pub staying: IndexSet<net::IpAddr>,
+    /// Those whose instances all leave.
+    pub leaving: IndexSet<net::IpAddr>,
+}
+
+/// Returns the VMs of a service.
+///
+/// A VM whose instance was started again is listed with both; it stays.
+#[must_use]
+pub fn service_vms(listed: &[Upstream], service: &id::ServiceName) -> ServiceVms {
+    let of_service = || listed.iter().filter(|one| one.service == *service);
+    let ready = of_service().filter(|one| one.state == State::Ready);
+    let staying: IndexSet<_> = ready.map(|one| one.address.ip()).collect();
+    let all = of_service().map(|one| one.address.ip());
+    let leaving = all.filter(|vm| !staying.contains(vm)).collect();
+    ServiceVms { staying, leaving }
+}
--- /dev/null
+++ b/crates/core/tests/upstreams.rs
@@ -0,0 +1,50 @@
+//! Which VMs of a service stay, from the list of its instances.
+
+use std::net;
+
+use indexmap::{IndexMap, IndexSet};
+use pimentohook_core::upstreams;
+use rstest::rstest;
+use upstreams::State::{Draining, Ready};
+
+fn upstream(instance: &str, host: u8, state: upstreams::State) -> upstreams::Upstream {
+    upstreams::Upstream {
+        instance: String::from(instance),
+        born_unix_ms: None,
+        service: "drafts".parse().expect("a name"),
+        address: net::SocketAddr::from(([10, 0, 0, host], 8_000)),
+        failure_domain: String::from("north"),
+        slot_count: 16,
+        state,
+        weights: IndexMap::new(),
+    }
+}
+
+fn vms(hosts: &[u8]) -> IndexSet<net::IpAddr> {
+    let address = |host: &u8| net::IpAddr::from([10, 0, 0, *host]);
+    hosts.iter().map(address).collect()
+}
+
+/// The agent that came first in the order of a version had an engine that was leaving, and made no
+/// grants; the others waited for it until it was gone.
+#[rstest]
+#[case::all_stay(&[("a", 1, Ready), ("b", 2, Ready)], &[1, 2], &[])]
+#[case::one_leaves(&[("a", 1, Draining), ("b", 2, Ready)], &[2], &[1])]
+#[case::started_again_in_its_place(&[("a", 1, Draining), ("b", 1, Ready)], &[1], &[])]
+fn vms_that_stay(
+    #[case] listed: &[(&str, u8, upstreams::State)],
+    #[case] staying: &[u8],
+    #[case] leaving: &[u8],
+) {
+    let listed: Vec<_> = listed
+        .iter()
+        .map(|(instance, host, state)| upstream(instance, *host, *state))
+        .collect();
+    let service = "drafts".parse().expect("a name");
+    let found = upstreams::service_vms(&listed, &service);
+    assert_eq!(found.staying, vms(staying));
+    assert_eq!(found.leaving, vms(leaving));
+    let other = "other".parse().expect("a name");
+    let found = upstreams::service_vms(&listed, &other);
+    assert_eq!(found, upstreams::ServiceVms::default());
+}
