Grant again at once what was granted to a machine that was lost

Change: a chunk that nobody holds and whose grants all are for machines that take no part any more is granted at once; a machine counts as gone after 1.0 s of silence in place of 1.5 s. Its test fails without it.

--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -17,7 +17,7 @@
 /// A granted chunk that nobody holds after this long is granted again.
 const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 /// An agent that was not heard for this long takes no part.
-const SILENCE_MAX: time::Duration = time::Duration::from_millis(1_500);
+const SILENCE_MAX: time::Duration = time::Duration::from_secs(1);
 /// How long the first grants wait until half of the agents were heard, so that they are spread.
 const GATHER_MAX: time::Duration = time::Duration::from_millis(400);
 /// How long the first in the order may be unheard before the next one makes grants.
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -225,6 +225,9 @@
         if granted == 0 {
             return holders == 0;
         }
+        if holders == 0 && self.is_lost(chunk, supply) {
+            return true;
+        }
         // A grantor that took over does not know the time of earlier grants and waits once more.
         let at = *clock.granted_at.entry(chunk).or_insert(now);
         let overdue = now.duration_since(at) > patience;
@@ -235,6 +238,17 @@
         planned || (overdue && stuck)
     }
 
+    /// Returns whether no machine that was granted a chunk takes part any more.
+    fn is_lost(&self, chunk: u32, supply: &Supply) -> bool {
+        let takes_part = |grant: &Grant| {
+            let is_same =
+                |one: &Receiver| one.vm == grant.vm && one.incarnation == grant.incarnation;
+            supply.receivers.iter().any(is_same)
+        };
+        let granted = self.grants.iter().filter(|grant| grant.chunk == chunk);
+        !granted.into_iter().any(takes_part)
+    }
+
     fn open_count(
         &self,
         now: time::Instant,
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -342,3 +342,45 @@
     let later = start + Duration::from_secs(1);
     assert_eq!(receiver.start_next(later, &mut rng), None);
 }
+
+/// A machine was lost with the chunks that it was granted; they were granted again only when the
+/// patience for its pulls was over, and by then the origin was away.
+#[test]
+fn chunks_granted_to_a_machine_that_was_lost_are_granted_again_at_once() {
+    let patience = Duration::from_millis(1_500);
+    let start = Instant::now();
+    let machines = machines_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut clock = ledger::GrantClock::default();
+    ledger.extend(start, &supply(&machines), &mut clock, patience);
+    let lost = ledger.grants()[0].vm.clone();
+    let lost_chunks: Vec<u32> = ledger
+        .grants()
+        .iter()
+        .filter(|grant| grant.vm == lost)
+        .map(|grant| grant.chunk)
+        .collect();
+    let others: Vec<_> = machines.into_iter().filter(|one| one.vm != lost).collect();
+    let mut held = chunks::ChunkSet::full(CHUNKS);
+    for chunk in &lost_chunks {
+        held.remove(*chunk);
+    }
+    let others: Vec<_> = others
+        .into_iter()
+        .map(|one| ledger::Receiver {
+            held: held.clone(),
+            ..one
+        })
+        .collect();
+    let soon = start + Duration::from_millis(200);
+    ledger.extend(soon, &supply(&others), &mut clock, patience);
+    for chunk in lost_chunks {
+        let granted = ledger.grants().iter().filter(|grant| grant.chunk == chunk);
+        assert_eq!(granted.count(), 2, "chunk {chunk}");
+    }
+    // Those that got it are there, so nothing more is granted.
+    let granted = ledger.grants().len();
+    let later = start + Duration::from_millis(400);
+    ledger.extend(later, &supply(&others), &mut clock, patience);
+    assert_eq!(ledger.grants().len(), granted);
+}
