Grant again at once what came in vain, and keep 18 grants open

Grants also left the origin idle between rounds. Change: a receiver reports grants that were used in vain, and the ledger takes them for lost; the pace of grants is told apart from the policy, so that the demonstration keeps its own; the first grants wait for six agents in place of half of them.

--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -14,11 +14,17 @@
 use super::app;
 use crate::app::lock;
 
-/// A granted chunk that nobody holds after this long is granted again.
-const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
+/// A granted chunk that nobody holds after this long is granted again. So many are outstanding that
+/// the origin is busy until the next ones are recorded and heard of.
+const PACE: ledger::Pace = ledger::Pace {
+    patience: time::Duration::from_millis(1_500),
+    open_max: 18,
+};
+/// The first grants wait for no more machines than this.
+const GATHER_COUNT: usize = 6;
 /// An agent that was not heard for this long takes no part.
 const SILENCE_MAX: time::Duration = time::Duration::from_secs(1);
-/// How long the first grants wait until half of the agents were heard, so that they are spread.
+/// How long the first grants wait until some agents were heard, so that they are spread.
 const GATHER_MAX: time::Duration = time::Duration::from_millis(400);
 /// How long the first in the order may be unheard before the next one makes grants.
 const TAKE_OVER_AFTER: time::Duration = time::Duration::from_millis(500);
@@ -78,12 +84,13 @@
     let supply = supply(app, manifest.digest());
     let now = app.clock.now();
     let age = now.duration_since(target.since);
-    if supply.receiver_count() <= app.others.load().len() / 2 && age < GATHER_MAX {
+    let enough = (app.others.load().len() / 2 + 1).min(GATHER_COUNT);
+    if supply.receiver_count() < enough && age < GATHER_MAX {
         return Ok(());
     }
     if let Some(known) = app.ledger.load_full() {
         let mut probe = ledger::Ledger::clone(&known);
-        if probe.extend(now, &supply, &mut clock, PATIENCE) == 0 {
+        if probe.extend(now, &supply, &mut clock, PACE) == 0 {
             *lock(&app.grant_clock) = clock;
             take_own(app, manifest.digest(), &known);
             return Ok(());
@@ -96,7 +103,7 @@
         .and_then(read)
         .unwrap_or_else(|| ledger::Ledger::new(chunk_count, app.settings.policy));
     let mut clock = lock(&app.grant_clock).clone();
-    if ledger.extend(now, &supply, &mut clock, PATIENCE) > 0 {
+    if ledger.extend(now, &supply, &mut clock, PACE) > 0 {
         match &recorded {
             Some(object) => {
                 let revision = object.revision;
@@ -169,6 +176,7 @@
         vm,
         incarnation,
         starved: progress.starved,
+        failed_grants: progress.failed_grants,
         held: progress.held,
     }
 }
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -308,6 +308,7 @@
             held: self.receiver.held().clone(),
             given_count: self.giver.given_count(),
             starved: self.receiver.is_starved(),
+            failed_grants: self.receiver.failed_grants().to_vec(),
         }
     }
 }
--- a/crates/core/benches/rounds/mod.rs
+++ b/crates/core/benches/rounds/mod.rs
@@ -208,13 +208,15 @@
                 vm: machine.vm.clone(),
                 incarnation: id::Incarnation::new(1),
                 starved: machine.news.starved,
+                failed_grants: Vec::new(),
                 leaving: false,
                 held: machine.news.held.clone(),
             });
         }
         let now = self.now();
         let before = self.ledger.grants().len();
-        self.ledger.extend(now, &supply, &mut self.clock, PATIENCE);
+        let pace = ledger::Pace::new(self.policy, PATIENCE);
+        self.ledger.extend(now, &supply, &mut self.clock, pace);
         for grant in &self.ledger.grants()[before..] {
             let machine = self.machines.iter_mut().find(|one| one.vm == grant.vm);
             if let Some(machine) = machine {
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{ORIGIN_LIMIT_PERCENT, Policy};
+use super::{GrantId, ORIGIN_LIMIT_PERCENT, Policy};
 use crate::id;
 
 const HUNDRED: u64 = 100;
@@ -28,6 +28,15 @@
     pub serial: u32,
 }
 
+impl Grant {
+    const fn id(&self) -> GrantId {
+        GrantId {
+            chunk: self.chunk,
+            serial: self.serial,
+        }
+    }
+}
+
 /// All grants for one manifest.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -76,12 +85,35 @@
     pub incarnation: id::Incarnation,
     /// Whether no peer can give it what it lacks.
     pub starved: bool,
+    /// Its grants that were used in vain.
+    pub failed_grants: Vec<GrantId>,
     /// Whether it is about to go.
     pub leaving: bool,
     /// The chunks that it holds.
     pub held: super::chunks::ChunkSet,
 }
 
+/// How fast grants follow each other.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// How long a granted chunk may take until somebody holds it.
+    pub patience: time::Duration,
+    /// How many granted chunks may be outstanding; the origin has to send so many within the
+    /// patience.
+    pub open_max: u32,
+}
+
+impl Pace {
+    /// Creates the pace that a policy stands for.
+    #[must_use]
+    pub const fn new(policy: Policy, patience: time::Duration) -> Self {
+        Self {
+            patience,
+            open_max: policy.open_grants_max(),
+        }
+    }
+}
+
 /// When grants were made, known only to the present grantor; a new one starts anew.
 #[derive(Clone, Debug, Default)]
 pub struct GrantClock {
@@ -125,19 +157,20 @@
     /// Adds the grants that the supply calls for; returns how many were added.
     ///
     /// A chunk is granted where nobody holds it, again where its grant has not made it spread
-    /// within `patience`, and, once every chunk has its grants, to machines that are starved.
+    /// within the pace's patience, and, once every chunk has its grants, to machines that are starved.
     pub fn extend(
         &mut self,
         now: time::Instant,
         supply: &Supply,
         clock: &mut GrantClock,
-        patience: time::Duration,
+        pace: Pace,
     ) -> usize {
+        let patience = pace.patience;
         let before = self.grants.len();
         let counts = self.counts();
         let mut open = self.open_count(now, supply, clock, &counts, patience);
         for chunk in 0..self.chunk_count {
-            if open >= self.policy.open_grants_max() {
+            if open >= pace.open_max {
                 break;
             }
             if self.needs_grant(now, chunk, supply, clock, &counts, patience)
@@ -238,15 +271,17 @@
         planned || (overdue && stuck)
     }
 
-    /// Returns whether no machine that was granted a chunk takes part any more.
+    /// Returns whether each grant of a chunk was used in vain or is of a machine that takes no part
+    /// any more.
     fn is_lost(&self, chunk: u32, supply: &Supply) -> bool {
-        let takes_part = |grant: &Grant| {
+        let is_good = |grant: &Grant| {
             let is_same =
-                |one: &Receiver| one.vm == grant.vm && one.incarnation == grant.incarnation;
-            supply.receivers.iter().any(is_same)
+                |one: &&Receiver| one.vm == grant.vm && one.incarnation == grant.incarnation;
+            let receiver = supply.receivers.iter().find(is_same);
+            receiver.is_some_and(|one| !one.failed_grants.contains(&grant.id()))
         };
-        let granted = self.grants.iter().filter(|grant| grant.chunk == chunk);
-        !granted.into_iter().any(takes_part)
+        let mut granted = self.grants.iter().filter(|grant| grant.chunk == chunk);
+        !granted.any(is_good)
     }
 
     fn open_count(
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -29,6 +29,17 @@
     pub given_count: u32,
     /// Whether no known peer can give any of the missing chunks.
     pub starved: bool,
+    /// The grants that were used in vain.
+    pub failed_grants: Vec<GrantId>,
+}
+
+/// Tells the grants of one set apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct GrantId {
+    /// The chunk.
+    pub chunk: u32,
+    /// How many grants of this chunk came before.
+    pub serial: u32,
 }
 
 /// Which of the two measures goes first.
--- a/crates/core/src/burst/receiver.rs
+++ b/crates/core/src/burst/receiver.rs
@@ -10,7 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, RngExt};
 
-use super::{chunks, giver};
+use super::{GrantId, chunks, giver};
 use crate::id;
 
 const FAULT_DOUBLINGS_MAX: u32 = 6;
@@ -62,6 +62,7 @@
 /// A grant that has not been used yet.
 #[derive(Clone, Copy, Debug)]
 struct Permit {
+    serial: u32,
     granted_at: time::Instant,
     not_before: time::Instant,
 }
@@ -110,6 +111,7 @@
     peers: IndexMap<id::VmId, Peer>,
     grants: IndexMap<u32, Permit>,
     used_grants: IndexSet<(u32, u32)>,
+    failed_grants: Vec<GrantId>,
     open_count: usize,
     /// When a peer was first found spent since the last chunk came.
     refused_since: Option<time::Instant>,
@@ -132,6 +134,7 @@
             peers: IndexMap::new(),
             grants: IndexMap::new(),
             used_grants: IndexSet::new(),
+            failed_grants: Vec::new(),
             open_count: 0,
             refused_since: None,
             overdraft: false,
@@ -155,6 +158,12 @@
         self.held.is_full()
     }
 
+    /// Returns the grants that were used in vain.
+    #[must_use]
+    pub fn failed_grants(&self) -> &[GrantId] {
+        &self.failed_grants
+    }
+
     /// Returns where a peer listens.
     #[must_use]
     pub fn peer_address(&self, vm: &id::VmId) -> Option<net::SocketAddr> {
@@ -198,6 +207,7 @@
     pub fn record_grant(&mut self, now: time::Instant, chunk: u32, serial: u32) {
         if self.used_grants.insert((chunk, serial)) && !self.held.contains(chunk) {
             let permit = Permit {
+                serial,
                 granted_at: now,
                 not_before: now,
             };
@@ -250,7 +260,7 @@
             if failure == FetchFailure::Unreached {
                 self.postpone_grant(now, fetch.chunk);
             } else {
-                self.grants.shift_remove(&fetch.chunk);
+                self.give_up_grant(fetch.chunk);
             }
             return;
         };
@@ -280,6 +290,13 @@
         }
     }
 
+    /// The grantor is told, so that the chunk is granted again.
+    fn give_up_grant(&mut self, chunk: u32) {
+        if let Some(Permit { serial, .. }) = self.grants.shift_remove(&chunk) {
+            self.failed_grants.push(GrantId { chunk, serial });
+        }
+    }
+
     /// An origin that was not reached has sent nothing, so the grant is still good.
     fn postpone_grant(&mut self, now: time::Instant, chunk: u32) {
         let pause = self.limits.origin_pause;
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -5,7 +5,7 @@
 
 use pimentohook_core::{
     burst::{
-        ORIGIN_LIMIT_PERCENT, Policy, chunks,
+        self, ORIGIN_LIMIT_PERCENT, Policy, chunks,
         giver::{Denial, Giver, Refill},
         ledger, receiver,
     },
@@ -107,12 +107,13 @@
         let mut ledger = ledger::Ledger::new(CHUNKS, policy);
         let mut clock = ledger::GrantClock::default();
         let mut now = std::time::Instant::now();
-        let patience = std::time::Duration::from_secs(10);
+        let pace = ledger::Pace::new(policy, std::time::Duration::from_secs(10));
         let mut machines: Vec<_> = (0..MACHINES)
             .map(|index| ledger::Receiver {
                 vm: format!("vm-{index}").parse().expect("a name"),
                 incarnation: id::Incarnation::new(1),
                 starved: false,
+                failed_grants: Vec::new(),
                 leaving: false,
                 held: chunks::ChunkSet::new(CHUNKS),
             })
@@ -121,7 +122,7 @@
             match *op {
                 Op::Pass { seconds } => now += std::time::Duration::from_secs(seconds),
                 Op::Extend => {
-                    ledger.extend(now, &supply(&machines), &mut clock, patience);
+                    ledger.extend(now, &supply(&machines), &mut clock, pace);
                 }
                 Op::Hold { machine, chunk } => machines[machine].held.insert(chunk),
                 Op::Replace { machine } => {
@@ -190,6 +191,7 @@
 #[test]
 fn machines_that_would_wait_for_each_other_are_relieved_within_the_hard_limit() {
     let patience = std::time::Duration::from_secs(10);
+    let pace = ledger::Pace::new(Policy::OriginFirst, patience);
     let mut now = std::time::Instant::now();
     let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
     let mut clock = ledger::GrantClock::default();
@@ -197,6 +199,7 @@
         vm: format!("vm-{index}").parse().expect("a name"),
         incarnation: id::Incarnation::new(1),
         starved: !held.is_full(),
+        failed_grants: Vec::new(),
         leaving: false,
         held,
     };
@@ -208,19 +211,14 @@
         ..machines[0].clone()
     };
     while ledger.grants().len() < ledger.grant_max() {
-        ledger.extend(
-            now,
-            &supply(std::slice::from_ref(&empty)),
-            &mut clock,
-            patience,
-        );
-        ledger.extend(now, &supply(&machines), &mut clock, patience);
+        ledger.extend(now, &supply(std::slice::from_ref(&empty)), &mut clock, pace);
+        ledger.extend(now, &supply(&machines), &mut clock, pace);
         now += patience / 2;
     }
     let share = ledger.grants().len();
     for _ in 0..1_000 {
         now += patience;
-        ledger.extend(now, &supply(&machines), &mut clock, patience);
+        ledger.extend(now, &supply(&machines), &mut clock, pace);
     }
     assert!(ledger.grants().len() > share);
     let granted = u32::try_from(ledger.grants().len()).expect("few grants");
@@ -232,6 +230,7 @@
 #[test]
 fn chunks_not_granted_yet_get_their_grant_after_repeated_ones() {
     let patience = Duration::from_millis(1_500);
+    let pace = ledger::Pace::new(Policy::OriginFirst, patience);
     let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
     let mut clock = ledger::GrantClock::default();
     let start = Instant::now();
@@ -239,7 +238,7 @@
     let machines = machines_holding(|_| chunks::ChunkSet::new(CHUNKS));
     for round in 0..4 {
         let now = start + patience * round * 2;
-        ledger.extend(now, &supply(&machines), &mut clock, patience);
+        ledger.extend(now, &supply(&machines), &mut clock, pace);
     }
     let granted: Vec<u32> = ledger.grants().iter().map(|grant| grant.chunk).collect();
     assert!(granted.len() > ledger.grant_max(), "{granted:?}");
@@ -252,7 +251,7 @@
     }
     let machines = machines_holding(|_| held.clone());
     let now = start + patience * 10;
-    ledger.extend(now, &supply(&machines), &mut clock, patience);
+    ledger.extend(now, &supply(&machines), &mut clock, pace);
     for chunk in missing {
         let is_granted = ledger.grants().iter().any(|grant| grant.chunk == chunk);
         assert!(is_granted, "chunk {chunk}");
@@ -267,6 +266,7 @@
         vm: format!("vm-{index}").parse().expect("a name"),
         incarnation: id::Incarnation::new(1),
         starved: false,
+        failed_grants: Vec::new(),
         leaving: false,
         held: held(index),
     };
@@ -277,7 +277,7 @@
 /// away before those were granted again.
 #[test]
 fn machines_that_leave_are_granted_nothing_and_hold_nothing() {
-    let patience = Duration::from_millis(1_500);
+    let pace = ledger::Pace::new(Policy::OriginFirst, Duration::from_millis(1_500));
     let now = Instant::now();
     let mut machines = machines_holding(|_| chunks::ChunkSet::new(CHUNKS));
     machines[0].held = chunks::ChunkSet::full(CHUNKS);
@@ -285,7 +285,7 @@
     machines[1].leaving = true;
     let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
     let mut clock = ledger::GrantClock::default();
-    ledger.extend(now, &supply(&machines), &mut clock, patience);
+    ledger.extend(now, &supply(&machines), &mut clock, pace);
     assert!(!ledger.grants().is_empty());
     for grant in ledger.grants() {
         let is_leaving = |one: &ledger::Receiver| one.vm == grant.vm && one.leaving;
@@ -347,12 +347,12 @@
 /// patience for its pulls was over, and by then the origin was away.
 #[test]
 fn chunks_granted_to_a_machine_that_was_lost_are_granted_again_at_once() {
-    let patience = Duration::from_millis(1_500);
+    let pace = ledger::Pace::new(Policy::OriginFirst, Duration::from_millis(1_500));
     let start = Instant::now();
     let machines = machines_holding(|_| chunks::ChunkSet::new(CHUNKS));
     let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
     let mut clock = ledger::GrantClock::default();
-    ledger.extend(start, &supply(&machines), &mut clock, patience);
+    ledger.extend(start, &supply(&machines), &mut clock, pace);
     let lost = ledger.grants()[0].vm.clone();
     let lost_chunks: Vec<u32> = ledger
         .grants()
@@ -373,7 +373,7 @@
         })
         .collect();
     let soon = start + Duration::from_millis(200);
-    ledger.extend(soon, &supply(&others), &mut clock, patience);
+    ledger.extend(soon, &supply(&others), &mut clock, pace);
     for chunk in lost_chunks {
         let granted = ledger.grants().iter().filter(|grant| grant.chunk == chunk);
         assert_eq!(granted.count(), 2, "chunk {chunk}");
@@ -381,6 +381,34 @@
     // Those that got it are there, so nothing more is granted.
     let granted = ledger.grants().len();
     let later = start + Duration::from_millis(400);
-    ledger.extend(later, &supply(&others), &mut clock, patience);
+    ledger.extend(later, &supply(&others), &mut clock, pace);
     assert_eq!(ledger.grants().len(), granted);
 }
+
+/// An origin cut one chunk off; it was granted again only when the patience for it was over, and by
+/// then the origin was away.
+#[test]
+fn a_chunk_that_came_in_vain_is_granted_again_at_once() {
+    let pace = ledger::Pace::new(Policy::OriginFirst, Duration::from_millis(1_500));
+    let start = Instant::now();
+    let mut machines = machines_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut clock = ledger::GrantClock::default();
+    ledger.extend(start, &supply(&machines), &mut clock, pace);
+    let failed = ledger.grants()[0].clone();
+    for machine in &mut machines {
+        machine.held = chunks::ChunkSet::full(CHUNKS);
+        machine.held.remove(failed.chunk);
+        if machine.vm == failed.vm {
+            let (chunk, serial) = (failed.chunk, failed.serial);
+            machine.failed_grants = vec![burst::GrantId { chunk, serial }];
+        }
+    }
+    let soon = start + Duration::from_millis(200);
+    ledger.extend(soon, &supply(&machines), &mut clock, pace);
+    let granted = ledger
+        .grants()
+        .iter()
+        .filter(|one| one.chunk == failed.chunk);
+    assert_eq!(granted.count(), 2);
+}
--- a/crates/entry/src/origin.rs
+++ b/crates/entry/src/origin.rs
@@ -57,9 +57,9 @@
         let policy = service_config.policy;
         let mut ledger = recorded.unwrap_or_else(|| ledger::Ledger::new(chunk_count, policy));
         let clock = self.clocks.entry(weights.manifest).or_default();
-        let patience = app.settings.grant_patience;
+        let pace = ledger::Pace::new(policy, app.settings.grant_patience);
         let now = app.clock.now();
-        if ledger.extend(now, supply, clock, patience) == 0 {
+        if ledger.extend(now, supply, clock, pace) == 0 {
             return Ok(());
         }
         let if_version = self.versions.get(&weights.manifest).copied().unwrap_or(0);
@@ -121,6 +121,7 @@
             vm: member.report.vm.clone(),
             incarnation: member.report.incarnation,
             starved: progress.starved,
+            failed_grants: progress.failed_grants.clone(),
             leaving: false,
             held: progress.held.clone(),
         });
