--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -28,6 +28,9 @@
 /// The part of the time to the first token that may be planned for, in hundredths; the rest is for
 /// what the model does not know.
 const PLANNED_PERCENT: u32 = 85;
+/// An engine of another failure domain is asked first only where its own requests are fewer by
+/// more than this, since links between failure domains are narrow and dear.
+const FAR_COST: u32 = 2;
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 
 /// What a request needs of an upstream.
@@ -167,8 +170,9 @@
         let closed = one.live.closed_until_ms.load(atomic::Ordering::Relaxed) > now_ms;
         let ejected = one.live.record.is_ejected(now_ms);
         let own = one.live.in_flight.load(atomic::Ordering::Relaxed);
-        let far = one.upstream.failure_domain != app.settings.failure_domain;
-        (ejected, closed, own, far, rand::rng().random::<u32>())
+        let is_far = one.upstream.failure_domain != app.settings.failure_domain;
+        let cost = own + u32::from(is_far) * FAR_COST;
+        (ejected, closed, cost, rand::rng().random::<u32>())
     };
     serving.sort_by_cached_key(rank);
     for candidate in serving.into_iter().take(ASKED_MAX) {
