--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -12,6 +12,10 @@
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(12);
 /// Changes that come close together are taken in at once.
 const GATHER: time::Duration = time::Duration::from_millis(100);
+/// Upstreams change in swarms, and what they serve is learned from their agents sooner.
+const GATHER_UPSTREAMS: time::Duration = time::Duration::from_millis(350);
+/// Entries hear of each other from each other too.
+const GATHER_ENTRIES: time::Duration = time::Duration::from_millis(700);
 /// Versions of a model whose naming is remembered.
 const NAMED_MAX: usize = 8;
 const RETRY_MIN: time::Duration = time::Duration::from_millis(150);
@@ -81,11 +85,19 @@
         record_heard(app, kind);
         if is_changed {
             take_in(app, kind, revision, &objects);
-            tokio_time::sleep(GATHER).await;
+            tokio_time::sleep(gather(kind)).await;
         }
     }
 }
 
+const fn gather(kind: store::Kind) -> time::Duration {
+    match kind {
+        store::Kind::Upstreams => GATHER_UPSTREAMS,
+        store::Kind::Entries => GATHER_ENTRIES,
+        store::Kind::Configuration | store::Kind::Weights | store::Kind::Grants => GATHER,
+    }
+}
+
 fn record_heard(app: &app::App, kind: store::Kind) {
     if kind == store::Kind::Configuration && app.store_lost_at.load().is_some() {
         log::info!("feed: event=store_regained kind={kind}");
