Keep no connections to the origin of weights, and few idle ones to upstreams

The origin takes 48 connections. Agents kept theirs idle after a swarm; the origin does not learn that their machines lost power and goes on counting them, so it reset 9,880 new ones. Ruled out: the store (listed by all agents 0.2 s after their start), the order of the agents. Change: connections to the origin are closed after each answer. Entries keep so many idle ones to an instance that all of them together take a third of what it has room for. An agent whose question to the origin fails pauses 200 ms, and goes on calling others meanwhile.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -100,6 +100,8 @@
     pub entries: ArcSwap<Vec<net::SocketAddr>>,
     /// The manifests of the versions held or under way.
     pub manifests: sync::Mutex<IndexMap<Version, sync::Arc<origin::Manifest>>>,
+    /// Whether a manifest is being asked of the origin.
+    pub asking_origin: atomic::AtomicBool,
     /// What was heard from other agents about the wanted version.
     pub heard: sync::Mutex<IndexMap<id::VmId, Heard>>,
     /// The recorded grants of the wanted version.
@@ -154,7 +156,7 @@
             kept,
             runner: runner::Runner::new(settings.engine, outside.clone()),
             store: store::Store::new(settings.object_store, outside.clone()),
-            origin: origin::Origin::new(outside),
+            origin: origin::Origin::new(local),
             transfers: sync::Arc::new(transfer::Transfers::new(link)),
             gate: sync::Mutex::new(gate::Gate::new(clock.now())),
             service: ArcSwapOption::empty(),
@@ -166,6 +168,7 @@
             leaving: ArcSwap::default(),
             entries: ArcSwap::default(),
             manifests: sync::Mutex::new(IndexMap::new()),
+            asking_origin: atomic::AtomicBool::new(false),
             heard: sync::Mutex::new(IndexMap::new()),
             ledger: ArcSwapOption::empty(),
             grant_clock: sync::Mutex::default(),
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -3,7 +3,7 @@
 //! While its set is not whole, an agent calls a sample of the others several times a second. Each
 //! call carries what both hold, so those who have everything need not call anybody.
 
-use std::{net, sync, time};
+use std::{net, sync, sync::atomic, time};
 
 use gotham::helpers::http::Body;
 use hyper::Response;
@@ -33,6 +33,7 @@
 /// Each agent waits this much longer than the one before it until it asks the origin for a
 /// manifest, so that most get it from each other.
 const MANIFEST_STAGGER: time::Duration = time::Duration::from_millis(400);
+const MANIFEST_PAUSE: time::Duration = time::Duration::from_millis(200);
 const MESSAGE_MAX_BYTES: usize = 1 << 20;
 
 /// Brings the wanted version's chunks here, until the process ends.
@@ -139,12 +140,9 @@
 /// Opens the set of a version if its manifest is known or can be had; false where it can't yet.
 async fn open(app: &sync::Arc<app::App>, target: &app::Target, service: &app::Service) -> bool {
     let version = (target.model.clone(), target.version);
-    let manifest = match app.manifest(&version) {
-        Some(manifest) => manifest,
-        None => match ask_origin(app, target, service).await {
-            Some(manifest) => app.keep_manifest(manifest),
-            None => return false,
-        },
+    let Some(manifest) = app.manifest(&version) else {
+        ask_origin(app, target, service);
+        return false;
     };
     if app.transfers.aim(manifest.digest()) {
         return true;
@@ -180,34 +178,54 @@
     Some(manifest.digest())
 }
 
-async fn ask_origin(
-    app: &app::App,
-    target: &app::Target,
-    service: &app::Service,
-) -> Option<origin::Manifest> {
+/// Asks the origin for a manifest, beside all else, if it is this agent's turn.
+fn ask_origin(app: &sync::Arc<app::App>, target: &app::Target, service: &app::Service) {
     let rank = u32::try_from(app.rank(target)).unwrap_or(u32::MAX);
     let waits = MANIFEST_STAGGER.saturating_mul(rank);
-    let is_first = app.others.load().is_empty() || rank == 0;
-    if !is_first && app.clock.now().duration_since(target.since) < waits {
-        return None;
+    if app.clock.now().duration_since(target.since) < waits {
+        return;
     }
-    let (model, version) = (&target.model, target.version);
-    let asked = app
-        .origin
-        .manifest(service.origin?, model, version, ORIGIN_TIMEOUT);
+    let Some(origin) = service.origin else {
+        log::warn!("swarm: event=no_origin model={}", target.model);
+        return;
+    };
+    if app.asking_origin.swap(true, atomic::Ordering::Relaxed) {
+        return;
+    }
+    let (app, target) = (app.clone(), target.clone());
     let chunk_count = service.figures.chunk_count;
+    tokio::spawn(async move {
+        if !take_from_origin(&app, &target, origin, chunk_count).await {
+            tokio::time::sleep(MANIFEST_PAUSE).await;
+        }
+        app.asking_origin.store(false, atomic::Ordering::Relaxed);
+    });
+}
+
+/// Takes a manifest from the origin; false where that failed.
+async fn take_from_origin(
+    app: &app::App,
+    target: &app::Target,
+    origin: net::SocketAddr,
+    chunk_count: u32,
+) -> bool {
+    let (model, version) = (&target.model, target.version);
+    let asked = app.origin.manifest(origin, model, version, ORIGIN_TIMEOUT);
     let manifest = asked.await.and_then(|manifest| {
-        manifest
-            .check(model, version, chunk_count)
-            .map(|()| manifest)
+        let checked = manifest.check(model, version, chunk_count);
+        checked.map(|()| manifest)
     });
     match manifest {
-        Ok(manifest) => Some(manifest),
+        Ok(manifest) => {
+            app.keep_manifest(manifest);
+            app.weights_named.notify_one();
+            true
+        }
         Err(error) => {
             log::warn!(
                 "swarm: event=manifest_failed model={model} version={version} error={error:?}"
             );
-            None
+            false
         }
     }
 }
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -93,6 +93,8 @@
     pub engine: Option<engine::EngineFigures>,
     /// Where weights come from first, if this service is the origin.
     pub origin: Option<std::net::SocketAddr>,
+    /// How many connections one of its instances takes from all callers together.
+    pub connections_max: Option<u32>,
 }
 
 /// An organisation whose keys are accepted.
@@ -102,6 +104,21 @@
     pub name: String,
 }
 
+/// The share of an instance's connections that entries may keep idle between them, as a divisor.
+///
+/// An instance doesn't learn of entries that lost power, and goes on counting their connections;
+/// it has to have room for those of the entries that come after them.
+const IDLE_DIVISOR: u32 = 3;
+
+/// Returns how many idle connections each of `entry_count` entries may keep to an instance.
+///
+/// It is a power of two, so that it rarely changes as entries come and go.
+#[must_use]
+pub fn idle_connections(connections_max: u32, entry_count: u32) -> u32 {
+    let share = connections_max / IDLE_DIVISOR / entry_count.max(1);
+    share.checked_ilog2().map_or(1, |exponent| 1 << exponent)
+}
+
 /// One version of the configuration for callers.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use indexmap::{IndexMap, IndexSet};
-use pimentohook_core::upstreams;
+use pimentohook_core::{routes, upstreams};
 use rstest::rstest;
 use upstreams::State::{Draining, Ready};
 
@@ -48,3 +48,20 @@
     let found = upstreams::service_vms(&listed, &other);
     assert_eq!(found, upstreams::ServiceVms::default());
 }
+
+/// Instances go on counting the connections of entries that lost power.
+#[rstest]
+#[case(48, 6, 2)]
+#[case(96, 6, 4)]
+#[case(560, 43, 4)]
+#[case(110, 37, 1)]
+#[case(48, 0, 16)]
+fn idle_connections_of_lost_entries_leave_room(
+    #[case] connections_max: u32,
+    #[case] entry_count: u32,
+    #[case] expected: u32,
+) {
+    let idle = routes::idle_connections(connections_max, entry_count);
+    assert_eq!(idle, expected);
+    assert!(idle == 1 || 2 * idle * entry_count < connections_max);
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -210,6 +210,19 @@
             .saturating_add(1)
     }
 
+    /// Keeps no more idle connections to upstreams than they have room for.
+    pub fn fit_idle_connections(&self) {
+        let Some(table) = self.table.load_full() else {
+            return;
+        };
+        // Requests never go to the origin.
+        let services = table.services.values().filter(|one| one.origin.is_none());
+        if let Some(least) = services.filter_map(|one| one.connections_max).min() {
+            let idle_max = routes::idle_connections(least, self.entry_count());
+            self.upstreams.set_idle_max(idle_max as usize);
+        }
+    }
+
     /// Returns the retry budget of a service.
     #[must_use]
     pub fn budget(&self, service: &id::ServiceName) -> sync::Arc<limits::RetryBudget> {
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -33,6 +33,7 @@
         }
         tokio_time::sleep(HEARTBEAT_EVERY).await;
         drop_silent(&app);
+        app.fit_idle_connections();
     }
 }
 
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -5,7 +5,7 @@
 //! that nothing was sent. After a connection has fallen silent, [`Client::renew`] drops all idle
 //! ones, since others to the same place may be silent too.
 
-use std::{net, sync, time};
+use std::{net, sync, sync::atomic, time};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -113,6 +113,7 @@
 #[derive(Debug)]
 pub struct Client {
     pool: ArcSwap<Pool>,
+    idle_max: atomic::AtomicUsize,
     fresh: Pool,
     local: Option<net::IpAddr>,
 }
@@ -142,9 +143,16 @@
     /// An unspecified address leaves the choice to the system.
     #[must_use]
     pub fn new(local: net::IpAddr) -> Self {
+        Self::with_idle_max(local, IDLE_MAX)
+    }
+
+    /// Like [`Client::new`], keeping no more than `idle_max` idle connections to each address.
+    #[must_use]
+    pub fn with_idle_max(local: net::IpAddr, idle_max: usize) -> Self {
         let local = Some(local).filter(|address| !address.is_unspecified());
         Self {
-            pool: ArcSwap::from_pointee(new_pool(IDLE_MAX, local)),
+            pool: ArcSwap::from_pointee(new_pool(idle_max, local)),
+            idle_max: atomic::AtomicUsize::new(idle_max),
             fresh: new_pool(0, local),
             local,
         }
@@ -152,10 +160,18 @@
 
     /// Drops all idle connections.
     pub fn renew(&self) {
-        let pool = new_pool(IDLE_MAX, self.local);
+        let idle_max = self.idle_max.load(atomic::Ordering::Relaxed);
+        let pool = new_pool(idle_max, self.local);
         self.pool.store(sync::Arc::new(pool));
     }
 
+    /// Changes how many idle connections are kept to each address, dropping those there are.
+    pub fn set_idle_max(&self, idle_max: usize) {
+        if self.idle_max.swap(idle_max, atomic::Ordering::Relaxed) != idle_max {
+            self.renew();
+        }
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
