Tell refused callers to come back later the more are refused

Each was told 350 ms: too late to be served in time, and too soon for the rush that refused it to be over. Change: core::pressure counts refusals of the last second by service; below 8 in 100 a caller comes back after 60 ms, above that after 0.5 to 2 s, each at a time of its own, never later than a third of its time.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`id`], [`size`], [`clock`]: the vocabulary.
 //! * [`routes`], [`upstreams`]: where callers' requests go.
 //! * [`engine`], [`gate`]: how full engines get, and what is let in.
+//! * [`pressure`]: when callers that were refused come back.
 //! * [`leaving`]: what a process that was told to stop still takes.
 //! * [`rollover`]: when engines change to a newer version of weights.
 //! * [`membership`]: which agents an entry knows, and how old that knowledge is.
@@ -33,6 +34,7 @@
 pub mod leaving;
 pub mod limits;
 pub mod membership;
+pub mod pressure;
 pub mod report;
 pub mod rollover;
 pub mod routes;
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -5,7 +5,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
 use indexmap::IndexMap;
-use pimentohook_core::{clock, id, leaving, limits, routes, routing::score, upstreams};
+use pimentohook_core::{clock, id, leaving, limits, pressure, routes, routing::score, upstreams};
 use pimentohook_platform::store;
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
@@ -98,6 +98,7 @@
     pub metrics: StatsdClient,
     /// Where they are kept.
     pub kept: sync::Arc<metrics::Kept>,
+    pressures: ArcSwap<IndexMap<id::ServiceName, sync::Arc<pressure::Pressure>>>,
     budgets: ArcSwap<IndexMap<id::ServiceName, sync::Arc<limits::RetryBudget>>>,
     leaving: ArcSwapOption<leaving::Leaving>,
     started_at: time::Instant,
@@ -133,6 +134,7 @@
             peers: ArcSwap::default(),
             kinds: ArcSwap::default(),
             store_lost_at: ArcSwapOption::empty(),
+            pressures: ArcSwap::default(),
             budgets: ArcSwap::default(),
             leaving: ArcSwapOption::empty(),
             started_at: clock.now(),
@@ -242,6 +244,21 @@
         created
     }
 
+    /// Returns how much of a service's load is refused.
+    #[must_use]
+    pub fn pressure(&self, service: &id::ServiceName) -> sync::Arc<pressure::Pressure> {
+        if let Some(pressure) = self.pressures.load().get(service) {
+            return pressure.clone();
+        }
+        self.pressures.rcu(|pressures| {
+            let mut pressures = IndexMap::clone(pressures);
+            pressures.entry(service.clone()).or_default();
+            pressures
+        });
+        let pressures = self.pressures.load();
+        pressures.get(service).cloned().unwrap_or_default()
+    }
+
     /// Replaces the upstreams that may be chosen, keeping what is known of those that stay.
     pub fn set_upstreams(&self, listed: Vec<upstreams::Upstream>) {
         let known = self.candidates.load();
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -23,7 +23,6 @@
 const RETRY_AFTER_NOBODY: time::Duration = time::Duration::from_millis(500);
 /// Another entry takes it at once.
 const RETRY_AFTER_LEAVING: time::Duration = time::Duration::from_millis(20);
-const RETRY_AFTER_FULL: time::Duration = time::Duration::from_millis(350);
 
 /// A caller's request, read whole.
 #[derive(Clone, Debug)]
@@ -308,6 +307,7 @@
 
 fn log_answer(app: &app::App, job: &Job, tally: &Tally, instance: &str, status: StatusCode) {
     app.count("answered");
+    app.pressure(&job.service).record(app.now_ms(), false);
     if let Err(error) = app.metrics.time("first_byte", job.arrived_at.elapsed()) {
         log::debug!("metrics: event=not_kept name=first_byte error={error:?}");
     }
@@ -327,23 +327,30 @@
     if tally.may_have_run {
         return fail(app, job, tally, "no other upstream can take it");
     }
-    let retry_after = match denied {
-        placement::Denied::Nobody => RETRY_AFTER_NOBODY,
-        placement::Denied::Full => RETRY_AFTER_FULL,
-    };
+    let retry_after = retry_after(app, job);
     app.count("refused");
     log::info!(
-        "proxy: event=refused request={} route={} service={} reason={denied} tried={} after_ms={}",
+        "proxy: event=refused request={} route={} service={} reason={denied} tried={} \
+         after_ms={} retry_after_ms={}",
         job.id(),
         job.route.name,
         job.service,
         tally.tried.len(),
-        job.arrived_at.elapsed().as_millis()
+        job.arrived_at.elapsed().as_millis(),
+        retry_after.as_millis()
     );
     let status = StatusCode::SERVICE_UNAVAILABLE;
     refusal(status, Some(retry_after), "every upstream is busy or away")
 }
 
+/// Counts a refusal and returns when the caller is to come back.
+fn retry_after(app: &app::App, job: &Job) -> time::Duration {
+    let pressure = app.pressure(&job.service);
+    let now_ms = app.now_ms();
+    pressure.record(now_ms, true);
+    pressure.retry_after(now_ms, job.remaining(), rand::rng().random())
+}
+
 /// Ends a request that was sent on; only where it did not run anywhere, the caller is told so.
 fn fail(app: &app::App, job: &Job, tally: &mut Tally, reason: &str) -> Response<Body> {
     if let Some(response) = tally.failure.take() {
@@ -365,7 +372,7 @@
         tally.tried,
         job.arrived_at.elapsed().as_millis()
     );
-    let retry_after = (!tally.may_have_run).then_some(RETRY_AFTER_FULL);
+    let retry_after = (!tally.may_have_run).then(|| retry_after(app, job));
     refusal(status, retry_after, reason)
 }
 
