Let requests that are late already take only spare slots

Change: an entry takes a request for late where its caller waits for less, by more than the goal, than callers of its route do at first.

--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -28,6 +28,7 @@
         answer_tokens: request.answer_tokens,
         first_token_max: time::Duration::from_millis(u64::from(request.first_token_max_ms)),
         version_min: request.version_min,
+        spare_only: request.spare_only,
     };
     let now = app.clock.now();
     let admitted = lock(&app.gate).admit(&service.figures, now, &ask);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -19,6 +19,10 @@
 /// A report that is older than this says nothing.
 const REPORT_AGE_MAX: time::Duration = time::Duration::from_millis(1_500);
 
+/// The part of the slots that requests take which are late already, in hundredths. The rest is kept
+/// for those that can still be served in time, which come all the while when engines are short.
+const SPARE_PERCENT: u32 = 75;
+
 /// What a request asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -32,6 +36,8 @@
     pub first_token_max: time::Duration,
     /// The oldest version of the weights that may be used.
     pub version_min: Option<u64>,
+    /// Whether it may take only what others are not likely to want.
+    pub spare_only: bool,
 }
 
 /// What an engine reported.
@@ -63,6 +69,15 @@
     Closing,
 }
 
+/// Returns how many slots may be taken before a request is refused.
+const fn places(figures: &engine::EngineFigures, ask: &Ask<'_>) -> u32 {
+    if ask.spare_only {
+        figures.slot_count * SPARE_PERCENT / 100
+    } else {
+        figures.slot_count
+    }
+}
+
 /// Admission at one engine.
 #[derive(Clone, Debug)]
 pub struct Gate {
@@ -142,7 +157,7 @@
         }
         let (at, reported) = (*at, report.active_count + report.queued_count);
         let occupied = reported + self.underway_count(at);
-        if occupied >= figures.slot_count {
+        if occupied >= places(figures, ask) {
             return Err(Closed::Full);
         }
         let first_token = self
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -41,6 +41,7 @@
         answer_tokens,
         first_token_max: Duration::from_millis(400),
         version_min: None,
+        spare_only: false,
     }
 }
 
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -98,6 +98,8 @@
     pub metrics: StatsdClient,
     /// Where they are kept.
     pub kept: sync::Arc<metrics::Kept>,
+    /// The longest that callers of a route said they wait, in milliseconds.
+    waits_ms: ArcSwap<IndexMap<String, sync::Arc<atomic::AtomicU64>>>,
     pressures: ArcSwap<IndexMap<id::ServiceName, sync::Arc<pressure::Pressure>>>,
     budgets: ArcSwap<IndexMap<id::ServiceName, sync::Arc<limits::RetryBudget>>>,
     leaving: ArcSwapOption<leaving::Leaving>,
@@ -134,6 +136,7 @@
             peers: ArcSwap::default(),
             kinds: ArcSwap::default(),
             store_lost_at: ArcSwapOption::empty(),
+            waits_ms: ArcSwap::default(),
             pressures: ArcSwap::default(),
             budgets: ArcSwap::default(),
             leaving: ArcSwapOption::empty(),
@@ -244,6 +247,23 @@
         created
     }
 
+    /// Takes in how long a caller of a route waits, and returns the longest that any did.
+    pub fn longest_wait(&self, route: &str, wait: time::Duration) -> time::Duration {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let ordering = atomic::Ordering::Relaxed;
+        if let Some(longest) = self.waits_ms.load().get(route) {
+            let before_ms = longest.fetch_max(wait_ms, ordering);
+            return time::Duration::from_millis(before_ms.max(wait_ms));
+        }
+        self.waits_ms.rcu(|waits| {
+            let mut waits = IndexMap::clone(waits);
+            let longest = waits.entry(String::from(route)).or_default();
+            longest.fetch_max(wait_ms, ordering);
+            waits
+        });
+        wait
+    }
+
     /// Returns how much of a service's load is refused.
     #[must_use]
     pub fn pressure(&self, service: &id::ServiceName) -> sync::Arc<pressure::Pressure> {
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -25,6 +25,8 @@
 const CLOSED_MS: u64 = 30;
 /// Agents asked for one request, one after the other.
 const ASKED_MAX: usize = 10;
+/// Agents asked for a request that is late already.
+const ASKED_LATE_MAX: usize = 4;
 /// The part of the time to the first token that may be planned for, in hundredths; the rest is for
 /// what the model does not know.
 const PLANNED_PERCENT: u32 = 85;
@@ -48,6 +50,8 @@
     pub answer_tokens: u32,
     /// What is left of the time to the first token.
     pub first_token_max: time::Duration,
+    /// Whether the request is late already.
+    pub spare_only: bool,
     /// Instances that have failed this request already.
     pub excluded: &'a [String],
 }
@@ -175,7 +179,12 @@
         (ejected, closed, cost, rand::rng().random::<u32>())
     };
     serving.sort_by_cached_key(rank);
-    for candidate in serving.into_iter().take(ASKED_MAX) {
+    let asked_max = if need.spare_only {
+        ASKED_LATE_MAX
+    } else {
+        ASKED_MAX
+    };
+    for candidate in serving.into_iter().take(asked_max) {
         if is_granted(app, need, figures, model, allowed, candidate).await {
             // An engine that has been loaded meanwhile must not run it unnoticed on weights that
             // are too old; which of the allowed ones it has does not matter otherwise.
@@ -210,6 +219,7 @@
         answer_tokens: need.answer_tokens,
         first_token_max_ms: u32::try_from(max_ms).unwrap_or(u32::MAX),
         version_min: allowed.version_min,
+        spare_only: need.spare_only,
     };
     let agent = app.agent_of(&candidate.upstream);
     let asked = app
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -45,6 +45,8 @@
     pub table: sync::Arc<routes::RouteTable>,
     /// The caller's organisation.
     pub organisation: Option<routes::Organisation>,
+    /// Whether its caller has spent more time already than the goal allows.
+    pub is_return: bool,
     /// When it arrived.
     pub arrived_at: time::Instant,
     /// When its caller or its route gives it up.
@@ -150,6 +152,7 @@
     };
     let wait = caller.wait.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived_at + wait;
+    let is_return = is_return(app, &route, &caller);
     if !app.takes(deadline) {
         return Err(failed(Rejected {
             retry_after: Some(RETRY_AFTER_LEAVING),
@@ -172,11 +175,23 @@
         service,
         table,
         organisation,
+        is_return,
         arrived_at,
         deadline,
     })
 }
 
+/// Returns whether a caller has come back after its goal.
+///
+/// A caller says how long it still waits, and callers of one route wait for the same time at first.
+fn is_return(app: &app::App, route: &routes::Route, caller: &request::Caller) -> bool {
+    let Some(wait) = caller.wait else {
+        return false;
+    };
+    let longest = app.longest_wait(&route.name, wait);
+    longest.saturating_sub(wait) > route.goal
+}
+
 fn select(
     app: &app::App,
     table: &routes::RouteTable,
@@ -300,6 +315,7 @@
         prompt_tokens: job.caller.prompt_tokens,
         answer_tokens: job.caller.answer_tokens,
         first_token_max: job.goal_remaining(),
+        spare_only: job.is_return,
         excluded: tried,
     };
     placement::choose(app, &need).await
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -129,6 +129,7 @@
             prompt_tokens: self.job.caller.prompt_tokens,
             answer_tokens: self.job.caller.answer_tokens,
             first_token_max: route.goal,
+            spare_only: false,
             excluded: &excluded,
         };
         let Ok(place) = placement::choose(&self.app, &need).await else {
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -33,6 +33,8 @@
     pub first_token_max_ms: u32,
     /// The oldest version of the weights that may be used.
     pub version_min: Option<u64>,
+    /// Whether the request is late already and takes only what others are not likely to want.
+    pub spare_only: bool,
 }
 
 /// The agent's answer to a [`PlaceRequest`].
