--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -21,7 +21,7 @@
 
 /// The part of the slots that requests take which are late already, in hundredths. The rest is kept
 /// for those that can still be served in time, which come all the while when engines are short.
-const SPARE_PERCENT: u32 = 75;
+const SPARE_PERCENT: u32 = 85;
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug)]
