Call the agent that makes grants less often where there are many, one call at a time

Change: an agent has one call to another under way at most; calls to those that make grants come no more often than each 3 ms a known agent, and silence is judged by that.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -100,6 +100,8 @@
     pub entries: ArcSwap<Vec<net::SocketAddr>>,
     /// The manifests of the versions held or under way.
     pub manifests: sync::Mutex<IndexMap<Version, sync::Arc<origin::Manifest>>>,
+    /// The agents that are being called.
+    pub calling: sync::Mutex<IndexSet<id::VmId>>,
     /// Whether a manifest is being asked of the origin.
     pub asking_origin: atomic::AtomicBool,
     /// What was heard from other agents about the wanted version.
@@ -168,6 +170,7 @@
             leaving: ArcSwap::default(),
             entries: ArcSwap::default(),
             manifests: sync::Mutex::new(IndexMap::new()),
+            calling: sync::Mutex::new(IndexSet::new()),
             asking_origin: atomic::AtomicBool::new(false),
             heard: sync::Mutex::new(IndexMap::new()),
             ledger: ArcSwapOption::empty(),
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -24,6 +24,26 @@
 const GATHER_COUNT: usize = 6;
 /// An agent that was not heard for this long takes no part.
 const SILENCE_MAX: time::Duration = time::Duration::from_secs(1);
+/// One that calls rarely, since there are many, may be silent for this many intervals.
+const SILENT_INTERVALS: u32 = 4;
+/// Those that make grants are called no more often.
+const CALL_EVERY_MIN: time::Duration = time::Duration::from_millis(40);
+/// The time that each agent adds to the interval of its calls, so that the link of the one which
+/// makes grants carries those of all.
+const CALL_EVERY_PER_AGENT: time::Duration = time::Duration::from_millis(3);
+
+/// Returns how often an agent calls those that make grants, beside `other_count` others.
+#[must_use]
+pub fn call_interval(other_count: usize) -> time::Duration {
+    let count = u32::try_from(other_count).unwrap_or(u32::MAX);
+    let interval = CALL_EVERY_PER_AGENT.saturating_mul(count);
+    interval.max(CALL_EVERY_MIN)
+}
+
+fn silence_max(app: &app::App) -> time::Duration {
+    let interval = call_interval(app.others.load().len());
+    SILENCE_MAX.max(interval * SILENT_INTERVALS)
+}
 /// How long the first grants wait until some agents were heard, so that they are spread.
 const GATHER_MAX: time::Duration = time::Duration::from_millis(400);
 /// How long the first in the order may be unheard before the next one makes grants.
@@ -63,9 +83,10 @@
     }
     let others = app.others.load();
     let heard = lock(&app.heard);
+    let silence_max = silence_max(app);
     let is_live = |vm: &id::VmId| {
         let heard = heard.get(vm);
-        heard.is_some_and(|heard| now.duration_since(heard.at) < SILENCE_MAX)
+        heard.is_some_and(|heard| now.duration_since(heard.at) < silence_max)
     };
     !first_in_order(&others, target)
         .take(rank)
@@ -151,12 +172,13 @@
 
 fn supply(app: &app::App, manifest: id::Digest) -> ledger::Supply {
     let now = app.clock.now();
+    let silence_max = silence_max(app);
     let mut supply = ledger::Supply::default();
     if let Some(own) = app.transfers.progress_of(manifest) {
         supply.add(receiver(app, app.me.clone(), app.incarnation, own));
     }
     for (vm, heard) in lock(&app.heard).iter() {
-        let is_live = now.duration_since(heard.at) < SILENCE_MAX;
+        let is_live = now.duration_since(heard.at) < silence_max;
         if is_live && heard.progress.manifest == manifest {
             let progress = heard.progress.clone();
             supply.add(receiver(app, vm.clone(), heard.incarnation, progress));
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -40,7 +40,7 @@
 pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
     tokio::spawn(pull(app.clone(), stop.clone()));
     let mut logged_at = app.clock.now();
-    let mut sampled_at = logged_at;
+    let mut calls = Calls::new(logged_at);
     let mut pause = EVERY;
     while wait(&app, &stop, pause).await {
         pause = EVERY;
@@ -57,16 +57,10 @@
         if is_open && target.version == newest.version {
             grants::extend(&app, &target).await;
         }
-        let sample_is_due = app.clock.now().duration_since(sampled_at) >= EVERY;
-        if has_begun(&app, &target) || sample_is_due {
-            sampled_at = app.clock.now();
-            call_others(&app, &target, FANOUT);
-        } else {
-            call_others(&app, &target, 0);
-        }
         if !has_begun(&app, &target) {
             pause = OPENING_EVERY;
         }
+        calls.make_due(&app, &target);
         if app.clock.now().duration_since(logged_at) >= LOG_EVERY {
             logged_at = app.clock.now();
             log_progress(&app, &target);
@@ -293,20 +287,58 @@
     );
 }
 
-/// Calls a sample of the other agents, and those that make grants.
-fn call_others(app: &sync::Arc<app::App>, target: &sync::Arc<app::Target>, sample_size: usize) {
-    let others = app.others.load_full();
-    let all: Vec<_> = others.iter().collect();
-    let drawn = all.sample(&mut rand::rng(), sample_size).copied();
-    let mut called: indexmap::IndexMap<_, _> = drawn.collect();
-    called.extend(grants::first_in_order(&others, target).take(GRANTORS));
-    for (vm, address) in called {
-        let (app, target) = (app.clone(), target.clone());
-        let (vm, address) = (vm.clone(), *address);
-        tokio::spawn(async move { call(&app, &target, &vm, address).await });
+/// When others were called last.
+#[derive(Debug)]
+struct Calls {
+    sampled_at: time::Instant,
+    grantors_at: time::Instant,
+}
+
+impl Calls {
+    const fn new(now: time::Instant) -> Self {
+        Self {
+            sampled_at: now,
+            grantors_at: now,
+        }
+    }
+
+    /// Calls a sample of the other agents, and those that make grants, as far as they are due.
+    fn make_due(&mut self, app: &sync::Arc<app::App>, target: &sync::Arc<app::Target>) {
+        let now = app.clock.now();
+        let others = app.others.load_full();
+        let mut called = indexmap::IndexMap::new();
+        if now.duration_since(self.sampled_at) >= EVERY {
+            self.sampled_at = now;
+            let all: Vec<_> = others.iter().collect();
+            called.extend(all.sample(&mut rand::rng(), FANOUT).copied());
+        }
+        if now.duration_since(self.grantors_at) >= grants::call_interval(others.len()) {
+            self.grantors_at = now;
+            called.extend(grants::first_in_order(&others, target).take(GRANTORS));
+        }
+        for (vm, address) in called {
+            spawn_call(app, target, vm, *address);
+        }
     }
 }
 
+/// Calls another agent, unless a call to it is under way: one whose link is full gets no more.
+fn spawn_call(
+    app: &sync::Arc<app::App>,
+    target: &sync::Arc<app::Target>,
+    vm: &id::VmId,
+    address: net::SocketAddr,
+) {
+    if !lock(&app.calling).insert(vm.clone()) {
+        return;
+    }
+    let (app, target, vm) = (app.clone(), target.clone(), vm.clone());
+    tokio::spawn(async move {
+        call(&app, &target, &vm, address).await;
+        lock(&app.calling).swap_remove(&vm);
+    });
+}
+
 fn request(app: &app::App, target: &app::Target) -> direct::SwarmRequest {
     let manifest = app.manifest(&(target.model.clone(), target.version));
     let progress = manifest.and_then(|one| app.transfers.progress_of(one.digest()));
