Say no more that a route is missing while another entry has a newer configuration

Change: entries tell each other which version they have in force, with each heartbeat; one that is behind answers 503. An answer tells of eight other entries at most, in place of all.

--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -94,6 +94,8 @@
     pub kinds: ArcSwap<IndexMap<String, sync::Arc<direct::KindSnapshot>>>,
     /// Since when the configuration can't be followed; `None` while it can.
     pub store_lost_at: ArcSwapOption<time::Instant>,
+    /// The newest version of the configuration that another entry had in force.
+    heard_configuration: atomic::AtomicU64,
     /// Counters and latencies.
     pub metrics: StatsdClient,
     /// Where they are kept.
@@ -136,6 +138,7 @@
             peers: ArcSwap::default(),
             kinds: ArcSwap::default(),
             store_lost_at: ArcSwapOption::empty(),
+            heard_configuration: atomic::AtomicU64::new(0),
             waits_ms: ArcSwap::default(),
             pressures: ArcSwap::default(),
             budgets: ArcSwap::default(),
@@ -158,11 +161,28 @@
         u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// Returns whether what is known may be older than what is in force.
+    /// Returns the version of the configuration in force; 0 while there is none.
+    #[must_use]
+    pub fn configuration(&self) -> u64 {
+        let table = self.table.load();
+        table.as_ref().map_or(0, |table| table.version.get())
+    }
+
+    /// Takes in which version of the configuration another entry has in force.
+    pub fn record_configuration(&self, version: u64) {
+        let ordering = atomic::Ordering::Relaxed;
+        self.heard_configuration.fetch_max(version, ordering);
+    }
+
+    /// Returns whether what is known may be older than what is in force: a large configuration can
+    /// take seconds to come, while other entries have it.
     #[must_use]
     pub fn is_stale(&self) -> bool {
+        let heard = self.heard_configuration.load(atomic::Ordering::Relaxed);
         let lost_at = self.store_lost_at.load_full();
-        lost_at.is_some_and(|lost_at| self.clock.now().duration_since(*lost_at) > STALE_AFTER)
+        heard > self.configuration()
+            || lost_at
+                .is_some_and(|lost_at| self.clock.now().duration_since(*lost_at) > STALE_AFTER)
     }
 
     /// Returns whether the entry is leaving.
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -17,6 +17,8 @@
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Entries called in each round; with more of them, each hears of the others through these.
 const FANOUT: usize = 6;
+/// Other entries that an answer tells of.
+const KNOWN_MAX: usize = 8;
 /// An entry that was silent for this long is left out of the directory.
 const SILENCE_MAX: time::Duration = time::Duration::from_millis(2_500);
 const MESSAGE_MAX_BYTES: usize = 8 << 20;
@@ -113,6 +115,7 @@
     };
     let request = direct::PeerRequest {
         peer: app.peer_state(),
+        configuration: app.configuration(),
         wanted,
     };
     let sent = app
@@ -127,6 +130,7 @@
         }
     };
     record(&app, &reply.peer, time::Duration::ZERO);
+    app.record_configuration(reply.configuration);
     for known in &reply.known {
         record(&app, &known.peer, time::Duration::from_millis(known.age_ms));
     }
@@ -202,6 +206,7 @@
         Err(error) => return server::respond_text(error.status(), &error.to_string()),
     };
     record(&app, &request.peer, time::Duration::ZERO);
+    app.record_configuration(request.configuration);
     let known = app.kinds.load();
     let newer = |(name, revision): (&String, &u64)| {
         let snapshot = known.get(name)?;
@@ -210,6 +215,7 @@
     };
     let reply = direct::PeerReply {
         peer: app.peer_state(),
+        configuration: app.configuration(),
         known: known_peers(&app),
         kinds: request.wanted.iter().filter_map(newer).collect(),
     };
@@ -222,5 +228,8 @@
         peer: peer.state.clone(),
         age_ms: u64::try_from(now.duration_since(peer.heard_at).as_millis()).unwrap_or(u64::MAX),
     };
-    app.peers.load().values().map(known).collect()
+    let peers = app.peers.load();
+    let all: Vec<_> = peers.values().collect();
+    let told = all.sample(&mut rand::rng(), KNOWN_MAX).copied();
+    told.map(known).collect()
 }
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -73,6 +73,8 @@
 pub struct PeerRequest {
     /// Who asks.
     pub peer: PeerState,
+    /// The version of the configuration that the asker has in force; 0 while it has none.
+    pub configuration: u64,
     /// The revisions below which the asker wants whole kinds, by kind.
     pub wanted: IndexMap<String, u64>,
 }
@@ -106,7 +108,9 @@
 pub struct PeerReply {
     /// Who answers.
     pub peer: PeerState,
-    /// Other entries that the answerer knows, so that a new one finds them.
+    /// The version of the configuration that the answerer has in force; 0 while it has none.
+    pub configuration: u64,
+    /// Some of the other entries that the answerer knows, so that a new one finds them.
     pub known: Vec<KnownPeer>,
     /// The wanted kinds that the answerer knows at a later revision.
     pub kinds: IndexMap<String, KindSnapshot>,
