--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -58,8 +58,17 @@
     pub at: time::Instant,
 }
 
+/// Another agent of the same service.
+#[derive(Clone, Copy, Debug)]
+pub struct Other {
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Whether it is in the same failure domain.
+    pub is_near: bool,
+}
+
 /// Other agents of the same service.
-pub type Others = IndexMap<id::VmId, net::SocketAddr>;
+pub type Others = IndexMap<id::VmId, Other>;
 
 /// A version of a model.
 pub type Version = (String, u64);
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -133,12 +133,15 @@
 
 fn apply_upstreams(app: &app::App, listed: &[upstreams::Upstream]) {
     let vms = upstreams::service_vms(listed, &app.settings.service);
-    let agent = |vm: &net::IpAddr| {
-        let address = net::SocketAddr::new(*vm, app.settings.peers.port());
-        (app::vm_of(*vm), address)
-    };
     // Those that leave make no grants and get none, so they are not among the others.
-    let mut others: app::Others = vms.staying.iter().map(agent).collect();
+    let mut others = app::Others::new();
+    for (vm, failure_domain) in vms.staying {
+        let other = app::Other {
+            address: net::SocketAddr::new(vm, app.settings.peers.port()),
+            is_near: failure_domain == app.settings.failure_domain.as_str(),
+        };
+        others.insert(app::vm_of(vm), other);
+    }
     others.shift_remove(&app.me);
     app.others.store(sync::Arc::new(others));
     let leaving = vms.leaving.iter().map(|vm| app::vm_of(*vm)).collect();
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -3,7 +3,7 @@
 //! The agent that comes first in the order of a version makes the grants. The record is changed
 //! under its revision only, so two agents that both take themselves for the first can't exceed it.
 
-use std::{net, sync, time};
+use std::{sync, time};
 
 use pimentohook_core::{
     burst::{self, ledger},
@@ -53,7 +53,7 @@
 pub fn first_in_order<'a>(
     others: &'a app::Others,
     target: &app::Target,
-) -> impl Iterator<Item = (&'a id::VmId, &'a net::SocketAddr)> + use<'a> {
+) -> impl Iterator<Item = (&'a id::VmId, &'a app::Other)> + use<'a> {
     let key = format!("{} {}", target.model, target.version);
     let mut order: Vec<_> = others.iter().collect();
     order.sort_by_cached_key(|(vm, _)| std::cmp::Reverse(id::rendezvous_score(&key, vm.as_str())));
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -24,7 +24,10 @@
 const OPENING_EVERY: time::Duration = time::Duration::from_millis(40);
 const LOG_EVERY: time::Duration = time::Duration::from_secs(1);
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(600);
-const FANOUT: usize = 7;
+/// Others called in each round. Chunks come from the own failure domain as far as they can, and
+/// links between failure domains are narrow.
+const FANOUT_NEAR: usize = 5;
+const FANOUT_FAR: usize = 2;
 /// Those first in the order are told always, since one of them makes grants.
 const GRANTORS: usize = 2;
 const OPEN_EARLY: usize = 3;
@@ -309,15 +312,16 @@
         let mut called = indexmap::IndexMap::new();
         if now.duration_since(self.sampled_at) >= EVERY {
             self.sampled_at = now;
-            let all: Vec<_> = others.iter().collect();
-            called.extend(all.sample(&mut rand::rng(), FANOUT).copied());
+            let (near, far): (Vec<_>, Vec<_>) = others.iter().partition(|(_, one)| one.is_near);
+            called.extend(near.sample(&mut rand::rng(), FANOUT_NEAR).copied());
+            called.extend(far.sample(&mut rand::rng(), FANOUT_FAR).copied());
         }
         if now.duration_since(self.grantors_at) >= grants::call_interval(others.len()) {
             self.grantors_at = now;
             called.extend(grants::first_in_order(&others, target).take(GRANTORS));
         }
-        for (vm, address) in called {
-            spawn_call(app, target, vm, *address);
+        for (vm, other) in called {
+            spawn_call(app, target, vm, other.address);
         }
     }
 }
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -51,8 +51,8 @@
 /// The VMs of a service, by whether they stay.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServiceVms {
-    /// Those with an instance that takes new requests.
-    pub staying: IndexSet<net::IpAddr>,
+    /// Those with an instance that takes new requests, with their failure domains.
+    pub staying: IndexMap<net::IpAddr, String>,
     /// Those whose instances all leave.
     pub leaving: IndexSet<net::IpAddr>,
 }
@@ -64,8 +64,9 @@
 pub fn service_vms(listed: &[Upstream], service: &id::ServiceName) -> ServiceVms {
     let of_service = || listed.iter().filter(|one| one.service == *service);
     let ready = of_service().filter(|one| one.state == State::Ready);
-    let staying: IndexSet<_> = ready.map(|one| one.address.ip()).collect();
+    let place = |one: &Upstream| (one.address.ip(), one.failure_domain.clone());
+    let staying: IndexMap<_, _> = ready.map(place).collect();
     let all = of_service().map(|one| one.address.ip());
-    let leaving = all.filter(|vm| !staying.contains(vm)).collect();
+    let leaving = all.filter(|vm| !staying.contains_key(vm)).collect();
     ServiceVms { staying, leaving }
 }
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -42,7 +42,9 @@
         .collect();
     let service = "drafts".parse().expect("a name");
     let found = upstreams::service_vms(&listed, &service);
-    assert_eq!(found.staying, vms(staying));
+    let found_staying: IndexSet<_> = found.staying.keys().copied().collect();
+    assert_eq!(found_staying, vms(staying));
+    assert!(found.staying.values().all(|domain| domain == "north"));
     assert_eq!(found.leaving, vms(leaving));
     let other = "other".parse().expect("a name");
     let found = upstreams::service_vms(&listed, &other);
