Split the agent's transfers and swarm into files of one job each

Ruled out: a change of behaviour; the code is moved, and one query is named. Change: transfer/pull.rs and transfer/give.rs beside transfer.rs, follow.rs for the own mode, direct/gossip.rs for what agents tell each other.

--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod app;
 pub mod feed;
+pub mod gossip;
 pub mod grants;
 pub mod loader;
 pub mod place;
@@ -80,7 +81,7 @@
             .to_new_handler(server::endpoint(app, place::answer));
         route
             .post(direct::SWARM_PATH)
-            .to_new_handler(server::endpoint(app, swarm::answer));
+            .to_new_handler(server::endpoint(app, gossip::answer));
         route
             .post(direct::CHUNK_PATH)
             .to_new_handler(server::endpoint(&app.transfers, transfer::give));
--- /dev/null
+++ b/crates/agent/src/follow.rs
@@ -0,0 +1,112 @@
+//! Weights in the product's own mode: the set that the configuration names, from a store of weights.
+
+use std::{sync, time};
+
+use pimentohook_core::{
+    burst::{activation, manifest},
+    id, intent,
+};
+use pimentohook_platform::weights;
+use pimentohook_runtime::process;
+
+use crate::{
+    app::{self, lock},
+    transfer,
+};
+
+const OPEN_MAX: usize = 3;
+const MANIFEST_RETRY: time::Duration = time::Duration::from_millis(300);
+
+/// Follows the configuration and pulls what it names, until the agent stops.
+pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
+    while !stop.is_set() {
+        if let Some(target) = target(&app)
+            && !app.transfers.aim(target.manifest)
+            && !begin(&app, &target).await
+        {
+            stop.sleep(MANIFEST_RETRY).await;
+            continue;
+        }
+        app.transfers.pull_once(&stop).await;
+    }
+}
+
+fn target(app: &app::App) -> Option<intent::WeightsRef> {
+    let config = app.config.load();
+    config.services.get(&app.service())?.weights.clone()
+}
+
+/// Reads the manifest of weights and opens a set for them; false where that failed.
+async fn begin(app: &app::App, target: &intent::WeightsRef) -> bool {
+    let Some(store) = &app.store else {
+        return false;
+    };
+    let manifest = match store.manifest(&target.version).await {
+        Ok(manifest) => manifest,
+        Err(error) => {
+            log::warn!("transfer: {error}.");
+            return false;
+        }
+    };
+    if let Err(error) = manifest.check_named(target.manifest) {
+        log::error!("transfer: {error}.");
+        return false;
+    }
+    let serving = lock(&app.activation).serving();
+    let content = content(store, manifest, target.manifest, app.settings.stall_max);
+    app.transfers
+        .open(content, serving.map(|weights| weights.manifest));
+    true
+}
+
+fn content(
+    store: &weights::StoreClient,
+    manifest: manifest::Manifest,
+    digest: id::Digest,
+    stall_max: time::Duration,
+) -> transfer::Content {
+    let chunk_bytes = usize::try_from(manifest.chunk_bytes.get()).unwrap_or(usize::MAX);
+    let store = store.clone();
+    let version = manifest.version.clone();
+    let weights = activation::WeightsId {
+        manifest: digest,
+        content: manifest.content,
+    };
+    transfer::Content {
+        weights,
+        version: version.to_string(),
+        chunk_count: manifest.chunk_count(),
+        chunk_bytes,
+        open_max: OPEN_MAX,
+        verifies: Box::new(move |chunk, bytes| manifest.verifies(chunk, bytes)),
+        pull_origin: Box::new(move |chunk| {
+            let (store, version) = (store.clone(), version.clone());
+            Box::pin(async move {
+                // The origin serves many at once, so a chunk of its waits longer than one of a peer.
+                let pulled = store
+                    .chunk(&version, chunk, chunk_bytes, stall_max * 4)
+                    .await;
+                pulled.map_err(|error| transfer::OriginFault {
+                    reached: error.may_have_sent(),
+                    reason: error.to_string(),
+                })
+            })
+        }),
+    }
+}
+
+/// Returns the sets of weights that the agent can name by their content.
+#[must_use]
+pub fn known_weights(app: &app::App) -> Vec<activation::WeightsId> {
+    let config = app.config.load();
+    let service = app.service();
+    let configured = config.allowed_weights(&service).into_iter();
+    let mut known: Vec<_> = configured
+        .map(|weights| activation::WeightsId {
+            manifest: weights.manifest,
+            content: weights.content,
+        })
+        .collect();
+    known.extend(app.transfers.known_weights());
+    known
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,12 +5,14 @@
 //! * [`dispatch`] and [`answers`]: requests, and answers kept until they are passed on.
 //! * [`heartbeat`]: what it tells entries, and learns from them.
 //! * [`transfer`]: weights pulled and passed on.
+//! * [`follow`]: which weights those are, in the mode with agents on the path.
 //! * [`orders`]: weights brought into service.
 
 pub mod answers;
 pub mod app;
 pub mod direct;
 pub mod dispatch;
+pub mod follow;
 pub mod heartbeat;
 pub mod orders;
 pub mod settings;
@@ -94,7 +96,7 @@
         tokio::spawn(heartbeat::run(app.clone(), entry, stop.clone()));
     }
     if app.settings.kind == settings::UpstreamKind::Engine {
-        tokio::spawn(transfer::run(app.clone(), stop.clone()));
+        tokio::spawn(follow::run(app.clone(), stop.clone()));
         tokio::spawn(orders::run(app.clone(), stop.clone()));
     }
     log::info!("agent: {} listens on {address}.", app.settings.vm);
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     app::{self, lock},
-    transfer,
+    follow,
 };
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
@@ -54,7 +54,7 @@
 }
 
 async fn read_back(app: &app::App) {
-    let known = transfer::known_weights(app);
+    let known = follow::known_weights(app);
     let content = match app.engine.status().await {
         Ok(status) => status.weights,
         Err(error) => {
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -2,26 +2,24 @@
 //!
 //! Few sets are held, among them the one in service and the one that is wanted. What is held whole stays for machines that join later, so that they need nothing from the origin.
 
-use std::{fmt, net, sync, time};
+mod give;
+mod pull;
+
+use std::{fmt, sync, time};
 
 use bytes::Bytes;
-use futures_util::{StreamExt as _, future, stream};
-use gotham::helpers::http::Body;
-use http_body_util::{BodyExt as _, StreamBody};
-use hyper::{Response, StatusCode, body};
+use futures_util::future;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    burst::{self, activation, chunks, giver, manifest, receiver},
-    clock, id, intent, size,
+    burst::{self, activation, chunks, giver, receiver},
+    clock, id, size,
 };
-use pimentohook_platform::weights;
-use pimentohook_runtime::{client, pacer, process, server};
-use pimentohook_wire::{frames, messages};
+use pimentohook_runtime::{client, pacer, process};
 use tokio::sync::Notify;
 
-use crate::app::{self, lock};
+pub use self::give::give;
+use crate::app::lock;
 
-const OPEN_MAX: usize = 3;
 const PEERS_MAX: usize = 32;
 const BUSY_PAUSE: time::Duration = time::Duration::from_millis(30);
 const FAULT_PAUSE: time::Duration = time::Duration::from_secs(1);
@@ -30,10 +28,6 @@
 /// After it the chunk may have been granted to somebody else.
 const GRANT_LIFE: time::Duration = time::Duration::from_millis(1_400);
 const IDLE_POLL: time::Duration = time::Duration::from_millis(20);
-const MANIFEST_RETRY: time::Duration = time::Duration::from_millis(300);
-const MESSAGE_MAX_BYTES: usize = 1 << 16;
-/// Small pieces keep the queue at the link short for the messages that share it.
-const PIECE_BYTES: usize = 8 << 10;
 
 /// A chunk on its way from the origin.
 pub type OriginPull = future::BoxFuture<'static, Result<Bytes, OriginFault>>;
@@ -313,84 +307,6 @@
     }
 }
 
-/// Follows the configuration and pulls what it names, until the agent stops.
-pub async fn run(app: sync::Arc<app::App>, stop: process::Stop) {
-    while !stop.is_set() {
-        if let Some(target) = target(&app)
-            && !app.transfers.aim(target.manifest)
-            && !begin(&app, &target).await
-        {
-            stop.sleep(MANIFEST_RETRY).await;
-            continue;
-        }
-        app.transfers.pull_once(&stop).await;
-    }
-}
-
-fn target(app: &app::App) -> Option<intent::WeightsRef> {
-    let config = app.config.load();
-    config.services.get(&app.service())?.weights.clone()
-}
-
-/// Reads the manifest of weights and opens a set for them; false where that failed.
-async fn begin(app: &app::App, target: &intent::WeightsRef) -> bool {
-    let Some(store) = &app.store else {
-        return false;
-    };
-    let manifest = match store.manifest(&target.version).await {
-        Ok(manifest) => manifest,
-        Err(error) => {
-            log::warn!("transfer: {error}.");
-            return false;
-        }
-    };
-    if let Err(error) = manifest.check_named(target.manifest) {
-        log::error!("transfer: {error}.");
-        return false;
-    }
-    let serving = lock(&app.activation).serving();
-    let content = content(store, manifest, target.manifest, app.settings.stall_max);
-    app.transfers
-        .open(content, serving.map(|weights| weights.manifest));
-    true
-}
-
-fn content(
-    store: &weights::StoreClient,
-    manifest: manifest::Manifest,
-    digest: id::Digest,
-    stall_max: time::Duration,
-) -> Content {
-    let chunk_bytes = usize::try_from(manifest.chunk_bytes.get()).unwrap_or(usize::MAX);
-    let store = store.clone();
-    let version = manifest.version.clone();
-    let weights = activation::WeightsId {
-        manifest: digest,
-        content: manifest.content,
-    };
-    Content {
-        weights,
-        version: version.to_string(),
-        chunk_count: manifest.chunk_count(),
-        chunk_bytes,
-        open_max: OPEN_MAX,
-        verifies: Box::new(move |chunk, bytes| manifest.verifies(chunk, bytes)),
-        pull_origin: Box::new(move |chunk| {
-            let (store, version) = (store.clone(), version.clone());
-            Box::pin(async move {
-                // The origin serves many at once, so a chunk of its waits longer than one of a peer.
-                let pulled = store
-                    .chunk(&version, chunk, chunk_bytes, stall_max * 4)
-                    .await;
-                pulled.map_err(|error| OriginFault {
-                    reached: error.may_have_sent(),
-                    reason: error.to_string(),
-                })
-            })
-        }),
-    }
-}
-
 impl Transfers {
     async fn pace_incoming(&self, bytes: &Bytes) {
         if let Some(incoming) = &self.incoming {
@@ -400,7 +316,7 @@
 
     /// Starts the pulls that are due and waits until more may be.
     pub async fn pull_once(self: &sync::Arc<Self>, stop: &process::Stop) {
-        start_pulls(self);
+        pull::start_due(self);
         tokio::select! {
             () = self.changed.notified() => {}
             _ = stop.sleep(IDLE_POLL) => {}
@@ -408,281 +324,6 @@
     }
 }
 
-fn start_pulls(transfers: &sync::Arc<Transfers>) {
-    let mut sets = lock(&transfers.sets);
-    let Some((digest, set)) = sets.last_mut() else {
-        return;
-    };
-    let now = transfers.link.clock.now();
-    while let Some(fetch) = set.receiver.start_next(now, &mut rand::rng()) {
-        let address = match &fetch.source {
-            receiver::Source::Origin => None,
-            receiver::Source::Peer(vm) => set.receiver.peer_address(vm),
-        };
-        let pull = Pull {
-            digest: *digest,
-            content: set.content.clone(),
-            fetch,
-            address,
-        };
-        tokio::spawn(pull.run(transfers.clone()));
-    }
-}
-
-/// One chunk on its way in.
-struct Pull {
-    digest: id::Digest,
-    content: sync::Arc<Content>,
-    fetch: receiver::Fetch,
-    address: Option<net::SocketAddr>,
-}
-
-impl Pull {
-    async fn run(self, transfers: sync::Arc<Transfers>) {
-        let pulled = match (&self.fetch.source, self.address) {
-            (receiver::Source::Origin, _) => self.pull_origin(&transfers).await,
-            (receiver::Source::Peer(vm), Some(address)) => {
-                self.pull_peer(&transfers, vm, address).await
-            }
-            (receiver::Source::Peer(_), None) => Err(receiver::FetchFailure::Stalled),
-        };
-        let verified = pulled.and_then(|bytes| {
-            if (self.content.verifies)(self.fetch.chunk, &bytes) {
-                Ok(bytes)
-            } else {
-                log::warn!("transfer: chunk {} came corrupt.", self.fetch.chunk);
-                Err(receiver::FetchFailure::Corrupt)
-            }
-        });
-        self.settle(&transfers, verified);
-        transfers.changed.notify_one();
-    }
-
-    fn settle(&self, transfers: &Transfers, verified: Result<Bytes, receiver::FetchFailure>) {
-        let mut sets = lock(&transfers.sets);
-        // The set is gone where the configuration has moved on; the bytes are of no use then.
-        let Some(set) = sets.get_mut(&self.digest) else {
-            return;
-        };
-        if !matches!(verified, Err(receiver::FetchFailure::Denied(_))) {
-            set.giver.record_received();
-        }
-        match verified {
-            Ok(bytes) => {
-                if let Some(slot) = set.chunks.get_mut(self.fetch.chunk as usize) {
-                    *slot = Some(bytes);
-                }
-                set.receiver.record_verified(&self.fetch);
-                set.progressed_at = Some(transfers.link.clock.now());
-                if set.receiver.is_complete() {
-                    (transfers.link.on_whole)();
-                    log::info!("transfer: {} is whole.", self.content.version);
-                }
-            }
-            Err(failure) => {
-                set.receiver
-                    .record_failure(transfers.link.clock.now(), &self.fetch, failure);
-            }
-        }
-    }
-
-    async fn pull_origin(&self, transfers: &Transfers) -> Result<Bytes, receiver::FetchFailure> {
-        match (self.content.pull_origin)(self.fetch.chunk).await {
-            Ok(bytes) => {
-                transfers.pace_incoming(&bytes).await;
-                Ok(bytes)
-            }
-            Err(fault) => {
-                log::warn!(
-                    "transfer: chunk {} did not come: {}.",
-                    self.fetch.chunk,
-                    fault.reason
-                );
-                Err(if fault.reached {
-                    receiver::FetchFailure::Stalled
-                } else {
-                    receiver::FetchFailure::Unreached
-                })
-            }
-        }
-    }
-
-    async fn pull_peer(
-        &self,
-        transfers: &Transfers,
-        vm: &id::VmId,
-        address: net::SocketAddr,
-    ) -> Result<Bytes, receiver::FetchFailure> {
-        let request = messages::ChunkRequest {
-            manifest: self.digest,
-            chunk: self.fetch.chunk,
-            overdraft: self.fetch.overdraft,
-        };
-        let stalled = |_| receiver::FetchFailure::Stalled;
-        let request = client::message_request(address, "/v1/chunks", &request).map_err(stalled)?;
-        let stall_max = transfers.link.stall_max;
-        let sent = transfers
-            .link
-            .client
-            .send(address, request, stall_max)
-            .await;
-        let response = sent.map_err(stalled)?;
-        if response.status() != StatusCode::OK {
-            return Err(receiver::FetchFailure::Denied(giver::Denial::NotHeld));
-        }
-        let mut body = response.into_body();
-        let mut decoder = frames::Decoder::new();
-        let mut content = Vec::new();
-        let mut reply: Option<messages::ChunkReply> = None;
-        while let Some(bytes) = next_piece(&mut body, stall_max).await? {
-            transfers.pace_incoming(&bytes).await;
-            if reply.is_some() {
-                content.extend_from_slice(&bytes);
-            } else {
-                decoder.push(&bytes);
-                reply = decoder
-                    .try_next()
-                    .map_err(|_| receiver::FetchFailure::Corrupt)?;
-                if reply.is_some() {
-                    content.extend_from_slice(&decoder.take_rest());
-                }
-            }
-            if content.len() > self.content.chunk_bytes {
-                return Err(receiver::FetchFailure::Corrupt);
-            }
-        }
-        let reply = reply.ok_or(receiver::FetchFailure::Stalled)?;
-        self.note_giver(transfers, vm, &reply);
-        match reply.denial {
-            Some(denial) => Err(receiver::FetchFailure::Denied(denial)),
-            None => Ok(Bytes::from(content)),
-        }
-    }
-
-    /// What a giver says of itself is newer than any heartbeat.
-    fn note_giver(&self, transfers: &Transfers, vm: &id::VmId, reply: &messages::ChunkReply) {
-        if let Some(set) = lock(&transfers.sets).get_mut(&self.digest) {
-            set.receiver
-                .record_progress(vm, &reply.held, reply.given_count);
-        }
-    }
-}
-
 fn size_of(bytes: &Bytes) -> size::ByteCount {
     size::ByteCount::new(bytes.len() as u64)
 }
-
-/// Returns the next piece of a body; `None` at its clean end.
-async fn next_piece(
-    body: &mut body::Incoming,
-    stall_max: time::Duration,
-) -> Result<Option<Bytes>, receiver::FetchFailure> {
-    loop {
-        let frame = tokio::time::timeout(stall_max, body.frame()).await;
-        match frame {
-            Ok(None) => return Ok(None),
-            Ok(Some(Ok(frame))) => {
-                if let Ok(bytes) = frame.into_data() {
-                    return Ok(Some(bytes));
-                }
-            }
-            Ok(Some(Err(_))) | Err(_) => return Err(receiver::FetchFailure::Stalled),
-        }
-    }
-}
-
-/// Handles a peer's request for a chunk.
-pub async fn give(transfers: sync::Arc<Transfers>, call: server::Call) -> Response<Body> {
-    let request: messages::ChunkRequest = match call.read_message(MESSAGE_MAX_BYTES).await {
-        Ok(request) => request,
-        Err(error) => return server::respond_text(error.status(), &error.to_string()),
-    };
-    let mut sets = lock(&transfers.sets);
-    let Some(set) = sets.get_mut(&request.manifest) else {
-        return server::respond_text(StatusCode::NOT_FOUND, "no such manifest here");
-    };
-    let held = set.receiver.held().clone();
-    let started = set.giver.try_start(
-        transfers.link.clock.now(),
-        &held,
-        request.chunk,
-        request.overdraft,
-    );
-    let reply = messages::ChunkReply {
-        denial: started.err(),
-        held,
-        given_count: set.giver.given_count(),
-    };
-    let chunk = set.chunks.get(request.chunk as usize).cloned().flatten();
-    drop(sets);
-    let Ok(header) = frames::to_framed(&reply) else {
-        return server::respond_text(StatusCode::INTERNAL_SERVER_ERROR, "can't encode");
-    };
-    match chunk {
-        Some(bytes) if reply.denial.is_none() => {
-            let upload = Upload {
-                transfers,
-                manifest: request.manifest,
-                header: Some(header),
-                rest: bytes,
-            };
-            upload.into_response()
-        }
-        _ => server::respond(StatusCode::OK, pimentohook_wire::CONTENT_TYPE, header),
-    }
-}
-
-/// One chunk on its way out; its slot is given back when it is dropped.
-struct Upload {
-    transfers: sync::Arc<Transfers>,
-    manifest: id::Digest,
-    header: Option<Bytes>,
-    rest: Bytes,
-}
-
-impl Drop for Upload {
-    fn drop(&mut self) {
-        if let Some(set) = lock(&self.transfers.sets).get_mut(&self.manifest) {
-            set.giver.stop();
-        }
-    }
-}
-
-impl Upload {
-    fn into_response(self) -> Response<Body> {
-        let pieces = stream::unfold(self, |mut upload| async move {
-            let piece = upload.next_piece().await?;
-            Some((piece, upload))
-        });
-        let frames = pieces.map(|piece| Ok::<_, std::io::Error>(body::Frame::data(piece)));
-        Response::new(StreamBody::new(frames).boxed_unsync())
-    }
-
-    async fn next_piece(&mut self) -> Option<Bytes> {
-        if let Some(header) = self.header.take() {
-            return Some(header);
-        }
-        if self.rest.is_empty() {
-            return None;
-        }
-        let piece = self.rest.split_to(self.rest.len().min(PIECE_BYTES));
-        self.transfers.outgoing.pass(size_of(&piece)).await;
-        Some(piece)
-    }
-}
-
-/// Returns the sets of weights that the agent can name by their content.
-#[must_use]
-pub fn known_weights(app: &app::App) -> Vec<activation::WeightsId> {
-    let config = app.config.load();
-    let service = app.service();
-    let configured = config.allowed_weights(&service).into_iter();
-    let mut known: Vec<_> = configured
-        .map(|weights| activation::WeightsId {
-            manifest: weights.manifest,
-            content: weights.content,
-        })
-        .collect();
-    known.extend(app.transfers.known_weights());
-    known
-}
--- /dev/null
+++ b/crates/agent/src/transfer/give.rs
@@ -0,0 +1,99 @@
+//! Chunks on their way out, to other agents.
+
+use std::sync;
+
+use bytes::Bytes;
+use futures_util::{StreamExt as _, stream};
+use gotham::helpers::http::Body;
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::{Response, StatusCode, body};
+use pimentohook_core::id;
+use pimentohook_runtime::server;
+use pimentohook_wire::{frames, messages};
+
+use super::{Transfers, size_of};
+use crate::app::lock;
+
+const MESSAGE_MAX_BYTES: usize = 1 << 16;
+/// Small pieces keep the queue at the link short for the messages that share it.
+const PIECE_BYTES: usize = 8 << 10;
+
+/// Handles a peer's request for a chunk.
+pub async fn give(transfers: sync::Arc<Transfers>, call: server::Call) -> Response<Body> {
+    let request: messages::ChunkRequest = match call.read_message(MESSAGE_MAX_BYTES).await {
+        Ok(request) => request,
+        Err(error) => return server::respond_text(error.status(), &error.to_string()),
+    };
+    let mut sets = lock(&transfers.sets);
+    let Some(set) = sets.get_mut(&request.manifest) else {
+        return server::respond_text(StatusCode::NOT_FOUND, "no such manifest here");
+    };
+    let held = set.receiver.held().clone();
+    let started = set.giver.try_start(
+        transfers.link.clock.now(),
+        &held,
+        request.chunk,
+        request.overdraft,
+    );
+    let reply = messages::ChunkReply {
+        denial: started.err(),
+        held,
+        given_count: set.giver.given_count(),
+    };
+    let chunk = set.chunks.get(request.chunk as usize).cloned().flatten();
+    drop(sets);
+    let Ok(header) = frames::to_framed(&reply) else {
+        return server::respond_text(StatusCode::INTERNAL_SERVER_ERROR, "can't encode");
+    };
+    match chunk {
+        Some(bytes) if reply.denial.is_none() => {
+            let upload = Upload {
+                transfers,
+                manifest: request.manifest,
+                header: Some(header),
+                rest: bytes,
+            };
+            upload.into_response()
+        }
+        _ => server::respond(StatusCode::OK, pimentohook_wire::CONTENT_TYPE, header),
+    }
+}
+
+/// One chunk on its way out; its slot is given back when it is dropped.
+struct Upload {
+    transfers: sync::Arc<Transfers>,
+    manifest: id::Digest,
+    header: Option<Bytes>,
+    rest: Bytes,
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        if let Some(set) = lock(&self.transfers.sets).get_mut(&self.manifest) {
+            set.giver.stop();
+        }
+    }
+}
+
+impl Upload {
+    fn into_response(self) -> Response<Body> {
+        let pieces = stream::unfold(self, |mut upload| async move {
+            let piece = upload.next_piece().await?;
+            Some((piece, upload))
+        });
+        let frames = pieces.map(|piece| Ok::<_, std::io::Error>(body::Frame::data(piece)));
+        Response::new(StreamBody::new(frames).boxed_unsync())
+    }
+
+    async fn next_piece(&mut self) -> Option<Bytes> {
+        if let Some(header) = self.header.take() {
+            return Some(header);
+        }
+        if self.rest.is_empty() {
+            return None;
+        }
+        let piece = self.rest.split_to(self.rest.len().min(PIECE_BYTES));
+        self.transfers.outgoing.pass(size_of(&piece)).await;
+        Some(piece)
+    }
+}
