Name what is held of a version and the grants used once

Cause: reading the change: what is held of a version was looked up in two steps in two places, used grants were bare pairs beside a type for them, a function stood between constants, and a test wrote the engine's report twice. Ruled out: a change of behaviour; no check, bound or expectation is touched. Change: app::App::held; GrantId for used grants; constants together; one report in core/tests/overload.rs.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -6,7 +6,7 @@
 use cadence::StatsdClient;
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{
-    burst::{self, giver, ledger},
+    burst::{self, chunks, giver, ledger},
     clock, engine, gate, id,
 };
 use pimentohook_platform::{origin, runner, store};
@@ -210,6 +210,13 @@
         lock(&self.manifests).get(version).cloned()
     }
 
+    /// Returns what is held of a version, if its manifest is known.
+    #[must_use]
+    pub fn held(&self, target: &Target) -> Option<chunks::ChunkSet> {
+        let manifest = self.manifest(&(target.model.clone(), target.version))?;
+        self.transfers.held_of(manifest.digest())
+    }
+
     /// Keeps a manifest; the oldest one goes.
     pub fn keep_manifest(&self, manifest: origin::Manifest) -> sync::Arc<origin::Manifest> {
         let version = (manifest.model.clone(), manifest.version);
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -32,6 +32,11 @@
 /// makes grants carries those of all.
 const CALL_EVERY_PER_AGENT: time::Duration = time::Duration::from_millis(3);
 
+/// How long the first grants wait until some agents were heard, so that they are spread.
+const GATHER_MAX: time::Duration = time::Duration::from_millis(400);
+/// How long the first in the order may be unheard before the next one makes grants.
+const TAKE_OVER_AFTER: time::Duration = time::Duration::from_millis(500);
+
 /// Returns how often an agent calls those that make grants, beside `other_count` others.
 #[must_use]
 pub fn call_interval(other_count: usize) -> time::Duration {
@@ -44,10 +49,6 @@
     let interval = call_interval(app.others.load().len());
     SILENCE_MAX.max(interval * SILENT_INTERVALS)
 }
-/// How long the first grants wait until some agents were heard, so that they are spread.
-const GATHER_MAX: time::Duration = time::Duration::from_millis(400);
-/// How long the first in the order may be unheard before the next one makes grants.
-const TAKE_OVER_AFTER: time::Duration = time::Duration::from_millis(500);
 
 /// Returns other agents in the order of a version, the first ones first.
 pub fn first_in_order<'a>(
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -68,9 +68,7 @@
 
 /// Returns whether a chunk of a version is here.
 fn has_begun(app: &app::App, target: &app::Target) -> bool {
-    let manifest = app.manifest(&(target.model.clone(), target.version));
-    let held = manifest.and_then(|manifest| app.transfers.held_of(manifest.digest()));
-    held.is_some_and(|held| !held.is_empty())
+    app.held(target).is_some_and(|held| !held.is_empty())
 }
 
 /// Returns the version to pull now.
@@ -78,8 +76,7 @@
     let named = app.named.load();
     let now = app.clock.now();
     let underway = |one: &app::Target| {
-        let manifest = app.manifest(&(one.model.clone(), one.version));
-        let held = manifest.and_then(|manifest| app.transfers.held_of(manifest.digest()));
+        let held = app.held(one);
         rollover::Underway {
             version: one.version,
             age: now.duration_since(one.since),
--- a/crates/core/src/burst/receiver.rs
+++ b/crates/core/src/burst/receiver.rs
@@ -110,7 +110,7 @@
     open: chunks::ChunkSet,
     peers: IndexMap<id::VmId, Peer>,
     grants: IndexMap<u32, Permit>,
-    used_grants: IndexSet<(u32, u32)>,
+    used_grants: IndexSet<GrantId>,
     failed_grants: Vec<GrantId>,
     open_count: usize,
     /// When a peer was first found spent since the last chunk came.
@@ -205,7 +205,7 @@
     ///
     /// The same grant said again changes nothing, so each is used at most once.
     pub fn record_grant(&mut self, now: time::Instant, chunk: u32, serial: u32) {
-        if self.used_grants.insert((chunk, serial)) && !self.held.contains(chunk) {
+        if self.used_grants.insert(GrantId { chunk, serial }) && !self.held.contains(chunk) {
             let permit = Permit {
                 serial,
                 granted_at: now,
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -27,6 +27,14 @@
     }
 }
 
+fn report(active_count: u32) -> gate::EngineReport {
+    gate::EngineReport {
+        weights: IndexMap::from([(String::from(MODEL), 1)]),
+        active_count,
+        queued_count: 0,
+    }
+}
+
 /// What callers got in the played time.
 #[derive(Debug, Default)]
 struct Tally {
@@ -48,12 +56,7 @@
         let now = start + Duration::from_millis(tick * TICK_MS);
         running.retain(|ends| *ends > tick);
         let active_count = u32::try_from(running.len()).expect("few requests");
-        let report = gate::EngineReport {
-            weights: IndexMap::from([(String::from(MODEL), 1)]),
-            active_count,
-            queued_count: 0,
-        };
-        gate.record_report(now, report);
+        gate.record_report(now, report(active_count));
         let (due, later): (Vec<u64>, Vec<u64>) = back.iter().partition(|at| **at <= tick);
         back = later;
         arrivals += fresh_per_s * TICK_MS;
@@ -113,12 +116,7 @@
 fn a_late_request_takes_only_spare_slots(#[case] active_count: u32, #[case] expected: bool) {
     let now = Instant::now();
     let mut gate = gate::Gate::new(now);
-    let report = gate::EngineReport {
-        weights: IndexMap::from([(String::from(MODEL), 1)]),
-        active_count,
-        queued_count: 0,
-    };
-    gate.record_report(now, report);
+    gate.record_report(now, report(active_count));
     let ask = gate::Ask {
         model: MODEL,
         prompt_tokens: 700,
