Say how many bytes each read of the store took, and for how long

The logs said when a configuration came into force, but not whether its bytes waited at a full link or nothing came at all, so two of the hypotheses of the incident could not be told apart. Entries and agents now log and count the bytes of each list and each change by kind, with the time from head to end; an entry also counts what other entries send it, and says at a rejection which version and which loss of the store decided. No decision changes.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -166,7 +166,7 @@
             metrics: kept.client("pimentohook.agent"),
             kept,
             runner: runner::Runner::new(settings.engine, outside.clone()),
-            store: store::Store::new(settings.object_store, outside.clone()),
+            store: store::Store::new(settings.object_store, outside.clone(), clock.clone()),
             origin: origin::Origin::new(local),
             transfers: sync::Arc::new(transfer::Transfers::new(link)),
             gate: sync::Mutex::new(gate::Gate::new(clock.now())),
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use pimentohook_core::{routes, upstreams};
 use pimentohook_platform::{decode, store};
+use pimentohook_runtime::metrics;
 use pimentohook_wire::direct;
 use tokio::time as tokio_time;
 
@@ -81,7 +82,17 @@
                 store::Freshness::MayBeStale
             };
             match app.store.list(kind, freshness).await {
-                Ok(listing) => apply(&app, kind, &by_name(listing.objects)),
+                Ok(listing) => {
+                    let cost = listing.cost;
+                    log::info!(
+                        "feed: event=listed kind={kind} bytes={} transfer_ms={}",
+                        cost.body_bytes,
+                        cost.transfer.as_millis()
+                    );
+                    let name = format!("read_bytes_store_{kind}");
+                    metrics::Kept::add(&app.metrics, &name, cost.body_bytes);
+                    apply(&app, kind, &by_name(listing.objects));
+                }
                 Err(error) => log::warn!("feed: event=store_lost kind={kind} error={error:?}"),
             }
         }
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -129,7 +129,7 @@
         Self {
             metrics: kept.client("pimentohook.entry"),
             kept,
-            store: store::Store::new(settings.object_store, store_client),
+            store: store::Store::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::new(local),
             own: client::Client::new(local),
             table: ArcSwapOption::empty(),
@@ -154,6 +154,12 @@
         metrics::Kept::count(&self.metrics, event);
     }
 
+    /// Counts the bytes of a kind of objects that came from a place.
+    pub fn count_read(&self, place: &str, kind: store::Kind, body_bytes: usize) {
+        let name = format!("read_bytes_{place}_{kind}");
+        metrics::Kept::add(&self.metrics, &name, body_bytes);
+    }
+
     /// Returns the milliseconds since the entry started.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
@@ -174,15 +180,21 @@
         self.heard_configuration.fetch_max(version, ordering);
     }
 
+    /// Returns for how long the configuration could not be followed; zero while it can.
+    #[must_use]
+    pub fn store_lost_for(&self) -> time::Duration {
+        let lost_at = self.store_lost_at.load_full();
+        lost_at.map_or(time::Duration::ZERO, |lost_at| {
+            self.clock.now().duration_since(*lost_at)
+        })
+    }
+
     /// Returns whether what is known may be older than what is in force: a large configuration can
     /// take seconds to come, while other entries have it.
     #[must_use]
     pub fn is_stale(&self) -> bool {
         let heard = self.heard_configuration.load(atomic::Ordering::Relaxed);
-        let lost_at = self.store_lost_at.load_full();
-        heard > self.configuration()
-            || lost_at
-                .is_some_and(|lost_at| self.clock.now().duration_since(*lost_at) > STALE_AFTER)
+        heard > self.configuration() || self.store_lost_for() > STALE_AFTER
     }
 
     /// Returns whether the entry is leaving.
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -45,10 +45,13 @@
             Ok(listing) => {
                 pause = RETRY_MIN;
                 log::info!(
-                    "feed: event=listed kind={kind} revision={} objects={}",
+                    "feed: event=listed kind={kind} revision={} objects={} bytes={} transfer_ms={}",
                     listing.revision,
-                    listing.objects.len()
+                    listing.objects.len(),
+                    listing.cost.body_bytes,
+                    listing.cost.transfer.as_millis()
                 );
+                app.count_read("store", kind, listing.cost.body_bytes);
                 watch(&app, kind, listing).await
             }
             Err(error) => error,
@@ -74,7 +77,17 @@
             Err(error) => return error,
         };
         revision = changes.revision;
+        app.count_read("store", kind, changes.cost.body_bytes);
         let is_changed = !changes.changes.is_empty();
+        if is_changed {
+            log::info!(
+                "feed: event=changed kind={kind} revision={revision} changes={} bytes={} \
+                 transfer_ms={}",
+                changes.changes.len(),
+                changes.cost.body_bytes,
+                changes.cost.transfer.as_millis()
+            );
+        }
         for change in changes.changes {
             if change.removed {
                 objects.shift_remove(&change.object.name);
@@ -129,13 +142,16 @@
 
 /// Takes in a kind that a peer knows at a later revision.
 pub fn take_from_peer(app: &app::App, kind: store::Kind, snapshot: direct::KindSnapshot) {
+    let body_bytes = snapshot.objects.iter().map(|one| one.2.len()).sum();
+    app.count_read("peers", kind, body_bytes);
     let known = app.kinds.load();
     let known_revision = known.get(&kind.to_string()).map_or(0, |one| one.revision);
     if snapshot.revision <= known_revision {
         return;
     }
     log::info!(
-        "feed: event=taken_from_peer kind={kind} revision={} known={known_revision}",
+        "feed: event=taken_from_peer kind={kind} revision={} known={known_revision} \
+         bytes={body_bytes}",
         snapshot.revision
     );
     let objects: Objects = snapshot
@@ -180,9 +196,11 @@
             continue;
         }
         log::info!(
-            "feed: event=configuration_in_force version={} before={}",
+            "feed: event=configuration_in_force version={} before={} revision={} bytes={}",
             table.version,
-            known.unwrap_or_default()
+            known.unwrap_or_default(),
+            object.revision,
+            object.content.len()
         );
         app.table.store(Some(sync::Arc::new(table)));
     }
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -105,9 +105,12 @@
         Err((id, rejected)) => {
             app.count("rejected");
             log::info!(
-                "proxy: event=rejected request={id} status={} reason={}",
+                "proxy: event=rejected request={id} status={} reason={} configuration={} \
+                 store_lost_ms={}",
                 rejected.status.as_u16(),
-                rejected.reason
+                rejected.reason,
+                app.configuration(),
+                app.store_lost_for().as_millis()
             );
             refusal(rejected.status, rejected.retry_after, rejected.reason)
         }
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use crate::server;
 use cadence::{
-    BufferedUdpMetricSink, CountedExt as _, NopMetricSink, QueuingMetricSink, StatsdClient,
+    BufferedUdpMetricSink, Counted as _, NopMetricSink, QueuingMetricSink, StatsdClient,
 };
 use gotham::helpers::http::Body;
 use hdrhistogram::Histogram;
@@ -91,8 +91,14 @@
 
     /// Counts an event with a client of these values.
     pub fn count(client: &StatsdClient, event: &str) {
-        if let Err(error) = client.incr(event) {
-            log::debug!("metrics: event=not_kept name={event} error={error:?}");
+        Self::add(client, event, 1);
+    }
+
+    /// Adds to a counter with a client of these values.
+    pub fn add(client: &StatsdClient, name: &str, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        if let Err(error) = client.count(name, count) {
+            log::debug!("metrics: event=not_kept name={name} error={error:?}");
         }
     }
 
