Let two entries of a region follow the store, and the others follow them

Cause: each entry read each changed configuration (225 KB) whole for itself, and one that heard of a newer one asked six others at once, every half second, for all that it follows. Between two regions there are 27 Mbit/s; a change waited behind copies of itself.

Reads of the configuration came to 20 to 45 Mbit/s into a region. Ruled out: a cut watch (no entry had lost the store then), entries that are turned away (none were), and an older version after a restart (versions only rose).

Change: `core::relay` orders the sources of an entry: the two entries of its region with the best links follow the store, the others follow these, and turn to the store where both fail or know nothing new; then to others. `core::collection` passes on only what changed. Knowledge has an age that counts from the store's word over whatever hops, so a connection that is merely silent grows old; an entry denies a route or a key only on knowledge younger than the grace of a configuration. Heartbeats carry no objects any more. A property test found that a removal, remembered at the end of a batch, took away an object that was back already; the test of that name is kept.

Agents still read the whole configuration again and again; that is the next change.

--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -3,7 +3,7 @@
 use std::{net, sync, sync::atomic, time};
 
 use indexmap::IndexMap;
-use pimentohook_core::{routes, upstreams};
+use pimentohook_core::{collection, routes, upstreams};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::metrics;
 use pimentohook_wire::direct;
@@ -23,9 +23,9 @@
     tokio::spawn(refresh(app.clone()));
 }
 
-type Objects = IndexMap<String, store::Object>;
+type Objects = IndexMap<String, collection::Object>;
 
-fn by_name(objects: Vec<store::Object>) -> Objects {
+fn by_name(objects: Vec<collection::Object>) -> Objects {
     let named = objects.into_iter().map(|one| (one.name.clone(), one));
     named.collect()
 }
@@ -160,7 +160,7 @@
 }
 
 fn apply_entries(app: &app::App, objects: &Objects) {
-    let address = |object: &store::Object| {
+    let address = |object: &collection::Object| {
         let state: Result<direct::PeerState, _> = serde_json::from_str(&object.content);
         match state {
             Ok(state) => Some(state.peers),
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -7,7 +7,7 @@
 
 use pimentohook_core::{
     burst::{self, ledger},
-    id,
+    collection, id,
 };
 use pimentohook_platform::store;
 
@@ -151,7 +151,7 @@
     Ok(())
 }
 
-fn read(object: &store::Object) -> Option<ledger::Ledger> {
+fn read(object: &collection::Object) -> Option<ledger::Ledger> {
     match serde_json::from_str(&object.content) {
         Ok(ledger) => Some(ledger),
         Err(error) => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`pressure`]: when callers that were refused come back.
 //! * [`leaving`]: what a process that was told to stop still takes.
 //! * [`rollover`]: when engines change to a newer version of weights.
+//! * [`collection`], [`relay`]: copies of what the platform keeps, and from whom they come.
 //! * [`membership`]: which agents an entry knows, and how old that knowledge is.
 //! * [`routing`]: which agent gets a request, and what may be done when that fails.
 //! * [`admission`]: whether a request starts at an agent, and the proof that it did not.
@@ -26,6 +27,7 @@
 pub mod answer;
 pub mod burst;
 pub mod clock;
+pub mod collection;
 pub mod engine;
 pub mod gate;
 pub mod id;
@@ -35,6 +37,7 @@
 pub mod limits;
 pub mod membership;
 pub mod pressure;
+pub mod relay;
 pub mod report;
 pub mod rollover;
 pub mod routes;
--- /dev/null
+++ b/crates/core/src/relay.rs
@@ -0,0 +1,121 @@
+//! From whom an entry learns what the platform keeps.
+//!
+//! Links between regions are narrow, so few entries of a region, its relays, follow the platform's
+//! store, and the others follow them. Nobody is elected: each entry orders those that it knows, and
+//! turns to the next [`Source`] when one fails or knows nothing new. How old knowledge is counts
+//! from the store's word, whatever way it came, so that entries that only follow each other notice.
+//!
+//! ```
+//! use pimentohook_core::{relay, size};
+//!
+//! let me = relay::Member {
+//!     name: String::from("entry-1"),
+//!     region: String::from("jylland"),
+//!     link_rate: size::ByteRate::new(5_000_000),
+//! };
+//! assert_eq!(relay::order(&me, true, &[]), [relay::Source::Store]);
+//! ```
+
+use std::{cmp, time};
+
+use indexmap::IndexMap;
+
+use crate::{id, size};
+
+/// Relays of a region; the second one is there for the loss of the first.
+const RELAYS: usize = 2;
+/// Entries that are no relays and are asked where neither the relays nor the store can be.
+const OTHERS_MAX: usize = 4;
+const PAUSE_MIN: time::Duration = time::Duration::from_millis(150);
+const PAUSE_MAX: time::Duration = time::Duration::from_millis(2_400);
+
+/// An entry that may be a relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Its region.
+    pub region: String,
+    /// What its link carries.
+    pub link_rate: size::ByteRate,
+}
+
+/// From where knowledge comes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// The platform's store.
+    Store,
+    /// Another entry, by name.
+    Entry(String),
+}
+
+/// Returns from whom `me` learns, the first choice first; `others` are the entries that live.
+///
+/// An entry that may not relay itself does not know yet who else lives.
+#[must_use]
+pub fn order(me: &Member, may_relay: bool, others: &[Member]) -> Vec<Source> {
+    let of_region = others.iter().filter(|one| one.region == me.region);
+    let mut candidates: Vec<&Member> = of_region.collect();
+    candidates.extend(may_relay.then_some(me));
+    candidates.sort_by_cached_key(|one| {
+        let score = id::rendezvous_score(&me.region, &one.name);
+        cmp::Reverse((one.link_rate, score))
+    });
+    candidates.truncate(RELAYS);
+    let is_relay = candidates.contains(&me);
+    let mut relays: Vec<&Member> = candidates.into_iter().filter(|one| *one != me).collect();
+    sort_for(me, &mut relays);
+    let is_other = |one: &&Member| !relays.contains(one);
+    let mut rest: Vec<&Member> = others.iter().filter(is_other).collect();
+    sort_for(me, &mut rest);
+    rest.sort_by_key(|one| one.region != me.region);
+    let entry = |one: &&Member| Source::Entry(one.name.clone());
+    let mut sources: Vec<Source> = relays.iter().map(entry).collect();
+    let place = if is_relay { 0 } else { sources.len() };
+    sources.insert(place, Source::Store);
+    sources.extend(rest.iter().take(OTHERS_MAX).map(entry));
+    sources
+}
+
+/// Orders entries so that those that choose among them spread evenly.
+fn sort_for(me: &Member, members: &mut [&Member]) {
+    members.sort_by_cached_key(|one| id::rendezvous_score(&me.name, &one.name));
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    until: time::Instant,
+    pause: time::Duration,
+}
+
+/// The sources that failed, each left out for a while that grows.
+#[derive(Clone, Debug, Default)]
+pub struct Failures {
+    by_source: IndexMap<Source, Failure>,
+}
+
+impl Failures {
+    /// Takes in that a source failed.
+    pub fn record_failure(&mut self, source: &Source, now: time::Instant) {
+        let before = self.by_source.get(source);
+        let pause = before.map_or(PAUSE_MIN, |before| (before.pause * 2).min(PAUSE_MAX));
+        let until = now + pause;
+        self.by_source
+            .insert(source.clone(), Failure { until, pause });
+    }
+
+    /// Takes in that a source answered with what is known now.
+    pub fn record_success(&mut self, source: &Source) {
+        self.by_source.swap_remove(source);
+    }
+
+    /// Returns the first source of an order that is not left out.
+    #[must_use]
+    pub fn first_usable<'a>(&self, order: &'a [Source], now: time::Instant) -> Option<&'a Source> {
+        let is_usable = |source: &&Source| {
+            let failure = self.by_source.get(*source);
+            failure.is_none_or(|failure| failure.until <= now)
+        };
+        order.iter().find(is_usable)
+    }
+}
--- a/crates/core/src/size.rs
+++ b/crates/core/src/size.rs
@@ -71,6 +71,8 @@
     }
 }
 
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 /// A rate in bytes per second.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -85,6 +87,19 @@
         Self(bytes_per_s)
     }
 
+    /// Returns the rate of a link, which is told in megabits per second; `None` for one that is no
+    /// positive number.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "positive, and a cast of larger floats saturates"
+    )]
+    #[must_use]
+    pub fn from_megabits(megabits_per_s: f64) -> Option<Self> {
+        let is_rate = megabits_per_s.is_finite() && megabits_per_s > 0.0;
+        is_rate.then_some(Self((megabits_per_s * BYTES_PER_MEGABIT) as u64))
+    }
+
     /// Returns the number of bytes per second.
     #[must_use]
     pub const fn get(self) -> u64 {
--- /dev/null
+++ b/crates/core/tests/collection.rs
@@ -0,0 +1,118 @@
+//! Copies of collections that follow each other by deltas.
+
+use pimentohook_core::collection::{Change, Collection, Object};
+use proptest::prelude::*;
+
+fn object(name: &str, revision: u64) -> Object {
+    Object {
+        name: String::from(name),
+        revision,
+        content: format!("{name} at {revision}"),
+    }
+}
+
+fn change(name: &str, revision: u64, removed: bool) -> Change {
+    Change {
+        object: object(name, revision),
+        removed,
+    }
+}
+
+fn names(collection: &Collection) -> Vec<(&str, u64)> {
+    let mut names: Vec<_> = collection
+        .objects()
+        .values()
+        .map(|one| (one.name.as_str(), one.revision))
+        .collect();
+    names.sort_unstable();
+    names
+}
+
+#[test]
+fn a_list_older_than_what_is_known_changes_nothing() {
+    let mut known = Collection::default();
+    assert!(known.replace(9, vec![object("a", 8)]));
+    assert!(!known.replace(7, vec![object("a", 3), object("b", 2)]));
+    assert_eq!(names(&known), [("a", 8)]);
+    assert_eq!(known.revision(), 9);
+}
+
+#[test]
+fn an_object_removed_and_created_again_is_there() {
+    let mut relay = Collection::default();
+    relay.replace(5, vec![object("a", 4)]);
+    let mut follower = relay.clone();
+    relay.apply(9, vec![change("a", 4, true), change("a", 8, false)]);
+    assert!(follower.merge(relay.since(follower.revision())));
+    assert_eq!(names(&follower), [("a", 8)]);
+}
+
+#[test]
+fn an_object_that_was_back_before_a_relay_heard_of_its_removal_stays() {
+    let mut late = Collection::default();
+    late.replace(1, vec![object("a", 1)]);
+    let mut follower = late.clone();
+    follower.apply(4, vec![change("a", 1, true), change("a", 4, false)]);
+    late.apply(5, vec![change("a", 1, true), change("a", 4, false)]);
+    follower.merge(late.since(follower.revision()));
+    assert_eq!(names(&follower), [("a", 4)]);
+}
+
+#[test]
+fn an_object_that_a_list_lacks_is_told_as_removed() {
+    let mut relay = Collection::default();
+    relay.replace(5, vec![object("a", 4), object("b", 3)]);
+    let mut follower = relay.clone();
+    relay.replace(12, vec![object("a", 4)]);
+    let delta = relay.since(5);
+    assert!(!delta.is_whole);
+    assert_eq!(delta.removed, ["b"]);
+    assert!(follower.merge(delta));
+    assert_eq!(names(&follower), [("a", 4)]);
+}
+
+#[test]
+fn an_unchanged_collection_costs_no_objects() {
+    let mut relay = Collection::default();
+    relay.replace(5, vec![object("a", 4)]);
+    relay.apply(50, Vec::new());
+    assert!(relay.since(5).is_empty());
+    assert_eq!(relay.since(5).revision, 50);
+}
+
+proptest! {
+    /// Whatever happens, a follower that merges deltas of either of two relays at any time, some of
+    /// them late, ends with what the store has.
+    #[test]
+    fn followers_of_changing_relays_converge(
+        events in prop::collection::vec((0_u8..6, any::<bool>(), 0_u8..8), 1..120)
+    ) {
+        let mut store = Collection::default();
+        store.replace(1, Vec::new());
+        let mut relays = [store.clone(), store.clone()];
+        let mut follower = Collection::default();
+        let mut revision = 1;
+        let mut unheard: [Vec<Change>; 2] = [Vec::new(), Vec::new()];
+        for (name, removed, action) in events {
+            revision += 1;
+            let event = change(&format!("object-{name}"), revision, removed);
+            store.apply(revision, vec![event.clone()]);
+            for changes in &mut unheard {
+                changes.push(event.clone());
+            }
+            for (index, relay) in relays.iter_mut().enumerate() {
+                if action >> index & 1 == 1 {
+                    relay.apply(revision, std::mem::take(&mut unheard[index]));
+                }
+            }
+            let source = &relays[usize::from(action >> 2 & 1)];
+            follower.merge(source.since(follower.revision()));
+            prop_assert!(follower.revision() <= store.revision());
+        }
+        for (relay, changes) in relays.iter_mut().zip(unheard) {
+            relay.apply(revision, changes);
+            follower.merge(relay.since(follower.revision()));
+        }
+        prop_assert_eq!(names(&follower), names(&store));
+    }
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -10,7 +10,9 @@
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
 
-use super::settings;
+use strum::IntoEnumIterator as _;
+
+use super::{known, settings};
 
 /// What an entry knows of one upstream beside the list.
 #[derive(Debug, Default)]
@@ -90,10 +92,7 @@
     pub wanted: ArcSwap<IndexMap<String, Vec<Wanted>>>,
     /// The other entries, by name.
     pub peers: ArcSwap<IndexMap<String, Peer>>,
-    /// The kinds of objects as last read.
-    pub kinds: ArcSwap<IndexMap<String, sync::Arc<direct::KindSnapshot>>>,
-    /// Since when the configuration can't be followed; `None` while it can.
-    pub store_lost_at: ArcSwapOption<time::Instant>,
+    known: IndexMap<store::Kind, known::Known>,
     /// The newest version of the configuration that another entry had in force.
     heard_configuration: atomic::AtomicU64,
     /// Counters and latencies.
@@ -114,9 +113,11 @@
     }
 }
 
-/// After the store was lost for this long without word from a peer, an entry no longer says that a
-/// route or a key does not exist.
-const STALE_AFTER: time::Duration = time::Duration::from_millis(1_500);
+/// The part of the grace of a configuration, in hundredths, after which an entry that heard nothing
+/// no longer says that a route or a key does not exist.
+const STALE_PERCENT: u32 = 85;
+/// An entry that has run for this long knows the others of its region.
+const SETTLED_AFTER: time::Duration = time::Duration::from_secs(2);
 
 impl App {
     /// Creates the shared state of an entry that knows nothing yet.
@@ -136,8 +137,9 @@
             candidates: ArcSwap::default(),
             wanted: ArcSwap::default(),
             peers: ArcSwap::default(),
-            kinds: ArcSwap::default(),
-            store_lost_at: ArcSwapOption::empty(),
+            known: store::Kind::iter()
+                .map(|kind| (kind, known::Known::default()))
+                .collect(),
             heard_configuration: atomic::AtomicU64::new(0),
             waits_ms: ArcSwap::default(),
             pressures: ArcSwap::default(),
@@ -180,13 +182,23 @@
         self.heard_configuration.fetch_max(version, ordering);
     }
 
-    /// Returns for how long the configuration could not be followed; zero while it can.
+    /// Returns what is known of a kind of objects.
+    #[must_use]
+    pub fn known(&self, kind: store::Kind) -> &known::Known {
+        &self.known[&kind]
+    }
+
+    /// Returns whether the entry knows the others well enough to be a relay of its region.
+    #[must_use]
+    pub fn may_relay(&self) -> bool {
+        self.clock.now().duration_since(self.started_at) >= SETTLED_AFTER
+    }
+
+    /// Returns for how long the store has not confirmed the configuration; `None` where it never
+    /// did.
     #[must_use]
-    pub fn store_lost_for(&self) -> time::Duration {
-        let lost_at = self.store_lost_at.load_full();
-        lost_at.map_or(time::Duration::ZERO, |lost_at| {
-            self.clock.now().duration_since(*lost_at)
-        })
+    pub fn configuration_age(&self) -> Option<time::Duration> {
+        self.known(store::Kind::Configuration).age(self.clock.now())
     }
 
     /// Returns whether what is known may be older than what is in force: a large configuration can
@@ -194,7 +206,9 @@
     #[must_use]
     pub fn is_stale(&self) -> bool {
         let heard = self.heard_configuration.load(atomic::Ordering::Relaxed);
-        heard > self.configuration() || self.store_lost_for() > STALE_AFTER
+        let stale_after = self.settings.configuration_grace * STALE_PERCENT / 100;
+        let age = self.configuration_age();
+        heard > self.configuration() || age.is_none_or(|age| age > stale_after)
     }
 
     /// Returns whether the entry is leaving.
@@ -233,6 +247,8 @@
         direct::PeerState {
             entry: self.settings.entry.clone(),
             failure_domain: self.settings.failure_domain.clone(),
+            region: self.settings.region.clone(),
+            link_rate: self.settings.link_rate,
             callers: self.settings.callers,
             peers: self.settings.peers,
             ready: self.is_ready(),
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -4,7 +4,8 @@
 //! they did not run a request.
 //!
 //! * [`settings`] and [`app`]: what the entry is told, and what its parts share.
-//! * [`feed`]: configuration, upstreams and named weights, from the store or from peers.
+//! * [`feed`] and [`known`]: configuration, upstreams and named weights, from the store or from
+//!   other entries.
 //! * [`proxy`], [`attempt`], [`stream`]: a request from its caller to an upstream and back.
 //! * [`placement`]: which upstream gets a request.
 //! * [`directory`] and [`peers`]: where callers connect, and the other entries.
@@ -13,6 +14,7 @@
 pub mod attempt;
 pub mod directory;
 pub mod feed;
+pub mod known;
 pub mod peers;
 pub mod placement;
 pub mod proxy;
@@ -118,6 +120,9 @@
         route
             .post(direct::PEER_PATH)
             .to_new_handler(server::endpoint(app, peers::answer));
+        route
+            .post(direct::FOLLOW_PATH)
+            .to_new_handler(server::endpoint(app, feed::answer));
         route
             .post(direct::NOTICE_PATH)
             .to_new_handler(server::endpoint(app, placement::notice));
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom as _;
 use tokio::time as tokio_time;
 
-use super::{app, feed};
+use super::app;
 
 const HEARTBEAT_EVERY: time::Duration = time::Duration::from_millis(500);
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
@@ -21,7 +21,7 @@
 const KNOWN_MAX: usize = 8;
 /// An entry that was silent for this long is left out of the directory.
 const SILENCE_MAX: time::Duration = time::Duration::from_millis(2_500);
-const MESSAGE_MAX_BYTES: usize = 8 << 20;
+const MESSAGE_MAX_BYTES: usize = 1 << 16;
 
 /// Keeps in touch with the other entries until the process ends.
 pub async fn run(app: sync::Arc<app::App>) {
@@ -88,15 +88,14 @@
 /// Returns whom to call: some of the entries that are registered, known or seeds.
 fn targets(app: &app::App) -> Vec<std::net::SocketAddr> {
     let mut addresses = indexmap::IndexSet::new();
-    if let Some(registered) = app.kinds.load().get(&store::Kind::Entries.to_string()) {
-        for (name, _, content) in &registered.objects {
-            match serde_json::from_str::<direct::PeerState>(content) {
-                Ok(state) => {
-                    addresses.insert(state.peers);
-                }
-                Err(error) => {
-                    log::debug!("peers: event=entry_unreadable name={name} error={error:?}");
-                }
+    let registered = app.known(store::Kind::Entries).collection();
+    for (name, object) in registered.objects() {
+        match serde_json::from_str::<direct::PeerState>(&object.content) {
+            Ok(state) => {
+                addresses.insert(state.peers);
+            }
+            Err(error) => {
+                log::debug!("peers: event=entry_unreadable name={name} error={error:?}");
             }
         }
     }
@@ -108,15 +107,9 @@
 }
 
 async fn call(app: sync::Arc<app::App>, address: std::net::SocketAddr) {
-    let wanted = if app.is_stale() || app.table.load().is_none() {
-        wanted(&app)
-    } else {
-        IndexMap::new()
-    };
     let request = direct::PeerRequest {
         peer: app.peer_state(),
         configuration: app.configuration(),
-        wanted,
     };
     let sent = app
         .own
@@ -134,21 +127,6 @@
     for known in &reply.known {
         record(&app, &known.peer, time::Duration::from_millis(known.age_ms));
     }
-    for (name, snapshot) in reply.kinds {
-        match feed::FOLLOWED.iter().find(|kind| kind.to_string() == name) {
-            Some(kind) => feed::take_from_peer(&app, *kind, snapshot),
-            None => log::warn!("peers: event=unknown_kind kind={name}"),
-        }
-    }
-}
-
-fn wanted(app: &app::App) -> IndexMap<String, u64> {
-    let kinds = app.kinds.load();
-    let revision = |kind: &store::Kind| kinds.get(&kind.to_string()).map_or(0, |one| one.revision);
-    feed::FOLLOWED
-        .iter()
-        .map(|kind| (kind.to_string(), revision(kind)))
-        .collect()
 }
 
 /// Takes in what an entry said of itself `age` ago, unless something newer is known.
@@ -207,17 +185,10 @@
     };
     record(&app, &request.peer, time::Duration::ZERO);
     app.record_configuration(request.configuration);
-    let known = app.kinds.load();
-    let newer = |(name, revision): (&String, &u64)| {
-        let snapshot = known.get(name)?;
-        (snapshot.revision > *revision)
-            .then(|| (name.clone(), direct::KindSnapshot::clone(snapshot)))
-    };
     let reply = direct::PeerReply {
         peer: app.peer_state(),
         configuration: app.configuration(),
         known: known_peers(&app),
-        kinds: request.wanted.iter().filter_map(newer).collect(),
     };
     server::respond_message(&reply)
 }
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -106,11 +106,11 @@
             app.count("rejected");
             log::info!(
                 "proxy: event=rejected request={id} status={} reason={} configuration={} \
-                 store_lost_ms={}",
+                 configuration_age_ms={:?}",
                 rejected.status.as_u16(),
                 rejected.reason,
                 app.configuration(),
-                app.store_lost_for().as_millis()
+                app.configuration_age().map(|age| age.as_millis())
             );
             refusal(rejected.status, rejected.retry_after, rejected.reason)
         }
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net, path, time};
 
+use pimentohook_core::size;
 use pimentohook_runtime::settings;
 
 use crate::settings as agents;
@@ -56,6 +57,10 @@
     pub entry: String,
     /// Its failure domain.
     pub failure_domain: String,
+    /// Its region; links between regions are narrow.
+    pub region: String,
+    /// What its link carries; zero where that is not known.
+    pub link_rate: size::ByteRate,
     /// Where it takes callers' requests.
     pub callers: net::SocketAddr,
     /// Where it says whether it is ready.
@@ -78,6 +83,8 @@
     pub end: time::Duration,
     /// How long a caller's connection may be idle.
     pub idle_timeout: time::Duration,
+    /// How long after a change of the configuration an earlier one may decide.
+    pub configuration_grace: time::Duration,
     /// How long after a version of weights was named requests may begin on an earlier one.
     pub weights_grace: time::Duration,
     /// Retries, as a share of requests in hundredths.
@@ -90,6 +97,7 @@
     pub log_level: String,
 }
 
+const CONFIGURATION_GRACE_MS: u64 = 2_000;
 const WEIGHTS_GRACE_MS: u64 = 8_000;
 const KEEP_MS: u64 = 2_000;
 const LEAVE_MS: u64 = 4_500;
@@ -109,6 +117,8 @@
     pub fn check(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
         let entry = checker.required("entry", "a name");
         let failure_domain = checker.required("failure_domain", "a name");
+        let region = checker.optional("region", "a name");
+        let link_rate = link_rate(&mut checker);
         let callers = checker.required("callers", ADDRESS);
         let ready = checker.required("ready", ADDRESS);
         let directory = checker.required("directory", ADDRESS);
@@ -120,6 +130,11 @@
         let leave = checker.millis("leave_ms", LEAVE_MS, 0..=MINUTE_MS);
         let end = checker.millis("end_ms", END_MS, 0..=MINUTE_MS);
         let idle_timeout = checker.millis("idle_timeout_ms", IDLE_MS, 1_000..=10 * MINUTE_MS);
+        let configuration_grace = checker.millis(
+            "configuration_grace_ms",
+            CONFIGURATION_GRACE_MS,
+            0..=MINUTE_MS,
+        );
         let weights_grace = checker.millis("weights_grace_ms", WEIGHTS_GRACE_MS, 0..=MINUTE_MS);
         let retry_percent = checker.number("retry_percent", RETRY_PERCENT, 0..=100);
         let retry_burst = checker.number("retry_burst", RETRY_BURST, 0..=100_000);
@@ -135,6 +150,8 @@
         let parsed = (|| {
             Some(Self {
                 entry: entry?,
+                region: region.or_else(|| failure_domain.clone())?,
+                link_rate,
                 failure_domain: failure_domain?,
                 callers: callers?,
                 ready: ready?,
@@ -147,6 +164,7 @@
                 leave,
                 end,
                 idle_timeout,
+                configuration_grace,
                 weights_grace,
                 retry_percent,
                 retry_burst,
@@ -157,3 +175,15 @@
         checker.settle(parsed)
     }
 }
+
+fn link_rate(checker: &mut settings::Checker) -> size::ByteRate {
+    let allowed = "megabits per second, above 0";
+    let Some(link_mbps) = checker.optional::<f64>("link_mbps", allowed) else {
+        return size::ByteRate::default();
+    };
+    let rate = size::ByteRate::from_megabits(link_mbps);
+    if rate.is_none() {
+        checker.push("link_mbps", Some(link_mbps.to_string()), allowed);
+    }
+    rate.unwrap_or_default()
+}
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -107,6 +107,15 @@
     }
 }
 
+/// How long the parts of an exchange may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// From the start to the head of the response.
+    pub head: time::Duration,
+    /// From there to the end of its body.
+    pub body: time::Duration,
+}
+
 type Pool = legacy::Client<HttpConnector, Full<Bytes>>;
 
 /// The client.
@@ -225,6 +234,27 @@
         within(address, timeout, exchange).await
     }
 
+    /// Like [`Client::call`], for answers that take a while from their head to their end.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] where no message came back.
+    pub async fn call_large<Q, A>(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+        message: &Q,
+        timeouts: Timeouts,
+    ) -> Result<A, ClientError>
+    where
+        Q: Serialize,
+        A: de::DeserializeOwned,
+    {
+        let request = message_request(address, path, message)?;
+        let response = self.send(address, request, timeouts.head).await?;
+        within(address, timeouts.body, decode(address, response)).await
+    }
+
     /// Like [`Client::call`], on a connection made for this call.
     ///
     /// # Errors
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -1,6 +1,7 @@
 //! Messages of the direct mode, in which entries send requests to upstreams themselves.
 
 use indexmap::IndexMap;
+use pimentohook_core::{collection, size};
 use serde::{Deserialize, Serialize};
 
 /// Where agents take [`PlaceRequest`].
@@ -12,6 +13,9 @@
 /// Where entries take [`PeerRequest`].
 pub const PEER_PATH: &str = "/v1/direct/peer";
 
+/// Where entries take [`FollowRequest`].
+pub const FOLLOW_PATH: &str = "/v1/direct/follow";
+
 /// Where agents take [`SwarmRequest`].
 pub const SWARM_PATH: &str = "/v1/direct/swarm";
 
@@ -59,13 +63,24 @@
     pub open: bool,
 }
 
-/// One kind of the platform's objects, as an entry last read it.
+/// Asks an entry for what changed of a kind of the platform's objects.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct KindSnapshot {
-    /// The platform's revision at which it was read.
+pub struct FollowRequest {
+    /// The kind.
+    pub kind: String,
+    /// The revision that the asker has; 0 for none.
     pub revision: u64,
-    /// Name, revision and content of each object.
-    pub objects: Vec<(String, u64, String)>,
+    /// How long the answer may wait for a change, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// The answer to a [`FollowRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FollowReply {
+    /// What the asker lacks; empty where nothing changed in time.
+    pub delta: collection::Delta,
+    /// How long ago the platform's store confirmed it, in milliseconds; `None` where it never did.
+    pub age_ms: Option<u64>,
 }
 
 /// An entry's heartbeat to another one.
@@ -75,8 +90,6 @@
     pub peer: PeerState,
     /// The version of the configuration that the asker has in force; 0 while it has none.
     pub configuration: u64,
-    /// The revisions below which the asker wants whole kinds, by kind.
-    pub wanted: IndexMap<String, u64>,
 }
 
 /// What an entry says of itself.
@@ -86,6 +99,12 @@
     pub entry: String,
     /// Its failure domain.
     pub failure_domain: String,
+    /// Its region.
+    #[serde(default)]
+    pub region: String,
+    /// What its link carries.
+    #[serde(default)]
+    pub link_rate: size::ByteRate,
     /// Where it takes callers' requests.
     pub callers: std::net::SocketAddr,
     /// Where it takes messages of other processes.
@@ -112,8 +131,6 @@
     pub configuration: u64,
     /// Some of the other entries that the answerer knows, so that a new one finds them.
     pub known: Vec<KnownPeer>,
-    /// The wanted kinds that the answerer knows at a later revision.
-    pub kinds: IndexMap<String, KindSnapshot>,
 }
 
 /// An agent tells another one what it holds of a set of weights.
