Turn to the store right after a relay failed; relay for nobody before knowing the others

An entry waited for one relay and then for the other, 0.85 s each, and went round like this again and again with one look at the store in between. Now the store is asked right after another entry failed: `the_store_comes_between_two_relays_that_fail`.

Entries that start together: nobody counted itself as a relay in its first 2 s, but the others did, so they all followed each other until their knowledge was too old, and then all asked the store at once: five copies into a region instead of two, in four runs of four. Entries now say whether they have settled, and only settled ones are relays, for themselves and for others: `entries_that_start_together_follow_the_store_and_not_each_other`.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -12,8 +12,9 @@
 //!     name: String::from("entry-1"),
 //!     region: String::from("jylland"),
 //!     link_rate: size::ByteRate::new(5_000_000),
+//!     is_settled: true,
 //! };
-//! assert_eq!(relay::order(&me, true, &[]), [relay::Source::Store]);
+//! assert_eq!(relay::order(&me, &[]), [relay::Source::Store]);
 //! ```
 
 use std::{cmp, time};
@@ -38,6 +39,8 @@
     pub region: String,
     /// What its link carries.
     pub link_rate: size::ByteRate,
+    /// Whether it has run for long enough to know the others of its region.
+    pub is_settled: bool,
 }
 
 /// From where knowledge comes.
@@ -51,12 +54,12 @@
 
 /// Returns from whom `me` learns, the first choice first; `others` are the entries that live.
 ///
-/// An entry that may not relay itself does not know yet who else lives.
+/// Entries that are not settled relay for nobody: those that start together would follow each other.
 #[must_use]
-pub fn order(me: &Member, may_relay: bool, others: &[Member]) -> Vec<Source> {
-    let of_region = others.iter().filter(|one| one.region == me.region);
-    let mut candidates: Vec<&Member> = of_region.collect();
-    candidates.extend(may_relay.then_some(me));
+pub fn order(me: &Member, others: &[Member]) -> Vec<Source> {
+    let of_region = |one: &&Member| one.region == me.region && one.is_settled;
+    let all = others.iter().chain([me]);
+    let mut candidates: Vec<&Member> = all.filter(of_region).collect();
     candidates.sort_by_cached_key(|one| {
         let score = id::rendezvous_score(&me.region, &one.name);
         cmp::Reverse((one.link_rate, score))
@@ -92,6 +95,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Failures {
     by_source: IndexMap<Source, Failure>,
+    has_entry_just_failed: bool,
 }
 
 impl Failures {
@@ -100,22 +104,29 @@
         let before = self.by_source.get(source);
         let pause = before.map_or(PAUSE_MIN, |before| (before.pause * 2).min(PAUSE_MAX));
         let until = now + pause;
+        self.has_entry_just_failed = *source != Source::Store;
         self.by_source
             .insert(source.clone(), Failure { until, pause });
     }
 
     /// Takes in that a source answered with what is known now.
     pub fn record_success(&mut self, source: &Source) {
+        self.has_entry_just_failed = false;
         self.by_source.swap_remove(source);
     }
 
-    /// Returns the first source of an order that is not left out.
+    /// Returns the source to turn to: the first one of an order that is not left out, but the store
+    /// right after another entry failed, because time has passed and the next entry may fail too.
     #[must_use]
-    pub fn first_usable<'a>(&self, order: &'a [Source], now: time::Instant) -> Option<&'a Source> {
+    pub fn choose<'a>(&self, order: &'a [Source], now: time::Instant) -> Option<&'a Source> {
         let is_usable = |source: &&Source| {
             let failure = self.by_source.get(*source);
             failure.is_none_or(|failure| failure.until <= now)
         };
-        order.iter().find(is_usable)
+        let store = order.iter().find(|source| **source == Source::Store);
+        let store = store.filter(|_| self.has_entry_just_failed);
+        store
+            .filter(is_usable)
+            .or_else(|| order.iter().find(is_usable))
     }
 }
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -188,9 +188,9 @@
         &self.known[&kind]
     }
 
-    /// Returns whether the entry knows the others well enough to be a relay of its region.
+    /// Returns whether the entry has run for long enough to know the others of its region.
     #[must_use]
-    pub fn may_relay(&self) -> bool {
+    pub fn is_settled(&self) -> bool {
         self.clock.now().duration_since(self.started_at) >= SETTLED_AFTER
     }
 
@@ -249,6 +249,7 @@
             failure_domain: self.settings.failure_domain.clone(),
             region: self.settings.region.clone(),
             link_rate: self.settings.link_rate,
+            is_settled: self.is_settled(),
             callers: self.settings.callers,
             peers: self.settings.peers,
             ready: self.is_ready(),
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -118,7 +118,7 @@
     wait_for_others(&app).await;
     loop {
         let order = sources(&app, kind);
-        let Some(source) = failures.first_usable(&order, app.clock.now()) else {
+        let Some(source) = failures.choose(&order, app.clock.now()) else {
             tokio_time::sleep(RETRY).await;
             continue;
         };
@@ -161,7 +161,7 @@
     let peers = app.peers.load();
     let ready = peers.values().filter(|peer| peer.state.ready);
     let others: Vec<_> = ready.map(|peer| member(&peer.state)).collect();
-    let mut order = relay::order(&member(&app.peer_state()), app.may_relay(), &others);
+    let mut order = relay::order(&member(&app.peer_state()), &others);
     if kind == store::Kind::Weights {
         order.retain(|source| *source != relay::Source::Store);
         order.insert(0, relay::Source::Store);
@@ -174,6 +174,7 @@
         name: state.entry.clone(),
         region: state.region.clone(),
         link_rate: state.link_rate,
+        is_settled: state.is_settled,
     }
 }
 
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -105,6 +105,9 @@
     /// What its link carries.
     #[serde(default)]
     pub link_rate: size::ByteRate,
+    /// Whether it has run for long enough to know the others of its region.
+    #[serde(default)]
+    pub is_settled: bool,
     /// Where it takes callers' requests.
     pub callers: std::net::SocketAddr,
     /// Where it takes messages of other processes.
