Let agents ask entries of their region instead of reading the store again and again

Cause: each of up to 99 agents read the whole configuration, all upstreams and all entries from the store every 3 s, and every 0.8 s while weights are under way, changed or not.

Change: agents ask an entry of their region for what changed of upstreams and entries, and for the figures of their own service, a small message. The store is asked only where no entry knows, and then for the configuration only once. Messages of agents to entries have a module of their own.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -27,9 +27,11 @@
     per_copy: time::Duration::from_secs(3),
 };
 
-/// What the configuration says of the agent's service.
+/// What a version of the configuration says of the agent's service.
 #[derive(Clone, Debug)]
 pub struct Service {
+    /// The version.
+    pub configuration: u64,
     /// What its engines can do.
     pub figures: engine::EngineFigures,
     /// Where weights come from first.
@@ -105,8 +107,8 @@
     pub others: ArcSwap<Others>,
     /// The VMs whose engines are leaving.
     pub leaving: ArcSwap<IndexSet<id::VmId>>,
-    /// Where entries take notices.
-    pub entries: ArcSwap<Vec<net::SocketAddr>>,
+    /// The entries.
+    pub entries: ArcSwap<Vec<direct::PeerState>>,
     /// The manifests of the versions held or under way.
     pub manifests: sync::Mutex<IndexMap<Version, sync::Arc<origin::Manifest>>>,
     /// The agents that are being called.
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -1,12 +1,16 @@
-//! Configuration, named weights, other agents and entries, from the store.
+//! Configuration, other agents and entries, from entries of the own region; named weights, from
+//! the store.
+//!
+//! The store is asked only for what no entry could tell, since links between regions are narrow.
 
 use std::{net, sync, sync::atomic, time};
 
 use indexmap::IndexMap;
-use pimentohook_core::{collection, routes, upstreams};
+use pimentohook_core::{collection, id, routes, upstreams};
 use pimentohook_platform::{decode, store};
-use pimentohook_runtime::metrics;
+use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
+use snafu::{ResultExt, Snafu, ensure};
 use tokio::time as tokio_time;
 
 use super::app;
@@ -14,6 +18,11 @@
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(12);
 const RETRY: time::Duration = time::Duration::from_millis(400);
 const REFRESH_EVERY: time::Duration = time::Duration::from_secs(3);
+/// Entries that are asked before the store is.
+const ASKED_MAX: usize = 2;
+const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+/// The oldest that an entry's knowledge may be.
+const AGE_MAX: time::Duration = time::Duration::from_secs(6);
 /// While weights are under way, machines that join are found sooner.
 const REFRESH_UNDER_WAY: time::Duration = time::Duration::from_millis(800);
 
@@ -67,34 +76,53 @@
     }
 }
 
+/// The agent's copies of what it asks for again and again.
+#[derive(Debug, Default)]
+struct Copies {
+    upstreams: collection::Collection,
+    entries: collection::Collection,
+}
+
+impl Copies {
+    const fn of(&mut self, kind: Refreshed) -> &mut collection::Collection {
+        match kind {
+            Refreshed::Upstreams => &mut self.upstreams,
+            Refreshed::Entries => &mut self.entries,
+        }
+    }
+}
+
+/// The kinds of objects that are refreshed.
+#[derive(Clone, Copy, Debug)]
+enum Refreshed {
+    Upstreams,
+    Entries,
+}
+
+impl Refreshed {
+    const fn kind(self) -> store::Kind {
+        match self {
+            Self::Upstreams => store::Kind::Upstreams,
+            Self::Entries => store::Kind::Entries,
+        }
+    }
+}
+
+/// An entry that could not be learned from.
+#[derive(Debug, Snafu)]
+enum FeedError {
+    #[snafu(display("{source}"))]
+    Entry { source: client::ClientError },
+    /// The entry has lost the store.
+    #[snafu(display("entry knows what was {age_ms:?} ms ago"))]
+    Old { age_ms: Option<u64> },
+}
+
 async fn refresh(app: sync::Arc<app::App>) {
+    let mut copies = Copies::default();
     loop {
-        for kind in [
-            store::Kind::Configuration,
-            store::Kind::Upstreams,
-            store::Kind::Entries,
-        ] {
-            // The first configuration decides when the agent can begin.
-            let is_urgent = kind == store::Kind::Configuration && app.service.load().is_none();
-            let freshness = if is_urgent {
-                store::Freshness::Current
-            } else {
-                store::Freshness::MayBeStale
-            };
-            match app.store.list(kind, freshness).await {
-                Ok(listing) => {
-                    let cost = listing.cost;
-                    log::info!(
-                        "feed: event=listed kind={kind} bytes={} transfer_ms={}",
-                        cost.body_bytes,
-                        cost.transfer.as_millis()
-                    );
-                    let name = format!("read_bytes_store_{kind}");
-                    metrics::Kept::add(&app.metrics, &name, cost.body_bytes);
-                    apply(&app, kind, &by_name(listing.objects));
-                }
-                Err(error) => log::warn!("feed: event=store_lost kind={kind} error={error:?}"),
-            }
+        if !refresh_from_entries(&app, &mut copies).await {
+            refresh_from_store(&app, &mut copies).await;
         }
         let pause = if app.service.load().is_none() {
             RETRY
@@ -107,17 +135,102 @@
     }
 }
 
-fn apply(app: &app::App, kind: store::Kind, objects: &Objects) {
-    match kind {
-        store::Kind::Configuration => apply_configuration(app, objects),
-        store::Kind::Upstreams => apply_upstreams(app, &decode::upstreams(objects)),
-        store::Kind::Entries => apply_entries(app, objects),
-        store::Kind::Weights | store::Kind::Grants => {}
+/// Asks entries, those of the own region first; returns whether one of them knew.
+async fn refresh_from_entries(app: &app::App, copies: &mut Copies) -> bool {
+    for entry in nearest_entries(app) {
+        match refresh_from_entry(app, copies, &entry).await {
+            Ok(()) => return true,
+            Err(error) => {
+                log::info!(
+                    "feed: event=entry_lost entry={} error={error:?}",
+                    entry.entry
+                );
+            }
+        }
+    }
+    false
+}
+
+fn nearest_entries(app: &app::App) -> Vec<direct::PeerState> {
+    let mut entries = Vec::clone(&app.entries.load());
+    entries.sort_by_cached_key(|entry| {
+        let is_far = entry.region != app.settings.region;
+        (is_far, id::rendezvous_score(app.me.as_str(), &entry.entry))
+    });
+    entries.truncate(ASKED_MAX);
+    entries
+}
+
+async fn refresh_from_entry(
+    app: &app::App,
+    copies: &mut Copies,
+    entry: &direct::PeerState,
+) -> Result<(), FeedError> {
+    for kind in [Refreshed::Upstreams, Refreshed::Entries] {
+        let request = direct::FollowRequest {
+            kind: kind.kind().to_string(),
+            revision: copies.of(kind).revision(),
+            wait_ms: 0,
+        };
+        let asked = app
+            .client
+            .call(entry.peers, direct::FOLLOW_PATH, &request, ASK_TIMEOUT);
+        let reply: direct::FollowReply = asked.await.context(EntrySnafu)?;
+        let age = reply.age_ms.map(time::Duration::from_millis);
+        let age_ms = reply.age_ms;
+        ensure!(age.is_some_and(|age| age <= AGE_MAX), OldSnafu { age_ms });
+        if copies.of(kind).merge(reply.delta) {
+            apply(app, kind, copies.of(kind).objects());
+        }
     }
+    refresh_service(app, entry).await
 }
 
-fn apply_configuration(app: &app::App, objects: &Objects) {
-    for object in objects.values() {
+async fn refresh_service(app: &app::App, entry: &direct::PeerState) -> Result<(), FeedError> {
+    let known = app.service.load().as_ref().map(|known| known.configuration);
+    let request = direct::ServiceRequest {
+        service: app.settings.service.clone(),
+        configuration: known.unwrap_or(0),
+    };
+    let asked = app
+        .client
+        .call(entry.peers, direct::SERVICE_PATH, &request, ASK_TIMEOUT);
+    let reply: direct::ServiceReply = asked.await.context(EntrySnafu)?;
+    if let Some(service) = reply.service {
+        set_service(app, reply.configuration, service);
+    }
+    Ok(())
+}
+
+/// Asks the store, for what no entry could tell.
+async fn refresh_from_store(app: &app::App, copies: &mut Copies) {
+    let had_entries = !app.entries.load().is_empty();
+    refresh_kind_from_store(app, copies, Refreshed::Entries).await;
+    if !had_entries && refresh_from_entries(app, copies).await {
+        return;
+    }
+    refresh_kind_from_store(app, copies, Refreshed::Upstreams).await;
+    // A configuration is large, and what it says of engines hardly ever changes.
+    if app.service.load().is_none() {
+        read_configuration(app).await;
+    }
+}
+
+async fn refresh_kind_from_store(app: &app::App, copies: &mut Copies, kind: Refreshed) {
+    let Some(listing) = list(app, kind.kind(), store::Freshness::MayBeStale).await else {
+        return;
+    };
+    if copies.of(kind).replace(listing.revision, listing.objects) {
+        apply(app, kind, copies.of(kind).objects());
+    }
+}
+
+async fn read_configuration(app: &app::App) {
+    let kind = store::Kind::Configuration;
+    let Some(listing) = list(app, kind, store::Freshness::Current).await else {
+        return;
+    };
+    for object in listing.objects {
         match decode::route_table(&object.content) {
             Ok(table) => apply_table(app, &table),
             Err(error) => log::error!("feed: event=configuration_unreadable error={error:?}"),
@@ -125,20 +238,56 @@
     }
 }
 
+async fn list(
+    app: &app::App,
+    kind: store::Kind,
+    freshness: store::Freshness,
+) -> Option<store::Listing> {
+    match app.store.list(kind, freshness).await {
+        Ok(listing) => {
+            let cost = listing.cost;
+            log::info!(
+                "feed: event=listed kind={kind} bytes={} transfer_ms={}",
+                cost.body_bytes,
+                cost.transfer.as_millis()
+            );
+            let name = format!("read_bytes_store_{kind}");
+            metrics::Kept::add(&app.metrics, &name, cost.body_bytes);
+            Some(listing)
+        }
+        Err(error) => {
+            log::warn!("feed: event=store_lost kind={kind} error={error:?}");
+            None
+        }
+    }
+}
+
+fn apply(app: &app::App, kind: Refreshed, objects: &Objects) {
+    match kind {
+        Refreshed::Upstreams => apply_upstreams(app, &decode::upstreams(objects)),
+        Refreshed::Entries => apply_entries(app, objects),
+    }
+}
+
 fn apply_table(app: &app::App, table: &routes::RouteTable) {
     let service = table.services.get(&app.settings.service);
-    let Some(figures) = service.and_then(|service| service.engine.clone()) else {
-        return;
-    };
-    let origin = table.origin();
+    if let Some(figures) = service.and_then(|service| service.engine.clone()) {
+        let origin = table.origin();
+        let service = direct::EngineService { figures, origin };
+        set_service(app, table.version.get(), service);
+    }
+}
+
+fn set_service(app: &app::App, configuration: u64, service: direct::EngineService) {
     let is_first = app.service.load().is_none();
-    app.service
-        .store(Some(sync::Arc::new(app::Service { figures, origin })));
+    let direct::EngineService { figures, origin } = service;
+    app.service.store(Some(sync::Arc::new(app::Service {
+        configuration,
+        figures,
+        origin,
+    })));
     if is_first {
-        log::info!(
-            "feed: event=configuration_known version={} origin={origin:?}",
-            table.version
-        );
+        log::info!("feed: event=configuration_known version={configuration} origin={origin:?}");
     }
 }
 
@@ -160,10 +309,10 @@
 }
 
 fn apply_entries(app: &app::App, objects: &Objects) {
-    let address = |object: &collection::Object| {
+    let state = |object: &collection::Object| {
         let state: Result<direct::PeerState, _> = serde_json::from_str(&object.content);
         match state {
-            Ok(state) => Some(state.peers),
+            Ok(state) => Some(state),
             Err(error) => {
                 log::debug!(
                     "feed: event=entry_unreadable name={} error={error:?}",
@@ -173,6 +322,6 @@
             }
         }
     };
-    let addresses = objects.values().filter_map(address).collect();
-    app.entries.store(sync::Arc::new(addresses));
+    let entries = objects.values().filter_map(state).collect();
+    app.entries.store(sync::Arc::new(entries));
 }
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -252,7 +252,7 @@
         }
         let notice = app.state();
         let entries = app.entries.load_full();
-        let calls = entries.iter().map(|entry| tell(&app, *entry, &notice));
+        let calls = entries.iter().map(|entry| tell(&app, entry.peers, &notice));
         future::join_all(calls).await;
     }
 }
--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -4,7 +4,7 @@
 //! engine themselves, so an agent that dies cuts none.
 //!
 //! * [`settings`] and [`app`]: what the agent is told, and what its parts share.
-//! * [`feed`]: configuration, named weights, other agents and entries, from the store.
+//! * [`feed`]: configuration, named weights, other agents and entries.
 //! * [`swarm`] and [`grants`]: weights from peers, and few of them from the origin.
 //! * [`loader`]: staged chunks, orders to the engine, its report.
 //! * [`place`]: whether a request may start.
--- a/crates/agent/src/direct/settings.rs
+++ b/crates/agent/src/direct/settings.rs
@@ -57,6 +57,8 @@
     pub vm: String,
     /// Its failure domain.
     pub failure_domain: id::FailureDomain,
+    /// Its region; links between regions are narrow.
+    pub region: String,
     /// The service of the engine.
     pub service: id::ServiceName,
     /// Where the engine takes requests and orders.
@@ -84,7 +86,6 @@
 const LINK_MBPS_MAX: f64 = 1_000_000.0;
 /// The part of a link that weights may take, in hundredths; the rest is for messages.
 const WEIGHTS_PERCENT: f64 = 92.0;
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 impl DirectSettings {
     /// Checks settings.
@@ -95,6 +96,7 @@
     pub fn check(mut checker: settings::Checker) -> Result<Self, settings::SettingsError> {
         let vm = checker.required("vm", "a name");
         let failure_domain = checker.required("failure_domain", NAME);
+        let region = checker.optional("region", NAME);
         let service = checker.required("service", NAME);
         let engine = checker.required("engine", ADDRESS);
         let peers = checker.required("peers", ADDRESS);
@@ -111,6 +113,8 @@
         let parsed = (|| {
             Some(Self {
                 vm: vm?,
+                region: region
+                    .or_else(|| failure_domain.as_ref().map(id::FailureDomain::to_string))?,
                 failure_domain: failure_domain?,
                 service: service?,
                 engine: engine?,
@@ -127,18 +131,13 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the rate is checked to be positive and small"
-)]
 fn weights_rate(checker: &mut settings::Checker) -> Option<size::ByteRate> {
     let allowed = "megabits per second, above 0 and up to 1000000";
     let link_mbps: f64 = checker.required("link_mbps", allowed)?;
-    if !(link_mbps > 0.0 && link_mbps <= LINK_MBPS_MAX) {
+    let rate = size::ByteRate::from_megabits(link_mbps * WEIGHTS_PERCENT / 100.0);
+    if rate.is_none() || link_mbps > LINK_MBPS_MAX {
         checker.push("link_mbps", Some(link_mbps.to_string()), allowed);
         return None;
     }
-    let rate = link_mbps * BYTES_PER_MEGABIT * WEIGHTS_PERCENT / 100.0;
-    Some(size::ByteRate::new(rate as u64))
+    rate
 }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -6,8 +6,10 @@
 
 use std::time;
 
+use serde::{Deserialize, Serialize};
+
 /// What engines of one service can do.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineFigures {
     /// Requests that run at once.
     pub slot_count: u32,
--- /dev/null
+++ b/crates/entry/src/direct/agents.rs
@@ -0,0 +1,62 @@
+//! Messages of agents: what their engines serve, and what they have to know of their service.
+
+use std::{sync, sync::atomic};
+
+use gotham::helpers::http::Body;
+use hyper::{Response, StatusCode};
+use pimentohook_core::id;
+use pimentohook_runtime::server;
+use pimentohook_wire::direct;
+
+use super::app;
+
+const MESSAGE_MAX_BYTES: usize = 1 << 16;
+
+/// Handles an agent's notice of what its engine serves.
+pub async fn notice(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    let notice: direct::AgentNotice = match call.read_message(MESSAGE_MAX_BYTES).await {
+        Ok(notice) => notice,
+        Err(error) => return server::respond_text(error.status(), &error.to_string()),
+    };
+    log::info!(
+        "placement: event=agent_notice engine={} weights={:?} open={}",
+        notice.engine,
+        notice.weights,
+        notice.open
+    );
+    let candidates = app.candidates.load();
+    let notice = sync::Arc::new(notice);
+    for candidate in candidates.values().flatten() {
+        if candidate.upstream.address.to_string() == notice.engine {
+            candidate.live.told.store(Some(notice.clone()));
+            candidate
+                .live
+                .agent_silent_until_ms
+                .store(0, atomic::Ordering::Relaxed);
+        }
+    }
+    server::respond_text(StatusCode::OK, "noted")
+}
+
+/// Handles an agent's question what the configuration says of its service.
+pub async fn service(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    let request: direct::ServiceRequest = match call.read_message(MESSAGE_MAX_BYTES).await {
+        Ok(request) => request,
+        Err(error) => return server::respond_text(error.status(), &error.to_string()),
+    };
+    let configuration = app.configuration();
+    let is_newer = configuration > request.configuration;
+    server::respond_message(&direct::ServiceReply {
+        configuration,
+        service: is_newer.then(|| describe(&app, &request.service)).flatten(),
+    })
+}
+
+fn describe(app: &app::App, name: &id::ServiceName) -> Option<direct::EngineService> {
+    let table = app.table.load_full()?;
+    let service = table.services.get(name)?;
+    Some(direct::EngineService {
+        figures: service.engine.clone()?,
+        origin: table.origin(),
+    })
+}
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -9,7 +9,9 @@
 //! * [`proxy`], [`attempt`], [`stream`]: a request from its caller to an upstream and back.
 //! * [`placement`]: which upstream gets a request.
 //! * [`directory`] and [`peers`]: where callers connect, and the other entries.
+//! * [`agents`]: what agents tell and ask.
 
+pub mod agents;
 pub mod app;
 pub mod attempt;
 pub mod directory;
@@ -125,6 +127,9 @@
             .to_new_handler(server::endpoint(app, feed::answer));
         route
             .post(direct::NOTICE_PATH)
-            .to_new_handler(server::endpoint(app, placement::notice));
+            .to_new_handler(server::endpoint(app, agents::notice));
+        route
+            .post(direct::SERVICE_PATH)
+            .to_new_handler(server::endpoint(app, agents::service));
     })
 }
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -6,14 +6,11 @@
 
 use std::{sync, sync::atomic, time};
 
-use gotham::helpers::http::Body;
-use hyper::{Response, StatusCode};
 use pimentohook_core::{
     engine, id, rollover,
     routing::{choice, score},
     upstreams,
 };
-use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 use rand::RngExt as _;
 
@@ -33,7 +30,6 @@
 /// An engine of another failure domain is asked first only where its own requests are fewer by
 /// more than this, since links between failure domains are narrow and dear.
 const FAR_COST: u32 = 2;
-const MESSAGE_MAX_BYTES: usize = 1 << 16;
 
 /// What a request needs of an upstream.
 #[derive(Clone, Debug)]
@@ -251,29 +247,3 @@
     let share = figures.slot_count.div_ceil(app.entry_count()).max(1);
     live.in_flight.load(atomic::Ordering::Relaxed) < share
 }
-
-/// Handles an agent's notice of what its engine serves.
-pub async fn notice(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
-    let notice: direct::AgentNotice = match call.read_message(MESSAGE_MAX_BYTES).await {
-        Ok(notice) => notice,
-        Err(error) => return server::respond_text(error.status(), &error.to_string()),
-    };
-    log::info!(
-        "placement: event=agent_notice engine={} weights={:?} open={}",
-        notice.engine,
-        notice.weights,
-        notice.open
-    );
-    let candidates = app.candidates.load();
-    let notice = sync::Arc::new(notice);
-    for candidate in candidates.values().flatten() {
-        if candidate.upstream.address.to_string() == notice.engine {
-            candidate.live.told.store(Some(notice.clone()));
-            candidate
-                .live
-                .agent_silent_until_ms
-                .store(0, atomic::Ordering::Relaxed);
-        }
-    }
-    server::respond_text(StatusCode::OK, "noted")
-}
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -1,7 +1,7 @@
 //! Messages of the direct mode, in which entries send requests to upstreams themselves.
 
 use indexmap::IndexMap;
-use pimentohook_core::{collection, size};
+use pimentohook_core::{collection, engine, id, size};
 use serde::{Deserialize, Serialize};
 
 /// Where agents take [`PlaceRequest`].
@@ -16,6 +16,9 @@
 /// Where entries take [`FollowRequest`].
 pub const FOLLOW_PATH: &str = "/v1/direct/follow";
 
+/// Where entries take [`ServiceRequest`].
+pub const SERVICE_PATH: &str = "/v1/direct/service";
+
 /// Where agents take [`SwarmRequest`].
 pub const SWARM_PATH: &str = "/v1/direct/swarm";
 
@@ -83,6 +86,33 @@
     pub age_ms: Option<u64>,
 }
 
+/// An agent asks an entry what the configuration says of its service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ServiceRequest {
+    /// The service.
+    pub service: id::ServiceName,
+    /// The version of the configuration that the asker knows; 0 for none.
+    pub configuration: u64,
+}
+
+/// The answer to a [`ServiceRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ServiceReply {
+    /// The version of the configuration that the answerer has in force; 0 while it has none.
+    pub configuration: u64,
+    /// What it says; `None` where it is no later one, or says nothing of the service's engines.
+    pub service: Option<EngineService>,
+}
+
+/// What the configuration says of a service with engines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineService {
+    /// What its engines can do.
+    pub figures: engine::EngineFigures,
+    /// Where weights come from first.
+    pub origin: Option<std::net::SocketAddr>,
+}
+
 /// An entry's heartbeat to another one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PeerRequest {
