Wait for the agent before to be gone before its successor counts as ready in a test

Beside load one run in ten of an_agent_replaced_at_the_same_address_runs_nothing_a_second_time was told that request-2 had not run, 250 ms to wait; two runs of six now could not bind the address.

A successor that was slow to start was then younger than the age at which agents run non-idempotent requests, and the refusal was right. Traced by taking the second away: the same refusal after 0.95 ms in one run of three.

All assertions stay.

--- a/crates/standin/src/processes.rs
+++ b/crates/standin/src/processes.rs
@@ -28,20 +28,20 @@
         self.child.id()
     }
 
-    /// Ends the process at once.
+    /// Ends the process at once, and waits until its addresses are free.
     ///
     /// # Errors
     ///
     /// [`io::Error`] where it can't be ended.
     pub fn kill(&mut self) -> io::Result<()> {
-        self.child.kill()
+        self.child.kill()?;
+        self.child.wait().map(drop)
     }
 }
 
 impl Drop for Child {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = self.kill();
     }
 }
 
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use pimentohook_wire::public;
 
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+const AGENT_SILENCE_MAX: time::Duration = time::Duration::from_secs(2);
 const POLL: time::Duration = time::Duration::from_millis(50);
 const TIMEOUT: time::Duration = time::Duration::from_secs(5);
 const WEIGHTS: size::ByteCount = size::ByteCount::new(2 << 20);
@@ -279,7 +280,8 @@
     pub async fn restart_agent(&mut self, index: usize) {
         let settings = std::slice::from_ref(&self.machines[index].settings);
         self.machines[index].agent = spawn("pimentohook-agent", settings);
-        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        // The agent before it counts as open until it has been silent for this long.
+        tokio::time::sleep(AGENT_SILENCE_MAX + POLL).await;
         self.wait_ready(self.machines.len()).await;
     }
 
