Press less on a store that is away; let entries tell agents of named weights meanwhile

Change: the pause doubles up to 3.2 s, and agents ask entries of their region for named versions together with the rest, so that one that the store turns away learns of a version all the same.

--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -1,5 +1,5 @@
 //! Configuration, other agents and entries, from entries of the own region; named weights, from
-//! the store.
+//! the store and from them.
 //!
 //! The store is asked only for what no entry could tell, since links between regions are narrow.
 
@@ -17,12 +17,13 @@
 
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(12);
 const RETRY: time::Duration = time::Duration::from_millis(400);
+const RETRY_MAX: time::Duration = time::Duration::from_millis(3_200);
 const REFRESH_EVERY: time::Duration = time::Duration::from_secs(3);
 /// Entries that are asked before the store is.
 const ASKED_MAX: usize = 2;
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(800);
-/// The oldest that an entry's knowledge may be.
-const AGE_MAX: time::Duration = time::Duration::from_secs(6);
+const AGE_MAX_LISTS: time::Duration = time::Duration::from_secs(6);
+const AGE_MAX_WEIGHTS: time::Duration = time::Duration::from_secs(14);
 /// While weights are under way, machines that join are found sooner.
 const REFRESH_UNDER_WAY: time::Duration = time::Duration::from_millis(800);
 
@@ -39,18 +40,28 @@
     named.collect()
 }
 
+/// Watches the named versions; while the store can't be reached, entries tell them.
 async fn follow_weights(app: sync::Arc<app::App>) {
+    let mut pause = RETRY;
     loop {
-        if let Err(error) = watch_weights(&app).await {
-            log::warn!("feed: event=store_lost kind=weights error={error:?}");
+        if let Err(error) = watch_weights(&app, &mut pause).await {
+            log::warn!(
+                "feed: event=store_lost kind=weights error={error:?} retry_ms={}",
+                pause.as_millis()
+            );
         }
-        tokio_time::sleep(RETRY).await;
+        tokio_time::sleep(pause).await;
+        pause = (pause * 2).min(RETRY_MAX);
     }
 }
 
-async fn watch_weights(app: &app::App) -> Result<(), store::StoreError> {
+async fn watch_weights(
+    app: &app::App,
+    pause: &mut time::Duration,
+) -> Result<(), store::StoreError> {
     let kind = store::Kind::Weights;
     let listing = app.store.list(kind, store::Freshness::Current).await?;
+    *pause = RETRY;
     let mut objects = by_name(listing.objects);
     let mut revision = listing.revision;
     loop {
@@ -81,6 +92,7 @@
 struct Copies {
     upstreams: collection::Collection,
     entries: collection::Collection,
+    weights: collection::Collection,
 }
 
 impl Copies {
@@ -88,6 +100,7 @@
         match kind {
             Refreshed::Upstreams => &mut self.upstreams,
             Refreshed::Entries => &mut self.entries,
+            Refreshed::Weights => &mut self.weights,
         }
     }
 }
@@ -97,6 +110,7 @@
 enum Refreshed {
     Upstreams,
     Entries,
+    Weights,
 }
 
 impl Refreshed {
@@ -104,6 +118,15 @@
         match self {
             Self::Upstreams => store::Kind::Upstreams,
             Self::Entries => store::Kind::Entries,
+            Self::Weights => store::Kind::Weights,
+        }
+    }
+
+    /// Returns the oldest that an entry's knowledge may be, by how often entries ask the store.
+    const fn age_max(self) -> time::Duration {
+        match self {
+            Self::Upstreams | Self::Entries => AGE_MAX_LISTS,
+            Self::Weights => AGE_MAX_WEIGHTS,
         }
     }
 }
@@ -166,7 +189,7 @@
     copies: &mut Copies,
     entry: &direct::PeerState,
 ) -> Result<(), FeedError> {
-    for kind in [Refreshed::Upstreams, Refreshed::Entries] {
+    for kind in [Refreshed::Upstreams, Refreshed::Entries, Refreshed::Weights] {
         let request = direct::FollowRequest {
             kind: kind.kind().to_string(),
             revision: copies.of(kind).revision(),
@@ -178,7 +201,10 @@
         let reply: direct::FollowReply = asked.await.context(EntrySnafu)?;
         let age = reply.age_ms.map(time::Duration::from_millis);
         let age_ms = reply.age_ms;
-        ensure!(age.is_some_and(|age| age <= AGE_MAX), OldSnafu { age_ms });
+        ensure!(
+            age.is_some_and(|age| age <= kind.age_max()),
+            OldSnafu { age_ms }
+        );
         if copies.of(kind).merge(reply.delta) {
             apply(app, kind, copies.of(kind).objects());
         }
@@ -266,6 +292,7 @@
     match kind {
         Refreshed::Upstreams => apply_upstreams(app, &decode::upstreams(objects)),
         Refreshed::Entries => apply_entries(app, objects),
+        Refreshed::Weights => want_named(app, objects),
     }
 }
 
