Don't keep engines waiting for entries that are not up when an agent starts

Cause: an agent that had just started asked two registered entries for its service's figures, 0.8 s each, while these were starting too. An entry, for its part, waited 250 ms for others that were not there.

Change: an agent's first questions take 100 ms and are repeated, for 10 ms for each registered entry in all, then it reads the store; so few entries cost little, and of many agents few read a large configuration at once. An entry waits 60 ms for others.

--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -22,6 +22,12 @@
 /// Entries that are asked before the store is.
 const ASKED_MAX: usize = 2;
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+/// An agent that has just started asks again soon: entries may be starting too.
+const FIRST_ASK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+const FIRST_ASK_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// How long it waits for them before it reads the configuration from the store, for each entry that
+/// is registered: the larger the fleet, the more would read it at once.
+const FIRST_PATIENCE_PER_ENTRY: time::Duration = time::Duration::from_millis(10);
 const AGE_MAX_LISTS: time::Duration = time::Duration::from_secs(6);
 const AGE_MAX_WEIGHTS: time::Duration = time::Duration::from_secs(14);
 /// While weights are under way, machines that join are found sooner.
@@ -144,7 +150,12 @@
 async fn refresh(app: sync::Arc<app::App>) {
     let mut copies = Copies::default();
     loop {
-        if !refresh_from_entries(&app, &mut copies).await {
+        let is_known = if app.service.load().is_some() {
+            refresh_from_entries(&app, &mut copies, ASK_TIMEOUT).await
+        } else {
+            first_refresh_from_entries(&app, &mut copies).await
+        };
+        if !is_known {
             refresh_from_store(&app, &mut copies).await;
         }
         let pause = if app.service.load().is_none() {
@@ -158,10 +169,29 @@
     }
 }
 
+/// Asks entries until one knows the agent's service, for a while that grows with their number.
+async fn first_refresh_from_entries(app: &app::App, copies: &mut Copies) -> bool {
+    refresh_kind_from_store(app, copies, Refreshed::Entries).await;
+    let entry_count = u32::try_from(app.entries.load().len()).unwrap_or(u32::MAX);
+    let patience = FIRST_PATIENCE_PER_ENTRY.saturating_mul(entry_count);
+    let asked = async {
+        while !refresh_from_entries(app, copies, FIRST_ASK_TIMEOUT).await
+            || app.service.load().is_none()
+        {
+            tokio_time::sleep(FIRST_ASK_PAUSE).await;
+        }
+    };
+    tokio_time::timeout(patience, asked).await.is_ok()
+}
+
 /// Asks entries, those of the own region first; returns whether one of them knew.
-async fn refresh_from_entries(app: &app::App, copies: &mut Copies) -> bool {
+async fn refresh_from_entries(
+    app: &app::App,
+    copies: &mut Copies,
+    timeout: time::Duration,
+) -> bool {
     for entry in nearest_entries(app) {
-        match refresh_from_entry(app, copies, &entry).await {
+        match refresh_from_entry(app, copies, &entry, timeout).await {
             Ok(()) => return true,
             Err(error) => {
                 log::info!(
@@ -188,6 +218,7 @@
     app: &app::App,
     copies: &mut Copies,
     entry: &direct::PeerState,
+    timeout: time::Duration,
 ) -> Result<(), FeedError> {
     for kind in [Refreshed::Upstreams, Refreshed::Entries, Refreshed::Weights] {
         let request = direct::FollowRequest {
@@ -197,7 +228,7 @@
         };
         let asked = app
             .client
-            .call(entry.peers, direct::FOLLOW_PATH, &request, ASK_TIMEOUT);
+            .call(entry.peers, direct::FOLLOW_PATH, &request, timeout);
         let reply: direct::FollowReply = asked.await.context(EntrySnafu)?;
         let age = reply.age_ms.map(time::Duration::from_millis);
         let age_ms = reply.age_ms;
@@ -209,10 +240,14 @@
             apply(app, kind, copies.of(kind).objects());
         }
     }
-    refresh_service(app, entry).await
+    refresh_service(app, entry, timeout).await
 }
 
-async fn refresh_service(app: &app::App, entry: &direct::PeerState) -> Result<(), FeedError> {
+async fn refresh_service(
+    app: &app::App,
+    entry: &direct::PeerState,
+    timeout: time::Duration,
+) -> Result<(), FeedError> {
     let known = app.service.load().as_ref().map(|known| known.configuration);
     let request = direct::ServiceRequest {
         service: app.settings.service.clone(),
@@ -220,7 +255,7 @@
     };
     let asked = app
         .client
-        .call(entry.peers, direct::SERVICE_PATH, &request, ASK_TIMEOUT);
+        .call(entry.peers, direct::SERVICE_PATH, &request, timeout);
     let reply: direct::ServiceReply = asked.await.context(EntrySnafu)?;
     if let Some(service) = reply.service {
         set_service(app, reply.configuration, service);
@@ -230,11 +265,7 @@
 
 /// Asks the store, for what no entry could tell.
 async fn refresh_from_store(app: &app::App, copies: &mut Copies) {
-    let had_entries = !app.entries.load().is_empty();
     refresh_kind_from_store(app, copies, Refreshed::Entries).await;
-    if !had_entries && refresh_from_entries(app, copies).await {
-        return;
-    }
     refresh_kind_from_store(app, copies, Refreshed::Upstreams).await;
     // A configuration is large, and what it says of engines hardly ever changes.
     if app.service.load().is_none() {
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -26,8 +26,8 @@
 const NAMED_MAX: usize = 8;
 const RETRY: time::Duration = time::Duration::from_millis(100);
 /// How long an entry that has just started waits for others before it turns to the store.
-const FIRST_HEARD_MAX: time::Duration = time::Duration::from_millis(250);
-const FIRST_HEARD_STEP: time::Duration = time::Duration::from_millis(10);
+const FIRST_HEARD_MAX: time::Duration = time::Duration::from_millis(60);
+const FIRST_HEARD_STEP: time::Duration = time::Duration::from_millis(5);
 const CONFIRM_WAIT: time::Duration = time::Duration::from_millis(1);
 /// How long another entry may take beyond the wait that it was asked for.
 const REPLY_SLACK: time::Duration = time::Duration::from_millis(450);
