Bear a grace of a configuration that is zero or missing

Found by reading the change: an entry asks the store several times within the grace, so a platform that fills in 0 would make it ask without a pause, and one that fills in nothing would keep it from starting, as it would for any other key that has a default.

Change: the grace is 500 ms at least, and a key without a value counts as missing.

Test: `the_grace_of_a_configuration`; its cases `none` and `so_short_that_the_store_would_be_asked_without_a_pause` fail before.

--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -98,6 +98,8 @@
 }
 
 const CONFIGURATION_GRACE_MS: u64 = 2_000;
+/// The store is asked several times within a grace, so a shorter one would press on it.
+const CONFIGURATION_GRACE_MIN: time::Duration = time::Duration::from_millis(500);
 const WEIGHTS_GRACE_MS: u64 = 8_000;
 const KEEP_MS: u64 = 2_000;
 const LEAVE_MS: u64 = 4_500;
@@ -130,11 +132,13 @@
         let leave = checker.millis("leave_ms", LEAVE_MS, 0..=MINUTE_MS);
         let end = checker.millis("end_ms", END_MS, 0..=MINUTE_MS);
         let idle_timeout = checker.millis("idle_timeout_ms", IDLE_MS, 1_000..=10 * MINUTE_MS);
-        let configuration_grace = checker.millis(
-            "configuration_grace_ms",
-            CONFIGURATION_GRACE_MS,
-            0..=MINUTE_MS,
-        );
+        let configuration_grace = checker
+            .millis(
+                "configuration_grace_ms",
+                CONFIGURATION_GRACE_MS,
+                0..=MINUTE_MS,
+            )
+            .max(CONFIGURATION_GRACE_MIN);
         let weights_grace = checker.millis("weights_grace_ms", WEIGHTS_GRACE_MS, 0..=MINUTE_MS);
         let retry_percent = checker.number("retry_percent", RETRY_PERCENT, 0..=100);
         let retry_burst = checker.number("retry_burst", RETRY_BURST, 0..=100_000);
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -116,10 +116,11 @@
         }
     }
 
-    /// Returns whether a key is present.
+    /// Returns whether a key is present and has a value.
     #[must_use]
     pub fn has(&self, key: &str) -> bool {
-        self.mapping.contains_key(key)
+        let value = self.mapping.get(key);
+        value.is_some_and(|value| !value.is_null())
     }
 
     /// Reads a value that has to be there.
@@ -135,12 +136,15 @@
         self.optional(key, allowed)
     }
 
-    /// Reads a value that may be missing.
+    /// Reads a value that may be missing; a key without a value counts as missing.
     pub fn optional<T>(&mut self, key: &str, allowed: &str) -> Option<T>
     where
         T: str::FromStr,
     {
         self.asked.insert(String::from(key));
+        if !self.has(key) {
+            return None;
+        }
         let value = self.mapping.get(key)?.clone();
         let parsed = scalar(&value).and_then(|text| text.parse().ok());
         if parsed.is_none() {
