Know of leaving upstreams in time though both relays of a region are turned away

Change: where a region has entries beyond two, upstreams are watched for 0.8 s at a time, asked for every 0.4 s and held to an age of 1.2 s, as the configuration is. Where all entries follow the store themselves nothing changes.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -80,6 +80,13 @@
     sources
 }
 
+/// Returns whether others of the region may follow `me`, so that its knowledge has to be young.
+#[must_use]
+pub fn may_have_followers(me: &Member, others: &[Member]) -> bool {
+    let of_region = others.iter().filter(|one| one.region == me.region);
+    of_region.count() >= RELAYS
+}
+
 /// Orders entries so that those that choose among them spread evenly.
 fn sort_for(me: &Member, members: &mut [&Member]) {
     members.sort_by_cached_key(|one| id::rendezvous_score(&me.name, &one.name));
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -70,6 +70,13 @@
     }
 }
 
+/// Upstreams that leave have to be known of soon, also to those that follow a relay which has lost
+/// the store.
+const PACE_UPSTREAMS: Pace = Pace {
+    watch_wait: time::Duration::from_millis(800),
+    follow_wait: time::Duration::from_millis(400),
+    age_max: time::Duration::from_millis(1_200),
+};
 const PACE_LISTS: Pace = Pace {
     watch_wait: time::Duration::from_secs(4),
     follow_wait: time::Duration::from_millis(700),
@@ -85,6 +92,7 @@
 fn pace(app: &app::App, kind: store::Kind) -> Pace {
     match kind {
         store::Kind::Configuration => pace_of_configuration(app.settings.configuration_grace),
+        store::Kind::Upstreams if has_followers(app) => PACE_UPSTREAMS,
         store::Kind::Upstreams | store::Kind::Entries | store::Kind::Grants => PACE_LISTS,
         store::Kind::Weights => PACE_WEIGHTS,
     }
@@ -156,12 +164,19 @@
     }
 }
 
-/// Returns from whom a kind is learned, the first choice first.
-fn sources(app: &app::App, kind: store::Kind) -> Vec<relay::Source> {
+fn others(app: &app::App) -> Vec<relay::Member> {
     let peers = app.peers.load();
     let ready = peers.values().filter(|peer| peer.state.ready);
-    let others: Vec<_> = ready.map(|peer| member(&peer.state)).collect();
-    let mut order = relay::order(&member(&app.peer_state()), &others);
+    ready.map(|peer| member(&peer.state)).collect()
+}
+
+fn has_followers(app: &app::App) -> bool {
+    relay::may_have_followers(&member(&app.peer_state()), &others(app))
+}
+
+/// Returns from whom a kind is learned, the first choice first.
+fn sources(app: &app::App, kind: store::Kind) -> Vec<relay::Source> {
+    let mut order = relay::order(&member(&app.peer_state()), &others(app));
     if kind == store::Kind::Weights {
         order.retain(|source| *source != relay::Source::Store);
         order.insert(0, relay::Source::Store);
