Log and count what an entry believes of an upstream's limit and what it sends there

Upstreams' responses are now decoded for it in platform/, the belief of each entry is logged and counted when it changes, and the use of a limited upstream every 2 s by first sends, retries and resumed streams. What is sent where doesn't change.

Tests: core upstream_limit 23 passed; what_an_entry_believes_of_a_limit_is_counted, 6 cases passed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 //!
 //! * [`routes`]: which service a request goes to, and how it may be handled.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
+//! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`engine`]: how long an engine takes to respond.
 //! * [`engine_admission`]: which requests an engine admits.
 //! * [`refusal_rate`]: when refused callers should retry.
@@ -58,4 +59,5 @@
 pub mod routing;
 pub mod shutdown;
 pub mod size;
+pub mod upstream_limit;
 pub mod upstreams;
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -14,7 +14,7 @@
 
 use strum::IntoEnumIterator as _;
 
-use super::{cache, settings};
+use super::{cache, settings, upstream_limits};
 
 /// State of an upstream that the entry tracks itself, in addition to the listed data.
 #[derive(Debug, Default)]
@@ -94,6 +94,8 @@
     pub announced: ArcSwap<IndexMap<String, Vec<AnnouncedVersion>>>,
     /// The other entries, by name.
     pub peers: ArcSwap<IndexMap<String, Peer>>,
+    /// The limits that upstreams have named.
+    pub upstream_limits: upstream_limits::UpstreamLimits,
     cached: IndexMap<store::Kind, cache::CachedCollection>,
     /// The newest version of the configuration that another entry reported in force.
     peer_configuration: atomic::AtomicU64,
@@ -139,6 +141,7 @@
             candidates: ArcSwap::default(),
             announced: ArcSwap::default(),
             peers: ArcSwap::default(),
+            upstream_limits: upstream_limits::UpstreamLimits::default(),
             cached: store::Kind::iter()
                 .map(|kind| (kind, cache::CachedCollection::default()))
                 .collect(),
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -6,10 +6,11 @@
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt as _, Full};
 use hyper::{Request, Response, StatusCode, Uri, body::Incoming, header, http};
+use pimentohook_core::upstream_limit::belief;
 use pimentohook_platform::request;
 use pimentohook_runtime::{client, server};
 
-use super::{app, placement, proxy};
+use super::{app, placement, proxy, upstream_limits};
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 const EVENT_STREAM: &str = "text/event-stream";
@@ -64,6 +65,7 @@
     app: &app::App,
     request: &proxy::ProxiedRequest,
     placement: &placement::Placement,
+    reason: upstream_limits::SendReason,
     last_event_id: Option<&str>,
 ) -> Outcome {
     let upstream = &placement.candidate.upstream;
@@ -81,6 +83,9 @@
         }
     };
     let attempt_timeout = attempt_timeout(request);
+    if let Some(limited) = app.upstream_limits.get(&upstream.instance) {
+        limited.count_send(reason);
+    }
     let result = app
         .upstreams
         .send(upstream.address, upstream_request, attempt_timeout)
@@ -94,6 +99,7 @@
         response.headers(),
         request.caller.request_id.as_deref(),
     );
+    record_limit(app, &upstream.instance, class, &response, started_at);
     match class {
         request::ResponseClass::Answer => {}
         request::ResponseClass::NotRun => return Outcome::Fault(Fault::NotRun),
@@ -135,6 +141,35 @@
     }
 }
 
+/// Records what a response states about the limit of the upstream.
+///
+/// If the response may not be from this instance or not to this request, it can't withdraw a limit.
+fn record_limit(
+    app: &app::App,
+    instance: &str,
+    class: request::ResponseClass,
+    response: &Response<Incoming>,
+    sent_at: time::Instant,
+) {
+    let statement = request::limit_statement(response.headers());
+    let is_unlimited = statement == belief::Statement::Unlimited;
+    let is_ignored = match class {
+        request::ResponseClass::Answer | request::ResponseClass::NotRun => false,
+        request::ResponseClass::OtherInstance => true,
+        request::ResponseClass::Foreign => is_unlimited,
+    };
+    if is_ignored {
+        return;
+    }
+    let received_at = app.clock.now();
+    let response = belief::Response {
+        statement,
+        sent_at,
+        received_at,
+    };
+    upstream_limits::record_response(app, instance, &response);
+}
+
 fn send_failed(app: &app::App, state: &app::UpstreamState, error: &client::ClientError) -> Outcome {
     log::debug!("attempt: event=unanswered error={error:?}");
     state.stats.record_failure(app.now_ms());
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -10,6 +10,7 @@
 //! * [`placement`]: the selection of an upstream.
 //! * [`attempt`] and [`stream`]: one attempt to send a request to an upstream, and responses that
 //!   are event streams.
+//! * [`upstream_limits`]: the limits that upstreams name in their responses.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`agents`]: agents' reports of engine states, and their requests for the configuration of a
@@ -26,6 +27,7 @@
 pub mod proxy;
 pub mod settings;
 pub mod stream;
+pub mod upstream_limits;
 
 use std::{sync, time};
 
@@ -128,6 +130,7 @@
     ));
     feed::start(&app);
     tokio::spawn(peers::run(app.clone()));
+    tokio::spawn(upstream_limits::run(app.clone()));
     Ok(Running {
         stop,
         app,
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -14,7 +14,7 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    placement, stream,
+    placement, stream, upstream_limits,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -279,7 +279,12 @@
             .tried
             .push(placement.candidate.upstream.instance.clone());
         let instance = placement.candidate.upstream.instance.clone();
-        match attempt::run(app, request, &placement, None).await {
+        let reason = if history.tried.len() > 1 {
+            upstream_limits::SendReason::Retry
+        } else {
+            upstream_limits::SendReason::First
+        };
+        match attempt::run(app, request, &placement, reason, None).await {
             Outcome::Complete(response) => {
                 log_response(app, request, history, &instance, response.status());
                 return response;
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,7 +12,7 @@
 use super::{
     app,
     attempt::{self, OpenStream, Outcome},
-    placement, proxy,
+    placement, proxy, upstream_limits,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -140,7 +140,8 @@
         };
         self.run_count += 1;
         let last = self.last_event_id.as_deref();
-        let outcome = attempt::run(&self.app, &self.request, &placement, last).await;
+        let reason = upstream_limits::SendReason::Resume;
+        let outcome = attempt::run(&self.app, &self.request, &placement, reason, last).await;
         let Outcome::Stream(open) = outcome else {
             return false;
         };
