Keep the limit that an upstream names with permits from one coordinating entry

Cause: the limit was not read; and the design had no place where it could be kept, since every entry decides alone where it sends. The class: a limit on the sum of what independent senders send, of which each sender sees its own part only. A share for each entry would be too coarse (0.5 a second among 43 entries), and waste what entries without traffic don't use.

Change: a request to a limited upstream needs a permit. One entry, chosen by rendezvous hashing among the live ones, grants permits for it at 0.95 of the limit from a token bucket that starts empty; several at once at higher rates, for 400 ms. First sends, retries and resumed streams all take one, since all go through placement. Whoever can't reach the coordinator uses limit / known entries. A coordinator keeps back the shares of entries that it doesn't hear or reach; a majority takes most of them back after 5 s, anybody after 20 s. Entries tell each other limits within about a second. Upstreams without a permit are passed over; a request with nowhere to go is refused at once. The store is not asked. Waits grow with the rate of messages, so a coordinator's load is bounded by the limit and not by the fleet.

--- a/crates/core/src/upstream_limit/rate.rs
+++ b/crates/core/src/upstream_limit/rate.rs
@@ -14,6 +14,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+/// The share of a limit that is used.
+const TARGET_SHARE: f64 = 0.95;
+const RATE_MIN_PER_S: f64 = 0.25;
+
 /// The error for a string or number that is not a rate of requests.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("{text:?} is not a rate: write a number of requests per second, 0 or more"))]
@@ -32,6 +36,22 @@
     pub const fn per_second(self) -> f64 {
         self.0
     }
+
+    /// Returns the rate at which requests are sent to an upstream with this limit.
+    ///
+    /// It is a little lower, since permits are used some time after they are granted. An upstream
+    /// with a very low limit, even 0, still gets a request now and then: otherwise its responses
+    /// could not show that the limit has changed.
+    #[must_use]
+    pub fn target(self) -> Self {
+        Self((self.0 * TARGET_SHARE).max(RATE_MIN_PER_S))
+    }
+
+    /// Returns a share of the rate; `share` is between 0 and 1.
+    #[must_use]
+    pub fn share(self, share: f64) -> Self {
+        Self(self.0 * share.clamp(0.0, 1.0))
+    }
 }
 
 impl TryFrom<f64> for RequestRate {
--- /dev/null
+++ b/crates/entry/src/direct/limit_gossip.rs
@@ -0,0 +1,124 @@
+//! Spreads what entries believe of upstreams' limits, so that an entry knows a limit before it sends
+//! its first request to the upstream.
+
+use std::{sync, time};
+
+use gotham::helpers::http::Body;
+use hyper::Response;
+use pimentohook_runtime::server;
+use pimentohook_wire::direct;
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
+use tokio::time as tokio_time;
+
+use super::{app, permits, upstream_limits};
+
+const ROUND_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// The shortest time between two rounds, however often limits change.
+const ROUND_INTERVAL_MIN: time::Duration = time::Duration::from_millis(100);
+const ROUNDS_PER_USAGE_LOG: u32 = 4;
+/// The number of entries that are told in each round.
+const FANOUT: usize = 3;
+const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// The number of limits in a message, a random sample of them.
+const LIMITS_MAX: usize = 12;
+/// How long an upstream that has withdrawn its limit is mentioned.
+const WITHDRAWN_MENTION: time::Duration = time::Duration::from_secs(10);
+const MESSAGE_MAX_BYTES: usize = 1 << 13;
+
+/// Spreads limits and updates the coordinators until the process exits.
+pub async fn run(app: sync::Arc<app::App>) {
+    let mut round_number: u32 = 0;
+    loop {
+        let changed = app.upstream_limits.changed.notified();
+        let is_changed = tokio_time::timeout(ROUND_INTERVAL, changed).await.is_ok();
+        upstream_limits::update_fleet(&app);
+        if is_changed {
+            report_changes(&app);
+        }
+        for address in round_targets(&app) {
+            tokio::spawn(exchange(app.clone(), address));
+        }
+        round_number = round_number.wrapping_add(1);
+        if round_number.is_multiple_of(ROUNDS_PER_USAGE_LOG) {
+            upstream_limits::log_usage(&app);
+            app.upstream_limits.remove_untracked(app.clock.now());
+        }
+        if is_changed {
+            tokio_time::sleep(ROUND_INTERVAL_MIN).await;
+        }
+    }
+}
+
+/// Reports the limits that were stated since the last round to their coordinators.
+fn report_changes(app: &sync::Arc<app::App>) {
+    let now = app.clock.now();
+    for (instance, upstream) in app.upstream_limits.all().iter() {
+        let is_recent = upstream.belief().is_some_and(|belief| {
+            now.saturating_duration_since(belief.stated_at) < ROUND_INTERVAL_MIN
+        });
+        if is_recent {
+            let (app, instance, upstream) = (app.clone(), instance.clone(), upstream.clone());
+            tokio::spawn(async move { permits::report_limit(&app, &instance, &upstream).await });
+        }
+    }
+}
+
+/// Returns a sample of the other entries; none if there is nothing to tell.
+fn round_targets(app: &app::App) -> Vec<std::net::SocketAddr> {
+    if stated_limits(app).limits.is_empty() {
+        return Vec::new();
+    }
+    let peers = app.peers.load();
+    let addresses: Vec<_> = peers.values().map(|peer| peer.state.peers).collect();
+    let sample = addresses.sample(&mut rand::rng(), FANOUT);
+    sample.copied().collect()
+}
+
+async fn exchange(app: sync::Arc<app::App>, address: std::net::SocketAddr) {
+    let message = stated_limits(&app);
+    let call = app
+        .internal
+        .call(address, direct::LIMITS_PATH, &message, MESSAGE_TIMEOUT);
+    let reply: direct::StatedLimits = match call.await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::debug!("limit: event=not_told address={address} error={error:?}");
+            return;
+        }
+    };
+    record(&app, &reply);
+}
+
+fn record(app: &app::App, message: &direct::StatedLimits) {
+    for stated in &message.limits {
+        upstream_limits::record_stated(app, stated, "gossip");
+    }
+}
+
+/// Handles a message of another entry.
+pub async fn handle(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    let message: direct::StatedLimits = match call.read_message(MESSAGE_MAX_BYTES).await {
+        Ok(message) => message,
+        Err(error) => return server::respond_text(error.status(), &error.to_string()),
+    };
+    record(&app, &message);
+    server::respond_message(&stated_limits(&app))
+}
+
+/// Returns the limits to tell another entry.
+fn stated_limits(app: &app::App) -> direct::StatedLimits {
+    let now = app.clock.now();
+    let all = app.upstream_limits.all();
+    let stated = all
+        .iter()
+        .filter_map(|(instance, upstream)| upstream.stated(instance, now));
+    let mut limits: Vec<_> = stated.filter(is_mentioned).collect();
+    limits.shuffle(&mut rand::rng());
+    limits.truncate(LIMITS_MAX);
+    direct::StatedLimits { limits }
+}
+
+fn is_mentioned(stated: &direct::StatedLimit) -> bool {
+    let age = time::Duration::from_millis(stated.age_ms);
+    stated.limit.is_some() || age <= WITHDRAWN_MENTION
+}
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -10,7 +10,8 @@
 //! * [`placement`]: the selection of an upstream.
 //! * [`attempt`] and [`stream`]: one attempt to send a request to an upstream, and responses that
 //!   are event streams.
-//! * [`upstream_limits`]: the limits that upstreams name in their responses.
+//! * [`upstream_limits`], [`limit_gossip`] and [`permits`]: the limits that upstreams name in their
+//!   responses, and the permits with which all entries together keep them.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`agents`]: agents' reports of engine states, and their requests for the configuration of a
@@ -22,7 +23,9 @@
 pub mod cache;
 pub mod directory;
 pub mod feed;
+pub mod limit_gossip;
 pub mod peers;
+pub mod permits;
 pub mod placement;
 pub mod proxy;
 pub mod settings;
@@ -130,7 +133,7 @@
     ));
     feed::start(&app);
     tokio::spawn(peers::run(app.clone()));
-    tokio::spawn(upstream_limits::run(app.clone()));
+    tokio::spawn(limit_gossip::run(app.clone()));
     Ok(Running {
         stop,
         app,
@@ -143,6 +146,12 @@
         route
             .post(direct::PEER_PATH)
             .to_new_handler(server::endpoint(app, peers::handle_heartbeat));
+        route
+            .post(direct::PERMIT_PATH)
+            .to_new_handler(server::endpoint(app, permits::handle));
+        route
+            .post(direct::LIMITS_PATH)
+            .to_new_handler(server::endpoint(app, limit_gossip::handle));
         route
             .post(direct::FOLLOW_PATH)
             .to_new_handler(server::endpoint(app, feed::handle_follow));
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -122,6 +122,14 @@
         .internal
         .call(address, direct::PEER_PATH, &request, HEARTBEAT_TIMEOUT)
         .await;
+    if app
+        .peers
+        .load()
+        .values()
+        .any(|peer| peer.state.peers == address)
+    {
+        app.upstream_limits.record_heartbeat(result.is_ok());
+    }
     let reply: direct::PeerReply = match result {
         Ok(reply) => reply,
         Err(error) => {
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -14,7 +14,7 @@
 use pimentohook_wire::direct;
 use rand::RngExt as _;
 
-use super::app;
+use super::{app, permits};
 
 const SLOT_REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(60);
 const AGENT_SILENCE_MS: u64 = 500;
@@ -27,6 +27,12 @@
 /// The share of the remaining time to the first token that the agent may plan with; the rest is a
 /// margin for what the engine profile doesn't cover.
 const FIRST_TOKEN_BUDGET_PERCENT: u32 = 85;
+/// How much likelier than others a limited upstream is to be tried first, so that it is used up to
+/// its limit.
+const LIMITED_PREFERENCE: usize = 2;
+/// Maximum number of coordinators that deny a permit for one request, one after the other. After
+/// that, limited upstreams are passed over.
+const PERMIT_DENIALS_MAX: usize = 3;
 /// The number of requests in flight that an engine of another failure domain is charged in the
 /// ranking, because links between failure domains are expensive and low-bandwidth.
 const CROSS_DOMAIN_COST: u32 = 2;
@@ -69,6 +75,11 @@
     Nobody,
     /// All upstreams of the service are at capacity.
     Full,
+    /// All upstreams of the service that could take the request get as many as their limits allow.
+    Limited {
+        /// When one of them may take another request.
+        retry_after: time::Duration,
+    },
 }
 
 /// Counts a request as in flight at an upstream until the guard is dropped.
@@ -106,7 +117,7 @@
     let usable: Vec<&app::Candidate> = listed.iter().filter(usable).collect();
     match (request.profile, request.model) {
         (Some(profile), Some(model)) => choose_engine(app, request, profile, model, &usable).await,
-        _ => choose_plain(app, &usable),
+        _ => choose_plain(app, &usable).await,
     }
 }
 
@@ -116,22 +127,99 @@
         && !request.excluded.contains(&candidate.upstream.instance)
 }
 
-fn choose_plain(app: &app::App, usable: &[&app::Candidate]) -> Result<Placement, Denial> {
+async fn choose_plain(app: &app::App, usable: &[&app::Candidate]) -> Result<Placement, Denial> {
     let mut shuffled = usable.to_vec();
     rand::seq::SliceRandom::shuffle(shuffled.as_mut_slice(), &mut rand::rng());
-    let stats: Vec<&score::UpstreamStats> = shuffled
+    let is_limited = |candidate: &&app::Candidate| {
+        let instance = &candidate.upstream.instance;
+        app.upstream_limits.limited(instance).is_some()
+    };
+    let (limited, unlimited): (Vec<_>, Vec<_>) = shuffled.into_iter().partition(is_limited);
+    let mut denial = Denial::Nobody;
+    if unlimited.is_empty() || is_limited_first(limited.len(), usable.len()) {
+        let skips_ejected = !unlimited.is_empty();
+        match choose_limited(app, &limited, skips_ejected).await {
+            Ok(placement) => return Ok(placement),
+            Err(denied) => denial = denied,
+        }
+    }
+    let stats: Vec<&score::UpstreamStats> = unlimited
         .iter()
         .map(|candidate| &candidate.state.stats)
         .collect();
     let policy = choice::Policy::LeastScore;
     let index = choice::choose(policy, &stats, app.now_ms(), 0, &mut rand::rng());
-    let candidate = index.map(|index| shuffled[index].clone());
+    let candidate = index.map(|index| unlimited[index].clone());
     candidate
         .map(|candidate| Placement {
             candidate,
             weights_version: None,
         })
-        .ok_or(Denial::Nobody)
+        .ok_or(denial)
+}
+
+/// Draws whether a request is offered to the limited upstreams before the others.
+///
+/// Without a preference, an upstream would get only a part of what its limit allows whenever
+/// requests come unevenly; with too strong a one, an upstream in need would get requests that
+/// others have room for.
+fn is_limited_first(limited_count: usize, usable_count: usize) -> bool {
+    rand::rng().random_range(0..usable_count.max(1)) < limited_count * LIMITED_PREFERENCE
+}
+
+/// Selects a limited upstream for which there is a permit.
+async fn choose_limited(
+    app: &app::App,
+    limited: &[&app::Candidate],
+    skips_ejected: bool,
+) -> Result<Placement, Denial> {
+    let now_ms = app.now_ms();
+    let is_tried =
+        |candidate: &&&app::Candidate| !(skips_ejected && candidate.state.stats.is_ejected(now_ms));
+    let mut denials = PermitDenials::default();
+    for candidate in limited.iter().filter(is_tried) {
+        if denials.acquire(app, candidate).await {
+            return Ok(Placement {
+                candidate: app::Candidate::clone(candidate),
+                weights_version: None,
+            });
+        }
+    }
+    Err(denials.denial().unwrap_or(Denial::Nobody))
+}
+
+/// The permits that were denied for one request.
+#[derive(Debug, Default)]
+struct PermitDenials {
+    /// The number of coordinators that were asked.
+    asked_count: usize,
+    /// When there may be a permit; `None` if none was denied.
+    retry_after: Option<time::Duration>,
+}
+
+impl PermitDenials {
+    /// Acquires a permit for an upstream; returns false if it is denied.
+    async fn acquire(&mut self, app: &app::App, candidate: &app::Candidate) -> bool {
+        let instance = &candidate.upstream.instance;
+        let is_limited = app.upstream_limits.limited(instance).is_some();
+        if is_limited && self.asked_count == PERMIT_DENIALS_MAX {
+            return false;
+        }
+        let Err(denied) = permits::acquire(app, instance).await else {
+            return true;
+        };
+        self.asked_count += usize::from(denied.is_asked);
+        let earliest = self.retry_after.unwrap_or(denied.retry_after);
+        self.retry_after = Some(earliest.min(denied.retry_after));
+        false
+    }
+
+    const fn denial(&self) -> Option<Denial> {
+        match self.retry_after {
+            Some(retry_after) => Some(Denial::Limited { retry_after }),
+            None => None,
+        }
+    }
 }
 
 /// The versions of the weights that may serve a request.
@@ -194,7 +282,16 @@
     } else {
         SLOT_REQUESTS_MAX
     };
-    for candidate in serving.into_iter().take(slot_requests_max) {
+    let mut denials = PermitDenials::default();
+    let mut slot_requests = 0;
+    for candidate in serving {
+        if slot_requests == slot_requests_max {
+            return Err(Denial::Full);
+        }
+        if !denials.acquire(app, candidate).await {
+            continue;
+        }
+        slot_requests += 1;
         if request_slot(app, request, profile, model, allowed, candidate).await {
             // The upstream checks this version, so that an engine that loads other weights in the
             // meantime can't run the request on a version that is too old. Without an oldest
@@ -207,8 +304,12 @@
                 weights_version,
             });
         }
+        permits::give_back(app, &candidate.upstream.instance);
+    }
+    match denials.denial() {
+        Some(denial) if slot_requests == 0 => Err(denial),
+        _ => Err(Denial::Full),
     }
-    Err(Denial::Full)
 }
 
 /// Requests a slot from the agent beside an engine; returns whether the request may be sent there.
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -14,7 +14,7 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    placement, stream, upstream_limits,
+    permits, placement, stream, upstream_limits,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -24,6 +24,9 @@
 /// Short, because another entry accepts the request immediately.
 const RETRY_AFTER_SHUTDOWN: time::Duration = time::Duration::from_millis(20);
 
+/// Callers honour a delay of at most their remaining time divided by this.
+const RETRY_AFTER_REMAINING_DIVISOR: u32 = 3;
+
 /// A caller's request with its complete body.
 #[derive(Clone, Debug)]
 pub struct ProxiedRequest {
@@ -273,6 +276,7 @@
             Err(denial) => return refuse(app, request, history, denial),
         };
         if !history.tried.is_empty() && !budget.try_withdraw() {
+            permits::give_back(app, &placement.candidate.upstream.instance);
             return fail(app, request, history, "the retry budget is spent");
         }
         history
@@ -373,7 +377,15 @@
     if history.may_have_run {
         return fail(app, request, history, "no other upstream can take it");
     }
-    let retry_after = retry_after(app, request);
+    let retry_after = match denial {
+        placement::Denial::Limited {
+            retry_after: limited,
+        } => {
+            let longest = request.remaining() / RETRY_AFTER_REMAINING_DIVISOR;
+            retry_after(app, request).max(limited.min(longest))
+        }
+        placement::Denial::Nobody | placement::Denial::Full => retry_after(app, request),
+    };
     app.count("refused");
     log::info!(
         "proxy: event=refused request={} route={} service={} reason={denial} tried={} \
--- a/crates/entry/src/direct/upstream_limits.rs
+++ b/crates/entry/src/direct/upstream_limits.rs
@@ -7,8 +7,10 @@
 use std::{sync, sync::atomic, time};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use indexmap::IndexMap;
-use pimentohook_core::upstream_limit::{belief, rate};
+use indexmap::{IndexMap, IndexSet};
+use pimentohook_core::upstream_limit::{belief, bucket, fleet, pocket, rate};
+use pimentohook_platform::store;
+use pimentohook_wire::direct;
 
 use super::app;
 
@@ -16,8 +18,6 @@
 const WITHDRAWN_RETENTION: time::Duration = time::Duration::from_mins(1);
 /// How long an upstream that states nothing any more is tracked.
 const SILENT_RETENTION: time::Duration = time::Duration::from_mins(10);
-/// How often the use of limited upstreams is logged.
-const USAGE_LOG_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
 /// Why a request is sent to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -31,12 +31,13 @@
     Resume,
 }
 
-/// The requests sent to an upstream since the last log line.
+/// The requests for an upstream since the last log line.
 #[derive(Debug, Default)]
 struct Usage {
     first: atomic::AtomicU32,
     retry: atomic::AtomicU32,
     resume: atomic::AtomicU32,
+    denied: atomic::AtomicU32,
 }
 
 impl Usage {
@@ -50,12 +51,32 @@
 }
 
 /// An upstream that has named a limit.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LimitedUpstream {
     belief: ArcSwapOption<belief::Belief>,
+    pocket: ArcSwap<pocket::PermitPocket>,
+    /// The permits that this entry grants as the coordinator.
+    bucket: ArcSwapOption<bucket::PermitBucket>,
+    /// The coordinator that was last asked.
+    coordinator: ArcSwapOption<String>,
+    /// Held while the coordinator is asked, so that concurrent requests ask once.
+    pub asking: tokio::sync::Mutex<()>,
     usage: Usage,
 }
 
+impl Default for LimitedUpstream {
+    fn default() -> Self {
+        Self {
+            belief: ArcSwapOption::empty(),
+            pocket: ArcSwap::default(),
+            bucket: ArcSwapOption::empty(),
+            coordinator: ArcSwapOption::empty(),
+            asking: tokio::sync::Mutex::new(()),
+            usage: Usage::default(),
+        }
+    }
+}
+
 impl LimitedUpstream {
     /// Returns what this entry believes of the upstream's limit.
     #[must_use]
@@ -69,14 +90,84 @@
         self.belief()?.limit
     }
 
+    /// Returns the belief in the form in which it is sent to other entries.
+    #[must_use]
+    pub fn stated(&self, instance: &str, now: time::Instant) -> Option<direct::StatedLimit> {
+        let belief = self.belief()?;
+        let age = now.saturating_duration_since(belief.stated_at);
+        Some(direct::StatedLimit {
+            instance: String::from(instance),
+            limit: belief.limit,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
     /// Counts a request that is sent to the upstream.
     pub fn count_send(&self, reason: SendReason) {
         let counter = self.usage.counter(reason);
         counter.fetch_add(1, atomic::Ordering::Relaxed);
     }
 
+    /// Counts a request that was not sent to the upstream for want of a permit.
+    pub fn count_denial(&self) {
+        self.usage.denied.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Takes a permit from the pocket; `own_rate` is the own share of the limit.
+    pub fn take(&self, now: time::Instant, own_rate: rate::RequestRate) -> pocket::Taken {
+        let mut taken = pocket::Taken::Ask { wanted: 1 };
+        self.pocket.rcu(|pocket| {
+            let after;
+            (after, taken) = pocket.take(now, own_rate);
+            after
+        });
+        taken
+    }
+
+    /// Changes the pocket.
+    pub fn update_pocket<F>(&self, change: F)
+    where
+        F: Fn(&pocket::PermitPocket) -> pocket::PermitPocket,
+    {
+        self.pocket.rcu(|pocket| change(pocket));
+    }
+
+    /// Grants permits as the coordinator.
+    pub fn grant(
+        &self,
+        now: time::Instant,
+        rate: rate::RequestRate,
+        wanted: u32,
+        draw: f64,
+    ) -> bucket::Grant {
+        let mut grant = bucket::Grant::default();
+        self.bucket.rcu(|bucket| {
+            let before = bucket.as_deref().cloned();
+            let before = before.unwrap_or_else(|| bucket::PermitBucket::new(now));
+            let after;
+            (after, grant) = before.grant(now, rate, wanted, draw);
+            Some(sync::Arc::new(after))
+        });
+        grant
+    }
+
+    /// Sets the coordinator that is asked now; returns the previous one if it was another.
+    pub fn set_coordinator(&self, name: &str) -> Option<sync::Arc<String>> {
+        let before = self.coordinator.load();
+        if before
+            .as_ref()
+            .is_some_and(|before| before.as_str() == name)
+        {
+            return None;
+        }
+        let before = self
+            .coordinator
+            .swap(Some(sync::Arc::new(String::from(name))));
+        Some(before.unwrap_or_default())
+    }
+
     /// Updates the belief; returns it as it was before and after.
-    fn update<F>(&self, change: F) -> (Option<belief::Belief>, Option<belief::Belief>)
+    fn update<F>(&self, change: F) -> [Option<belief::Belief>; 2]
     where
         F: Fn(Option<belief::Belief>) -> Option<belief::Belief>,
     {
@@ -84,7 +175,20 @@
             change(before.as_deref().copied()).map(sync::Arc::new)
         };
         let before = self.belief.rcu(update);
-        (before.as_deref().copied(), self.belief())
+        [before.as_deref().copied(), self.belief()]
+    }
+
+    /// Returns whether the upstream is still tracked.
+    fn is_tracked(&self, now: time::Instant) -> bool {
+        let Some(belief) = self.belief() else {
+            return true;
+        };
+        let retention = if belief.limit.is_some() {
+            SILENT_RETENTION
+        } else {
+            WITHDRAWN_RETENTION
+        };
+        now.saturating_duration_since(belief.stated_at) <= retention
     }
 }
 
@@ -92,6 +196,14 @@
 #[derive(Debug, Default)]
 pub struct UpstreamLimits {
     by_instance: ArcSwap<IndexMap<String, sync::Arc<LimitedUpstream>>>,
+    /// The entries that may be coordinators.
+    coordinators: ArcSwap<Vec<String>>,
+    shares: ArcSwap<fleet::Shares>,
+    fleet: sync::Mutex<fleet::Fleet>,
+    heartbeats_answered: atomic::AtomicU32,
+    heartbeats_unanswered: atomic::AtomicU32,
+    /// Notified when a response changed a belief.
+    pub changed: tokio::sync::Notify,
 }
 
 impl UpstreamLimits {
@@ -101,6 +213,54 @@
         self.by_instance.load().get(instance).cloned()
     }
 
+    /// Returns an upstream that has a limit now, and the limit.
+    #[must_use]
+    pub fn limited(
+        &self,
+        instance: &str,
+    ) -> Option<(sync::Arc<LimitedUpstream>, rate::RequestRate)> {
+        let upstream = self.get(instance)?;
+        let limit = upstream.limit()?;
+        Some((upstream, limit))
+    }
+
+    /// Returns all tracked upstreams.
+    #[must_use]
+    pub fn all(&self) -> sync::Arc<IndexMap<String, sync::Arc<LimitedUpstream>>> {
+        self.by_instance.load_full()
+    }
+
+    /// Returns the shares of a limit that this entry may use.
+    #[must_use]
+    pub fn shares(&self) -> fleet::Shares {
+        **self.shares.load()
+    }
+
+    /// Returns the coordinator of an upstream; `None` if no entry can be one.
+    #[must_use]
+    pub fn coordinator(&self, instance: &str) -> Option<String> {
+        let coordinators = self.coordinators.load();
+        fleet::coordinator(instance, &coordinators).map(String::from)
+    }
+
+    /// Records whether a heartbeat to an entry that was heard lately was answered.
+    pub fn record_heartbeat(&self, is_answered: bool) {
+        let counter = if is_answered {
+            &self.heartbeats_answered
+        } else {
+            &self.heartbeats_unanswered
+        };
+        counter.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    fn take_heartbeats(&self) -> fleet::Heartbeats {
+        let take = |counter: &atomic::AtomicU32| counter.swap(0, atomic::Ordering::Relaxed);
+        fleet::Heartbeats {
+            answered_count: take(&self.heartbeats_answered),
+            unanswered_count: take(&self.heartbeats_unanswered),
+        }
+    }
+
     fn get_or_insert(&self, instance: &str) -> sync::Arc<LimitedUpstream> {
         if let Some(upstream) = self.get(instance) {
             return upstream;
@@ -113,22 +273,56 @@
         self.get(instance).unwrap_or_default()
     }
 
-    fn retain<F>(&self, is_kept: F)
-    where
-        F: Fn(&LimitedUpstream) -> bool,
-    {
+    /// Drops the upstreams that have not had a limit for a while.
+    pub fn remove_untracked(&self, now: time::Instant) {
         let by_instance = self.by_instance.load();
-        if by_instance.values().all(|upstream| is_kept(upstream)) {
+        if by_instance
+            .values()
+            .all(|upstream| upstream.is_tracked(now))
+        {
             return;
         }
         self.by_instance.rcu(|by_instance| {
             let mut by_instance = IndexMap::clone(by_instance);
-            by_instance.retain(|_, upstream| is_kept(upstream));
+            by_instance.retain(|_, upstream| upstream.is_tracked(now));
             by_instance
         });
     }
 }
 
+/// Updates the coordinators and the shares from the entries that are heard and registered.
+pub fn update_fleet(app: &app::App) {
+    let now = app.clock.now();
+    let peers = app.peers.load();
+    let heard: IndexSet<String> = peers.keys().cloned().collect();
+    let registrations = app.cached(store::Kind::Entries).collection();
+    let mut registered: IndexSet<String> = registrations.objects().keys().cloned().collect();
+    registered.shift_remove(&app.settings.entry);
+    let limits = &app.upstream_limits;
+    let mut fleet = limits
+        .fleet
+        .lock()
+        .unwrap_or_else(sync::PoisonError::into_inner);
+    fleet.update(now, &heard, &registered, limits.take_heartbeats());
+    let shares = fleet.shares(now);
+    drop(fleet);
+    let before = limits.shares.swap(sync::Arc::new(shares));
+    if *before != shares && !limits.all().is_empty() {
+        log::info!(
+            "limit: event=shares_changed as_coordinator={:.3} alone={:.3} heard={} registered={}",
+            shares.as_coordinator,
+            shares.alone,
+            heard.len(),
+            registered.len()
+        );
+    }
+    let own_state = app.peer_state();
+    let states = peers.values().map(|peer| &peer.state).chain([&own_state]);
+    let eligible = states.filter(|state| state.ready && state.is_settled);
+    let coordinators = fleet::coordinators(eligible.map(|state| state.entry.as_str()));
+    limits.coordinators.store(sync::Arc::new(coordinators));
+}
+
 /// Records what a response states about the limit of its upstream.
 pub fn record_response(app: &app::App, instance: &str, response: &belief::Response) {
     let tracked = app.upstream_limits.get(instance);
@@ -145,20 +339,44 @@
         return;
     }
     let upstream = tracked.unwrap_or_else(|| app.upstream_limits.get_or_insert(instance));
-    let (before, after) = upstream.update(|before| belief::after_response(before, response));
-    log_change(app, instance, before, after, "response");
+    let beliefs = upstream.update(|before| belief::after_response(before, response));
+    if log_change(app, instance, beliefs, "response") {
+        app.upstream_limits.changed.notify_one();
+    }
+}
+
+/// Records what another entry believes of the limit of an upstream.
+pub fn record_stated(app: &app::App, stated: &direct::StatedLimit, source: &str) {
+    let age = time::Duration::from_millis(stated.age_ms);
+    let Some(stated_at) = app.clock.now().checked_sub(age) else {
+        return;
+    };
+    let other = belief::Belief {
+        limit: stated.limit,
+        stated_at,
+    };
+    let upstream = match app.upstream_limits.get(&stated.instance) {
+        Some(upstream) => upstream,
+        None if stated.limit.is_none() => return,
+        None => app.upstream_limits.get_or_insert(&stated.instance),
+    };
+    let beliefs = upstream.update(|before| match before {
+        Some(before) => Some(belief::newer(before, other)),
+        None => Some(other),
+    });
+    log_change(app, &stated.instance, beliefs, source);
 }
 
+/// Logs and counts a change of the limit; returns whether there was one.
 fn log_change(
     app: &app::App,
     instance: &str,
-    before: Option<belief::Belief>,
-    after: Option<belief::Belief>,
+    [before, after]: [Option<belief::Belief>; 2],
     source: &str,
-) {
+) -> bool {
     let limit = |belief: Option<belief::Belief>| belief.and_then(|belief| belief.limit);
     if limit(before) == limit(after) {
-        return;
+        return false;
     }
     let event = match (limit(before), limit(after)) {
         (None, _) => "limit_named",
@@ -167,7 +385,8 @@
     };
     app.count(event);
     let now = app.clock.now();
-    let age_ms = |belief: belief::Belief| now.duration_since(belief.stated_at).as_millis();
+    let age_ms =
+        |belief: belief::Belief| now.saturating_duration_since(belief.stated_at).as_millis();
     log::info!(
         "limit: event={event} instance={instance} before={} after={} before_age_ms={:?} \
          age_ms={:?} source={source}",
@@ -176,6 +395,7 @@
         before.map(age_ms),
         after.map(age_ms)
     );
+    true
 }
 
 fn describe(belief: Option<belief::Belief>) -> String {
@@ -183,46 +403,26 @@
     limit.map_or_else(|| String::from("none"), |limit| limit.to_string())
 }
 
-/// Logs the use of limited upstreams and drops those that are not limited any more, until the
-/// process exits.
-pub async fn run(app: sync::Arc<app::App>) {
-    loop {
-        tokio::time::sleep(USAGE_LOG_INTERVAL).await;
-        let now = app.clock.now();
-        for (instance, upstream) in app.upstream_limits.by_instance.load().iter() {
-            log_usage(instance, upstream, now);
-        }
-        app.upstream_limits
-            .retain(|upstream| is_tracked(upstream, now));
-    }
-}
-
-fn is_tracked(upstream: &LimitedUpstream, now: time::Instant) -> bool {
-    let Some(belief) = upstream.belief() else {
-        return true;
-    };
-    let retention = if belief.limit.is_some() {
-        SILENT_RETENTION
-    } else {
-        WITHDRAWN_RETENTION
-    };
-    now.duration_since(belief.stated_at) <= retention
-}
-
-fn log_usage(instance: &str, upstream: &LimitedUpstream, now: time::Instant) {
+/// Logs the use of the limited upstreams since the last call.
+pub fn log_usage(app: &app::App) {
+    let now = app.clock.now();
     let take = |counter: &atomic::AtomicU32| counter.swap(0, atomic::Ordering::Relaxed);
-    let usage = &upstream.usage;
-    let [first, retry, resume] = [&usage.first, &usage.retry, &usage.resume].map(take);
-    let Some(belief) = upstream.belief() else {
-        return;
-    };
-    if first + retry + resume > 0 && belief.limit.is_some() {
-        log::info!(
-            "limit: event=used instance={instance} limit={} age_ms={} first={first} \
-             retry={retry} resume={resume} within_ms={}",
-            describe(Some(belief)),
-            now.duration_since(belief.stated_at).as_millis(),
-            USAGE_LOG_INTERVAL.as_millis()
-        );
+    for (instance, upstream) in app.upstream_limits.all().iter() {
+        let usage = &upstream.usage;
+        let counters = [&usage.first, &usage.retry, &usage.resume, &usage.denied];
+        let [first, retry, resume, denied] = counters.map(take);
+        let Some(belief) = upstream.belief().filter(|belief| belief.limit.is_some()) else {
+            continue;
+        };
+        if first + retry + resume + denied > 0 {
+            let coordinator = upstream.coordinator.load();
+            log::info!(
+                "limit: event=used instance={instance} limit={} age_ms={} first={first} \
+                 retry={retry} resume={resume} denied={denied} coordinator={}",
+                describe(Some(belief)),
+                now.saturating_duration_since(belief.stated_at).as_millis(),
+                coordinator.as_deref().map_or("-", String::as_str)
+            );
+        }
     }
 }
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -2,7 +2,7 @@
 //! upstreams.
 
 use indexmap::IndexMap;
-use pimentohook_core::{collection, engine, id, size};
+use pimentohook_core::{collection, engine, id, size, upstream_limit::rate};
 use serde::{Deserialize, Serialize};
 
 /// The path at which agents accept a [`SlotRequest`].
@@ -20,6 +20,12 @@
 /// The path at which entries accept a [`ServiceRequest`].
 pub const SERVICE_PATH: &str = "/v1/direct/service";
 
+/// The path at which entries accept a [`PermitRequest`].
+pub const PERMIT_PATH: &str = "/v1/direct/permit";
+
+/// The path at which entries accept a [`StatedLimits`] message.
+pub const LIMITS_PATH: &str = "/v1/direct/limits";
+
 /// The path at which agents accept a [`SwarmRequest`].
 pub const SWARM_PATH: &str = "/v1/direct/swarm";
 
@@ -170,6 +176,46 @@
     pub known: Vec<KnownPeer>,
 }
 
+/// What an entry believes of the limit of an upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StatedLimit {
+    /// The upstream's instance.
+    pub instance: String,
+    /// The limit; `None` if the upstream has withdrawn it.
+    pub limit: Option<rate::RequestRate>,
+    /// The time since an entry received the response that stated it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Entry to entry: request permits for requests to a limited upstream, or only report its limit.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// What the sender believes of the upstream's limit.
+    pub stated: StatedLimit,
+    /// The number of permits; 0 to only report the limit.
+    pub wanted: u32,
+}
+
+/// The reply to a [`PermitRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PermitReply {
+    /// What the replying entry believes of the upstream's limit.
+    pub stated: StatedLimit,
+    /// Whether the replying entry is the upstream's coordinator; if not, it grants no permits.
+    pub is_coordinator: bool,
+    /// The number of granted permits.
+    pub granted: u32,
+    /// How long the sender should wait before it asks again, in milliseconds.
+    pub retry_after_ms: u32,
+}
+
+/// Entry to entry, as request and as reply: limits that the sender believes.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct StatedLimits {
+    /// Some of the limits that the sender tracks.
+    pub limits: Vec<StatedLimit>,
+}
+
 /// Agent to agent: report the chunks that the sender holds of a version of the weights.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SwarmRequest {
