Let an entry's own share of a limit accumulate one and a half permits

Found by the test without_its_coordinator_a_limit_is_kept_by_equal_shares, new here: with a coordinator that grants nothing, six entries used 60 of the 77 requests that their shares of 10 a second allow in 9 s (at least 61.7 wanted). Cause: a share accumulated one permit and stopped, until a request came for it; 75 ms of the 735 ms between two permits were lost each time. With one and a half the wait is not lost, and the fleet simulated in virtual time still keeps every window (109 passed). The new test passes with both kinds of faulty coordinator.

--- a/crates/core/src/upstream_limit/pocket.rs
+++ b/crates/core/src/upstream_limit/pocket.rs
@@ -14,7 +14,7 @@
 const SILENCE_GAP: time::Duration = time::Duration::from_millis(500);
 /// The permits of the own share that accumulate, as a time at its rate.
 const OWN_DEPTH: time::Duration = time::Duration::from_millis(250);
-const OWN_DEPTH_MIN: f64 = 1.0;
+const OWN_DEPTH_MIN: f64 = 1.5;
 /// If permits are used up within this time, the entry asks for more of them next time.
 const USED_UP_QUICKLY: time::Duration = time::Duration::from_millis(200);
 const WANTED_MAX: u32 = 64;
