Cut off event streams that send bytes without end or events that are none

An entry collected them until an event was complete, for up to 1.6 s at the speed of the link, and searched all of them again with each frame; events without an id, or with the same one again and again, went on to the caller until the route's timeout.

Change: core::event_stream splits a stream into events and checks them: an event has at most 256 KiB, a stream at most 8 MiB, and ids increase where events have ids. A stream that breaks this is treated like one that broke off: nothing of it is forwarded from there on, its connection is closed, and it goes on at another upstream where it may be resumed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`engine`]: how long an engine takes to respond.
 //! * [`engine_admission`]: which requests an engine admits.
+//! * [`event_stream`]: the events of a streamed response.
 //! * [`refusal_rate`]: when refused callers should retry.
 //! * [`shutdown`]: which requests a process accepts while it is shutting down.
 //! * [`rolling_update`]: when engines load a newer version of weights.
@@ -45,6 +46,7 @@
 pub mod collection;
 pub mod engine;
 pub mod engine_admission;
+pub mod event_stream;
 pub mod id;
 pub mod intent;
 pub mod lease;
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -2,11 +2,11 @@
 
 use std::{net, sync, sync::atomic, time};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt as _, Full};
 use hyper::{Request, Response, StatusCode, Uri, body::Incoming, header, http};
-use pimentohook_core::upstream_limit::belief;
+use pimentohook_core::{event_stream, upstream_limit::belief};
 use pimentohook_platform::request;
 use pimentohook_runtime::{client, server};
 
@@ -35,8 +35,8 @@
     pub head: http::response::Parts,
     /// The remaining body.
     pub body: Incoming,
-    /// Bytes that have been read but not forwarded.
-    pub buffer: BytesMut,
+    /// The events that have been read.
+    pub events: event_stream::EventReader,
     /// Whether the body has ended.
     pub is_ended: bool,
     /// The state of the upstream.
@@ -66,7 +66,7 @@
     request: &proxy::ProxiedRequest,
     placement: &placement::Placement,
     reason: upstream_limits::SendReason,
-    last_event_id: Option<&str>,
+    last_event_id: Option<u64>,
 ) -> Outcome {
     let upstream = &placement.candidate.upstream;
     let state = &placement.candidate.state;
@@ -121,6 +121,7 @@
         in_flight,
         started_at,
         timeout: attempt_timeout.saturating_sub(started_at.elapsed()),
+        last_event_id,
     };
     upstream_response.read(app, request, placement).await
 }
@@ -182,7 +183,7 @@
 fn build(
     request: &proxy::ProxiedRequest,
     placement: &placement::Placement,
-    last_event_id: Option<&str>,
+    last_event_id: Option<u64>,
 ) -> Result<Request<Full<Bytes>>, http::Error> {
     let upstream = &placement.candidate.upstream;
     let added_headers = request::AddedHeaders {
@@ -218,6 +219,8 @@
     in_flight: placement::InFlightGuard,
     started_at: time::Instant,
     timeout: time::Duration,
+    /// The last event that an earlier upstream sent, if the request resumes a stream.
+    last_event_id: Option<u64>,
 }
 
 impl UpstreamResponse {
@@ -263,7 +266,7 @@
         let mut open = OpenStream {
             head,
             body,
-            buffer: BytesMut::new(),
+            events: event_stream::EventReader::new(self.last_event_id),
             is_ended: false,
             state,
             instance: placement.candidate.upstream.instance.clone(),
@@ -289,31 +292,37 @@
 }
 
 impl OpenStream {
-    /// Reads until a complete event is buffered or the body has ended; returns false if the body
-    /// was cut off.
+    /// Reads until there are complete events or the body has ended; returns false if the body was
+    /// cut off or is not valid.
     pub async fn fill(&mut self) -> bool {
-        while events_end(&self.buffer) == 0 {
+        while !self.events.has_events() {
+            if let Some(violation) = self.events.violation() {
+                log::warn!(
+                    "attempt: event=stream_not_valid instance={} reason={violation}",
+                    self.instance
+                );
+                return false;
+            }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
-                        self.buffer.extend_from_slice(&bytes);
+                        self.events.push(&bytes);
                     }
                 }
                 Some(Err(_)) => return false,
                 None => {
                     self.is_ended = true;
                     // A body that ends in the middle of an event was cut off.
-                    return self.buffer.is_empty();
+                    return self.events.is_at_boundary();
                 }
             }
         }
         true
     }
 
-    /// Removes the complete events from the buffer and returns them.
+    /// Removes the complete events and returns them.
     pub fn take_events(&mut self) -> Bytes {
-        let end = events_end(&self.buffer);
-        self.buffer.split_to(end).freeze()
+        Bytes::from(self.events.take())
     }
 
     /// Returns whether a response with this status may be resumed at another upstream.
@@ -322,14 +331,3 @@
         self.head.status == StatusCode::OK
     }
 }
-
-/// Returns where the last complete event ends; 0 if there is none.
-fn events_end(buffer: &[u8]) -> usize {
-    let end_after = |delimiter: &[u8]| {
-        let start = buffer
-            .windows(delimiter.len())
-            .rposition(|window| window == delimiter);
-        start.map_or(0, |start| start + delimiter.len())
-    };
-    end_after(b"\n\n").max(end_after(b"\r\n\r\n"))
-}
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -39,7 +39,6 @@
         request,
         open,
         run_count: run_count + 1,
-        last_event_id: None,
         is_failed: false,
     };
     let event_batches = stream::unfold(forwarded, |mut forwarded| async move {
@@ -65,7 +64,6 @@
     request: sync::Arc<proxy::ProxiedRequest>,
     open: Box<OpenStream>,
     run_count: u32,
-    last_event_id: Option<String>,
     is_failed: bool,
 }
 
@@ -86,7 +84,7 @@
                 self.request.id(),
                 self.request.route.name,
                 self.open.instance,
-                self.last_event_id,
+                self.open.events.last_id(),
                 self.request.arrived_at.elapsed().as_millis()
             );
         }
@@ -106,9 +104,6 @@
             if events.is_empty() {
                 return None;
             }
-            if let Some(last) = last_event_id(&events) {
-                self.last_event_id = Some(last);
-            }
             return Some(Ok(events));
         }
     }
@@ -139,7 +134,7 @@
             return false;
         };
         self.run_count += 1;
-        let last = self.last_event_id.as_deref();
+        let last = self.open.events.last_id();
         let reason = upstream_limits::SendReason::Resume;
         let outcome = attempt::run(&self.app, &self.request, &placement, reason, last).await;
         let Outcome::Stream(open) = outcome else {
@@ -156,10 +151,3 @@
         true
     }
 }
-
-/// Returns the id of the last event that has an id.
-fn last_event_id(events: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(events).ok()?;
-    let mut ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
-    ids.next_back().map(|id| String::from(id.trim()))
-}
