Bound the head of a response: 64 KiB, and 16 informational responses before it

An upstream that sent responses with status 100 without end kept its request, a connection and a part of the processor until the request's timeout, as each of them is a complete head that is skipped.

--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -30,6 +30,11 @@
 /// The time for which sent bytes may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_MAX: time::Duration = time::Duration::from_secs(3);
 
+/// The maximum size of the head of a response.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+/// The maximum number of informational responses, with a status below 200, before a response.
+const INFORMATIONAL_MAX: u32 = 16;
+
 /// An error from sending a request or reading its response.
 #[derive(Debug, Snafu)]
 pub enum ClientError {
@@ -144,6 +149,7 @@
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
         .pool_timer(hyper_util::rt::TokioTimer::new())
         .pool_max_idle_per_host(idle_max)
+        .http1_max_buf_size(HEAD_MAX_BYTES)
         .build(connector)
 }
 
@@ -320,11 +326,16 @@
 async fn send_on(
     pool: &Pool,
     address: net::SocketAddr,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     timeout: time::Duration,
 ) -> Result<Response<Incoming>, ClientError> {
+    let too_many_informational = watch_informational(&mut request);
     let call = async {
-        pool.request(request).await.map_err(|error| {
+        let response = tokio::select! {
+            response = pool.request(request) => response,
+            () = too_many_informational.notified() => return BrokenSnafu { address }.fail(),
+        };
+        response.map_err(|error| {
             if error.is_connect() {
                 ClientError::Connect { address }
             } else if is_canceled(&error) {
@@ -337,6 +348,19 @@
     with_timeout(address, timeout, call).await
 }
 
+/// Returns a notification for when a request has got more informational responses than allowed.
+fn watch_informational(request: &mut Request<Full<Bytes>>) -> sync::Arc<tokio::sync::Notify> {
+    let too_many = sync::Arc::new(tokio::sync::Notify::new());
+    let notify = too_many.clone();
+    let count = atomic::AtomicU32::new(0);
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, atomic::Ordering::Relaxed) == INFORMATIONAL_MAX {
+            notify.notify_one();
+        }
+    });
+    too_many
+}
+
 /// Returns whether the request was canceled, which happens only before it has been written.
 fn is_canceled(error: &legacy::Error) -> bool {
     let source = std::error::Error::source(error);
