Bound the memory of all responses that an entry reads at the same time

Cause: each response of a plain service may have 8 MiB, which an upstream that sends without end always reaches; 32 of them at once are the whole memory of an entry VM (260 MB, 160 MB on the grown deployments). Change: the responses that are being read share 48 MiB; one that finds no room fails like one that is too long.

--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -82,6 +82,8 @@
     pub clock: sync::Arc<dyn clock::Clock>,
     /// The client for upstreams.
     pub upstreams: client::Client,
+    /// Bounds the memory of responses from upstreams.
+    pub response_budget: client::BodyBudget,
     /// The client for agents and entries.
     pub internal: client::Client,
     /// The client for the object store.
@@ -120,6 +122,8 @@
 /// The share of the configuration grace period after which an unconfirmed configuration is stale.
 /// An entry with a stale configuration doesn't respond that a route or a key doesn't exist.
 const STALE_AFTER_PERCENT: u32 = 85;
+/// The maximum size of all responses that are being read, a part of an entry VM's memory.
+const RESPONSES_MAX_BYTES: usize = 48 << 20;
 /// An entry that has run for this long has discovered the others of its region.
 const SETTLING_TIME: time::Duration = time::Duration::from_secs(2);
 
@@ -136,6 +140,7 @@
             metrics_registry,
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::new(local_ip),
+            response_budget: client::BodyBudget::new(RESPONSES_MAX_BYTES),
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -246,7 +246,9 @@
         let state = &placement.candidate.state;
         let address = placement.candidate.upstream.address;
         let (head, body) = self.response.into_parts();
-        let read = client::read_body(address, Response::new(body), RESPONSE_MAX_BYTES);
+        let response = Response::new(body);
+        let budget = &app.response_budget;
+        let read = client::read_body_within(address, response, RESPONSE_MAX_BYTES, budget);
         let Ok(Ok(body)) = tokio::time::timeout(self.timeout, read).await else {
             state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
--- /dev/null
+++ b/crates/runtime/tests/body_budget.rs
@@ -0,0 +1,76 @@
+//! Tests that the bodies of responses that are read at the same time share a bound.
+
+use std::{net, time};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use pimentohook_runtime::client::{BodyBudget, Client, ClientError, read_body_within};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
+
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+const BODY_BYTES: usize = 100_000;
+
+/// Starts a server that sends a body, all of it or half of it before it waits without end.
+async fn start_server(is_complete: bool) -> net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 1_024];
+                let _ = socket.read(&mut request).await;
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+                let sent_bytes = if is_complete {
+                    BODY_BYTES
+                } else {
+                    BODY_BYTES / 2
+                };
+                let _ = socket.write_all(head.as_bytes()).await;
+                let _ = socket.write_all(&vec![0; sent_bytes]).await;
+                let _ = socket.read(&mut request).await;
+            });
+        }
+    });
+    address
+}
+
+async fn read(address: net::SocketAddr, budget: &BodyBudget) -> Result<Bytes, ClientError> {
+    let client = Client::new(address.ip());
+    let request = Request::get(format!("http://{address}/")).body(Full::default());
+    let response = client.send(address, request.expect("a request"), TIMEOUT);
+    let response = response.await.expect("a response");
+    read_body_within(address, response, 2 * BODY_BYTES, budget).await
+}
+
+#[rstest]
+#[case::fits(BODY_BYTES, true)]
+#[case::exceeds(BODY_BYTES - 1, false)]
+#[tokio::test]
+async fn a_body_is_read_if_the_budget_has_room(#[case] max_bytes: usize, #[case] expected: bool) {
+    let budget = BodyBudget::new(max_bytes);
+    let address = start_server(true).await;
+    assert_eq!(read(address, &budget).await.is_ok(), expected);
+    assert_eq!(budget.free_bytes(), max_bytes, "the bytes are free again");
+}
+
+#[tokio::test]
+async fn bodies_that_are_read_at_the_same_time_share_the_budget() {
+    let max_bytes = BODY_BYTES + BODY_BYTES / 4;
+    let budget = BodyBudget::new(max_bytes);
+    let stuck = start_server(false).await;
+    let complete = start_server(true).await;
+    let mut pending = Box::pin(read(stuck, &budget));
+    while budget.free_bytes() > max_bytes - BODY_BYTES / 2 {
+        let poll = tokio::time::timeout(time::Duration::from_millis(5), pending.as_mut());
+        assert!(poll.await.is_err(), "the body is not complete");
+    }
+    assert!(read(complete, &budget).await.is_err());
+    drop(pending);
+    assert!(read(complete, &budget).await.is_ok());
+    assert_eq!(budget.free_bytes(), max_bytes);
+}
