Bound an entry's share of the retry budget by the entries it knows now

Cause: the burst of retries is divided by the number of entries when an entry uses the budget of a service first; one that has just started knows nobody, and kept the whole burst for good. Change: the burst is divided anew with each round of heartbeats.

--- a/crates/core/src/limits/commands.rs
+++ b/crates/core/src/limits/commands.rs
@@ -56,7 +56,7 @@
 impl RetryBudget {
     /// Deposits the fraction of a retry that a first attempt adds.
     pub fn deposit(&self) {
-        let max = self.burst_count * queries::HUNDREDTHS;
+        let max = self.balance_max_hundredths();
         let deposit = self.deposit_percent;
         self.balance_hundredths
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
@@ -65,6 +65,14 @@
             .ok();
     }
 
+    /// Changes the maximum of the balance. A lower one takes effect at once; with a higher one, the
+    /// balance grows by deposits.
+    pub fn set_burst(&self, burst_count: u64) {
+        self.burst_count.store(burst_count, Ordering::Relaxed);
+        let max = self.balance_max_hundredths();
+        self.balance_hundredths.fetch_min(max, Ordering::Relaxed);
+    }
+
     /// Withdraws one retry; returns `false` if the balance is too low.
     pub fn try_withdraw(&self) -> bool {
         self.balance_hundredths
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -55,7 +55,7 @@
 pub struct RetryBudget {
     balance_hundredths: atomic::AtomicU64,
     deposit_percent: u64,
-    burst_count: u64,
+    burst_count: atomic::AtomicU64,
 }
 
 impl RetryBudget {
@@ -66,7 +66,7 @@
         Self {
             balance_hundredths: atomic::AtomicU64::new(burst_count * queries::HUNDREDTHS),
             deposit_percent: percent,
-            burst_count,
+            burst_count: atomic::AtomicU64::new(burst_count),
         }
     }
 }
--- a/crates/core/src/limits/queries.rs
+++ b/crates/core/src/limits/queries.rs
@@ -1,6 +1,8 @@
 //! Reads of slots and retry budgets.
 
-use super::FairSlots;
+use std::sync::atomic;
+
+use super::{FairSlots, RetryBudget};
 
 /// One in this many slots is reserved for organisations below their share.
 const RESERVED_DIVISOR: usize = 4;
@@ -38,3 +40,9 @@
             .max(1)
     }
 }
+
+impl RetryBudget {
+    pub(super) fn balance_max_hundredths(&self) -> u64 {
+        self.burst_count.load(atomic::Ordering::Relaxed) * HUNDREDTHS
+    }
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -295,14 +295,27 @@
         }
     }
 
+    /// Returns this entry's share of the burst of retries that all entries together may send.
+    fn retry_burst_share(&self) -> u64 {
+        (self.settings.retry_burst / u64::from(self.entry_count())).max(1)
+    }
+
+    /// Adjusts the retry budgets to the number of live entries.
+    pub fn limit_retries(&self) {
+        let burst = self.retry_burst_share();
+        for budget in self.retry_budgets.load().values() {
+            budget.set_burst(burst);
+        }
+    }
+
     /// Returns the retry budget of a service.
     #[must_use]
     pub fn retry_budget(&self, service: &id::ServiceName) -> sync::Arc<limits::RetryBudget> {
         if let Some(budget) = self.retry_budgets.load().get(service) {
             return budget.clone();
         }
-        let burst = self.settings.retry_burst / u64::from(self.entry_count());
-        let created = limits::RetryBudget::new(self.settings.retry_percent, burst.max(1));
+        let burst = self.retry_burst_share();
+        let created = limits::RetryBudget::new(self.settings.retry_percent, burst);
         let created = sync::Arc::new(created);
         self.retry_budgets.rcu(|retry_budgets| {
             let mut retry_budgets = IndexMap::clone(retry_budgets);
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -38,6 +38,7 @@
         tokio_time::sleep(HEARTBEAT_INTERVAL).await;
         remove_lost(&app);
         app.limit_idle_connections();
+        app.limit_retries();
     }
 }
 
