Drop the oldest buffered response first, also after another one was removed

Cause: buffers are dropped in the order of insertion, and the removal of a response moved the newest one into its place. Change: removal keeps the order. Test: the_oldest_response_is_dropped_first_after_another_one_was_removed, failed before (the newest was dropped) and passes.

--- a/crates/agent/src/responses.rs
+++ b/crates/agent/src/responses.rs
@@ -242,7 +242,7 @@
 
     /// Removes the response to a request.
     pub fn remove(&self, request_id: &id::RequestId) {
-        lock(&self.by_request).swap_remove(request_id);
+        lock(&self.by_request).shift_remove(request_id);
     }
 
     /// Returns the number of responses that have readers and were not delivered completely.
