Report the failure of a download whose grant has expired in the meantime

Cause: a grant was dropped when it expired, also while its download was running; a failure after that found no grant to report, and the chunk was granted again only after the grant's timeout. Change: the grant of an open download is kept; once it has expired, an origin that was not reached counts as a failure too instead of a retry. Test: the_failure_of_a_download_whose_grant_has_expired_is_reported, both cases failed before and pass.

--- a/crates/core/src/burst/downloader.rs
+++ b/crates/core/src/burst/downloader.rs
@@ -260,7 +260,8 @@
         self.close(fetch);
         let limits = self.limits;
         let Source::Peer(vm) = &fetch.source else {
-            if failure == FetchFailure::Unreachable {
+            let may_retry = failure == FetchFailure::Unreachable;
+            if may_retry && self.is_grant_valid(now, fetch.chunk) {
                 self.postpone_grant(now, fetch.chunk);
             } else {
                 self.fail_grant(fetch.chunk);
@@ -295,6 +296,12 @@
         }
     }
 
+    fn is_grant_valid(&self, now: time::Instant, chunk: u32) -> bool {
+        let lifetime = self.limits.grant_lifetime;
+        let grant = self.grants.get(&chunk);
+        grant.is_some_and(|grant| now.duration_since(grant.granted_at) < lifetime)
+    }
+
     /// Reports the grant as failed to the grantor, which then grants the chunk again.
     fn fail_grant(&mut self, chunk: u32) {
         if let Some(PendingGrant { serial, .. }) = self.grants.shift_remove(&chunk) {
@@ -332,15 +339,15 @@
         }
     }
 
-    /// Selects a granted chunk. Its grant is kept until the download shows whether the origin was
-    /// reached.
+    /// Selects a granted chunk. Its grant is kept until the download has ended, so that its failure
+    /// can be reported even if the grant has expired in the meantime.
     fn next_granted(&mut self, now: time::Instant) -> Option<Fetch> {
         let lifetime = self.limits.grant_lifetime;
-        let held = &self.held;
+        let (held, open) = (&self.held, &self.open);
         self.grants.retain(|chunk, grant| {
-            now.duration_since(grant.granted_at) < lifetime && !held.contains(*chunk)
+            let is_valid = now.duration_since(grant.granted_at) < lifetime;
+            (is_valid || open.contains(*chunk)) && !held.contains(*chunk)
         });
-        let open = &self.open;
         let is_due = |(chunk, grant): &(&u32, &PendingGrant)| {
             grant.not_before <= now && !open.contains(**chunk)
         };
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -440,3 +440,40 @@
         .filter(|grant| grant.chunk == failed.chunk);
     assert_eq!(granted.count(), 2);
 }
+
+/// A download from the origin took longer than its grant was valid, and then failed. The failure was
+/// not reported, so the chunk was granted again only after the grant's timeout.
+#[rstest]
+#[case::interrupted(downloader::FetchFailure::Stalled)]
+#[case::not_reached(downloader::FetchFailure::Unreachable)]
+fn the_failure_of_a_download_whose_grant_has_expired_is_reported(
+    #[case] failure: downloader::FetchFailure,
+) {
+    let limits = downloader::DownloaderLimits {
+        concurrent_downloads_max: 4,
+        peers_max: 8,
+        busy_backoff: Duration::from_millis(30),
+        fault_backoff: Duration::from_secs(1),
+        overdraft_after: Duration::from_secs(3),
+        origin_backoff: Duration::from_millis(200),
+        grant_lifetime: Duration::from_millis(1_400),
+        prefer_same_domain: false,
+    };
+    let domain = "domain-1".parse().expect("a name");
+    let mut downloader = downloader::Downloader::new(limits, domain, CHUNKS);
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let granted_at = Instant::now();
+    downloader.record_grant(granted_at, 3, 1);
+    let fetch = downloader
+        .start_next(granted_at, &mut rng)
+        .expect("a download");
+    let later = granted_at + Duration::from_secs(2);
+    assert_eq!(downloader.start_next(later, &mut rng), None);
+    downloader.record_failure(later, &fetch, failure);
+    let failed: Vec<_> = downloader
+        .failed_grants()
+        .iter()
+        .map(|grant| grant.chunk)
+        .collect();
+    assert_eq!(failed, [3]);
+}
