Estimate who can be reached at a fixed pace, however often limits change

Found by reading: the share of heartbeats that were answered is taken over two rounds of limit_gossip, and a changed limit began a round at once. With a limit that changes in each response the two rounds were 200 ms long, held no heartbeat that had ended, and everybody passed for reachable; a coordinator that is half cut off would then grant everything. Rounds are 500 ms apart now, and changes only send their messages. No test of its own: the decision has one (coordinator_half_cut), the timing has none.

--- a/crates/entry/src/direct/limit_gossip.rs
+++ b/crates/entry/src/direct/limit_gossip.rs
@@ -13,9 +13,9 @@
 use super::{app, permits, upstream_limits};
 
 const ROUND_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// The shortest time between two rounds, however often limits change.
-const ROUND_INTERVAL_MIN: time::Duration = time::Duration::from_millis(100);
-const ROUNDS_PER_USAGE_LOG: u32 = 4;
+/// The shortest time between two messages about changes, however often limits change.
+const CHANGE_INTERVAL_MIN: time::Duration = time::Duration::from_millis(100);
+const USAGE_LOG_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// The number of entries that are told in each round.
 const FANOUT: usize = 3;
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
@@ -27,34 +27,39 @@
 
 /// Spreads limits and updates the coordinators until the process exits.
 pub async fn run(app: sync::Arc<app::App>) {
-    let mut round_number: u32 = 0;
+    let mut round_at = tokio_time::Instant::now();
+    let mut log_at = round_at + USAGE_LOG_INTERVAL;
     loop {
         let changed = app.upstream_limits.changed.notified();
-        let is_changed = tokio_time::timeout(ROUND_INTERVAL, changed).await.is_ok();
-        upstream_limits::update_fleet(&app);
+        let is_changed = tokio_time::timeout_at(round_at, changed).await.is_ok();
+        let now = tokio_time::Instant::now();
+        if now >= round_at {
+            upstream_limits::update_fleet(&app);
+            round_at = now + ROUND_INTERVAL;
+        }
         if is_changed {
             report_changes(&app);
         }
         for address in round_targets(&app) {
             tokio::spawn(exchange(app.clone(), address));
         }
-        round_number = round_number.wrapping_add(1);
-        if round_number.is_multiple_of(ROUNDS_PER_USAGE_LOG) {
+        if now >= log_at {
             upstream_limits::log_usage(&app);
             app.upstream_limits.remove_untracked(app.clock.now());
+            log_at = now + USAGE_LOG_INTERVAL;
         }
         if is_changed {
-            tokio_time::sleep(ROUND_INTERVAL_MIN).await;
+            tokio_time::sleep(CHANGE_INTERVAL_MIN).await;
         }
     }
 }
 
-/// Reports the limits that were stated since the last round to their coordinators.
+/// Reports the limits that were stated a moment ago to their coordinators.
 fn report_changes(app: &sync::Arc<app::App>) {
     let now = app.clock.now();
     for (instance, upstream) in app.upstream_limits.all().iter() {
         let is_recent = upstream.belief().is_some_and(|belief| {
-            now.saturating_duration_since(belief.stated_at) < ROUND_INTERVAL_MIN
+            now.saturating_duration_since(belief.stated_at) < CHANGE_INTERVAL_MIN
         });
         if is_recent {
             let (app, instance, upstream) = (app.clone(), instance.clone(), upstream.clone());
