--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -9,7 +9,7 @@
     clock, id, limits, refusal_rate, routes, routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
-use pimentohook_runtime::{client, metrics};
+use pimentohook_runtime::{body, client, metrics};
 use pimentohook_wire::direct;
 
 use strum::IntoEnumIterator as _;
@@ -83,7 +83,7 @@
     /// The client for upstreams.
     pub upstreams: client::Client,
     /// Bounds the memory of responses from upstreams.
-    pub response_budget: client::BodyBudget,
+    pub response_budget: body::BodyBudget,
     /// The client for agents and entries.
     pub internal: client::Client,
     /// The client for the object store.
@@ -140,7 +140,7 @@
             metrics_registry,
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::new(local_ip),
-            response_budget: client::BodyBudget::new(RESPONSES_MAX_BYTES),
+            response_budget: body::BodyBudget::new(RESPONSES_MAX_BYTES),
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -8,9 +8,9 @@
 use hyper::{Request, Response, StatusCode, Uri, body::Incoming, header, http};
 use pimentohook_core::{event_stream, upstream_limit::belief};
 use pimentohook_platform::request;
-use pimentohook_runtime::{client, server};
+use pimentohook_runtime::{body, client, server};
 
-use super::{app, placement, proxy, upstream_limits};
+use super::{app, limited_upstream, placement, proxy, upstream_limits};
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 const EVENT_STREAM: &str = "text/event-stream";
@@ -65,7 +65,7 @@
     app: &app::App,
     request: &proxy::ProxiedRequest,
     placement: &placement::Placement,
-    reason: upstream_limits::SendReason,
+    reason: limited_upstream::SendReason,
     last_event_id: Option<u64>,
 ) -> Outcome {
     let upstream = &placement.candidate.upstream;
@@ -248,7 +248,7 @@
         let (head, body) = self.response.into_parts();
         let response = Response::new(body);
         let budget = &app.response_budget;
-        let read = client::read_body_within(address, response, RESPONSE_MAX_BYTES, budget);
+        let read = body::read_body_within(address, response, RESPONSE_MAX_BYTES, budget);
         let Ok(Ok(body)) = tokio::time::timeout(self.timeout, read).await else {
             state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -10,8 +10,8 @@
 //! * [`placement`]: the selection of an upstream.
 //! * [`attempt`] and [`stream`]: one attempt to send a request to an upstream, and responses that
 //!   are event streams.
-//! * [`upstream_limits`], [`limit_gossip`] and [`permits`]: the limits that upstreams name in their
-//!   responses, and the permits with which all entries together keep them.
+//! * [`upstream_limits`], [`limited_upstream`], [`limit_gossip`] and [`permits`]: the limits that
+//!   upstreams name in their responses, and the permits with which all entries together keep them.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`agents`]: agents' reports of engine states, and their requests for the configuration of a
@@ -24,6 +24,7 @@
 pub mod directory;
 pub mod feed;
 pub mod limit_gossip;
+pub mod limited_upstream;
 pub mod peers;
 pub mod permits;
 pub mod placement;
--- a/crates/entry/src/direct/permits.rs
+++ b/crates/entry/src/direct/permits.rs
@@ -10,10 +10,7 @@
 use rand::RngExt as _;
 use snafu::{OptionExt as _, ResultExt as _, Snafu};
 
-use super::{
-    app,
-    upstream_limits::{self, LimitedUpstream},
-};
+use super::{app, limited_upstream::LimitedUpstream, upstream_limits};
 
 const PERMIT_TIMEOUT: time::Duration = time::Duration::from_millis(60);
 const MESSAGE_MAX_BYTES: usize = 1 << 12;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -14,7 +14,7 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    permits, placement, stream, upstream_limits,
+    limited_upstream, permits, placement, stream,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -284,9 +284,9 @@
             .push(placement.candidate.upstream.instance.clone());
         let instance = placement.candidate.upstream.instance.clone();
         let reason = if history.tried.len() > 1 {
-            upstream_limits::SendReason::Retry
+            limited_upstream::SendReason::Retry
         } else {
-            upstream_limits::SendReason::First
+            limited_upstream::SendReason::First
         };
         match attempt::run(app, request, &placement, reason, None).await {
             Outcome::Complete(response) => {
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,7 +12,7 @@
 use super::{
     app,
     attempt::{self, OpenStream, Outcome},
-    placement, proxy, upstream_limits,
+    limited_upstream, placement, proxy,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -135,7 +135,7 @@
         };
         self.run_count += 1;
         let last = self.open.events.last_id();
-        let reason = upstream_limits::SendReason::Resume;
+        let reason = limited_upstream::SendReason::Resume;
         let outcome = attempt::run(&self.app, &self.request, &placement, reason, last).await;
         let Outcome::Stream(open) = outcome else {
             return false;
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
@@ -23,6 +23,8 @@
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time as tokio_time;
 
+use crate::body;
+
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 const POOL_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -311,7 +313,7 @@
         let call = async {
             let response = self.send(address, request, timeout).await?;
             let status = response.status();
-            let body = read_body(address, response, MESSAGE_MAX_BYTES).await?;
+            let body = body::read_body(address, response, MESSAGE_MAX_BYTES).await?;
             Ok((status, body))
         };
         with_timeout(address, timeout, call).await
@@ -390,7 +392,7 @@
     A: de::DeserializeOwned,
 {
     let status = response.status();
-    let body = read_body(address, response, MESSAGE_MAX_BYTES).await?;
+    let body = body::read_body(address, response, MESSAGE_MAX_BYTES).await?;
     let text =
         || String::from_utf8_lossy(&body[..body.len().min(STATUS_TEXT_MAX_BYTES)]).into_owned();
     ensure!(
@@ -404,105 +406,6 @@
     pimentohook_wire::from_bytes(&body).context(CodecSnafu)
 }
 
-/// Reads the complete body of a response.
-///
-/// # Errors
-///
-/// Returns [`ClientError`] if the body was interrupted or is larger than `max_bytes`.
-pub async fn read_body(
-    address: net::SocketAddr,
-    response: Response<Incoming>,
-    max_bytes: usize,
-) -> Result<Bytes, ClientError> {
-    let limited = http_body_util::Limited::new(response.into_body(), max_bytes);
-    match limited.collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            TooLargeSnafu { address, max_bytes }.fail()
-        }
-        Err(_) => BrokenSnafu { address }.fail(),
-    }
-}
-
-/// A bound on the memory of all responses that are read at the same time.
-#[derive(Debug)]
-pub struct BodyBudget {
-    free_bytes: atomic::AtomicUsize,
-}
-
-impl BodyBudget {
-    /// Creates a budget of `max_bytes`.
-    #[must_use]
-    pub const fn new(max_bytes: usize) -> Self {
-        Self {
-            free_bytes: atomic::AtomicUsize::new(max_bytes),
-        }
-    }
-
-    /// Returns the number of bytes that are not reserved.
-    #[must_use]
-    pub fn free_bytes(&self) -> usize {
-        self.free_bytes.load(atomic::Ordering::Relaxed)
-    }
-
-    fn try_reserve(&self, bytes: usize) -> bool {
-        let ordering = atomic::Ordering::Relaxed;
-        let reserve = |free_bytes: usize| free_bytes.checked_sub(bytes);
-        self.free_bytes
-            .fetch_update(ordering, ordering, reserve)
-            .is_ok()
-    }
-}
-
-/// The bytes of a budget that one response has reserved; they are free again when it is dropped.
-struct Reservation<'a> {
-    budget: &'a BodyBudget,
-    bytes: usize,
-}
-
-impl Reservation<'_> {
-    fn try_extend(&mut self, bytes: usize) -> bool {
-        let is_reserved = self.budget.try_reserve(bytes);
-        self.bytes += if is_reserved { bytes } else { 0 };
-        is_reserved
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        let ordering = atomic::Ordering::Relaxed;
-        self.budget.free_bytes.fetch_add(self.bytes, ordering);
-    }
-}
-
-/// Like [`read_body`], but fails as well when all responses that are being read with the same
-/// budget exceed it together.
-///
-/// # Errors
-///
-/// Returns [`ClientError`] if the body was interrupted or is larger than `max_bytes` or than what is
-/// left of the budget.
-pub async fn read_body_within(
-    address: net::SocketAddr,
-    response: Response<Incoming>,
-    max_bytes: usize,
-    budget: &BodyBudget,
-) -> Result<Bytes, ClientError> {
-    let mut reservation = Reservation { budget, bytes: 0 };
-    let mut body = response.into_body();
-    let mut read = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| ClientError::Broken { address })?;
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
-        let fits = read.len() + bytes.len() <= max_bytes && reservation.try_extend(bytes.len());
-        ensure!(fits, TooLargeSnafu { address, max_bytes });
-        read.extend_from_slice(&bytes);
-    }
-    Ok(Bytes::from(read))
-}
-
 /// Builds a request with a `MessagePack` message as its body.
 ///
 /// # Errors
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! * [`server`]: an HTTP server for gotham routers, with graceful shutdown.
 //! * [`client`]: an HTTP client that never retries a request on its own.
+//! * [`body`]: the bodies of responses, which have a bounded size.
 //! * [`settings`]: YAML settings files that are validated as a whole.
 //! * [`program`]: the main function of programs with a settings file.
 //! * [`rate_limiter`]: a rate limiter for bytes.
 //! * [`logs`], [`metrics`], [`process`]: logging, metrics and signal handling.
 
+pub mod body;
 pub mod client;
 pub mod logs;
 pub mod metrics;
--- a/crates/runtime/tests/body_budget.rs
+++ b/crates/runtime/tests/body_budget.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use pimentohook_runtime::client::{BodyBudget, Client, ClientError, read_body_within};
+use pimentohook_runtime::{
+    body::{BodyBudget, read_body_within},
+    client::{Client, ClientError},
+};
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use pimentohook_core::id;
-use pimentohook_runtime::client;
+use pimentohook_runtime::{body, client};
 use pimentohook_wire::public;
 
 use crate::engine;
@@ -227,7 +227,7 @@
     started_at: time::Instant,
 ) -> Outcome {
     let status = response.status();
-    let body = client::read_body(entry, response, client::MESSAGE_MAX_BYTES).await;
+    let body = body::read_body(entry, response, client::MESSAGE_MAX_BYTES).await;
     let error = body
         .ok()
         .and_then(|body| serde_json::from_slice::<public::ErrorBody>(&body).ok());
