Keep a case of the gateway mode in which a request is said not to have run although it ran

Traced: the network delivers a dispatch to agent 3, which starts the request, and a copy of it 2 s later, when the agent has restarted. The new process refuses the copy, as it is for another incarnation. The entry was suspended meanwhile; it reads the refusal before the reply that the request has started, takes it as proof, and after two more refusals tells the caller that nothing ran. A dispatch is one request on one TCP connection, which can't reach two processes, so what is wrong may be the simulated network; or a refusal for another incarnation must not count as proof, at the price of a 502 for each request that meets a restarted agent.

--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -11,7 +11,7 @@
 
 use std::time;
 
-use ops::{Delivery, delivery, op};
+use ops::{Delivery, Op, delivery, op};
 use proptest::prelude::*;
 use world::{ENTRY_COUNT, REQUEST_COUNT, World};
 
@@ -65,3 +65,43 @@
     assert_eq!(world.runs.len(), 1);
     assert!(world.flights[1].relayed);
 }
+
+/// Found with a random seed: the dispatch was delivered twice, its entry was suspended while the
+/// replies came, and an agent of the chain restarted meanwhile.
+#[test]
+fn a_request_whose_dispatch_was_duplicated_is_not_reported_as_not_run_after_it_ran() {
+    let delivery = |duplicated| Delivery {
+        delay_ms: 1,
+        lost: false,
+        duplicated,
+    };
+    let ops = [
+        Op::Restart { agent: 4 },
+        Op::Send {
+            request: 1,
+            entry: 1,
+            numbered: false,
+        },
+        Op::Suspend {
+            entry: 1,
+            millis: 4_699,
+        },
+        Op::Send {
+            request: 0,
+            entry: 2,
+            numbered: false,
+        },
+        Op::Advance { millis: 1_366 },
+        Op::Suspend {
+            entry: 1,
+            millis: 6_607,
+        },
+        Op::Restart { agent: 3 },
+    ];
+    let mut world = World::new([true, false, false, false].map(delivery).to_vec());
+    for op in &ops {
+        world.apply(op);
+    }
+    world.advance(time::Duration::from_secs(25));
+    world.check().expect("the promises are kept");
+}
