Refuse a frame that is too long where it is made

Cause: only the receiver knew the bound, and could not read the rest of the stream after such a frame. Change: to_framed refuses it with FrameTooLong.

--- a/crates/wire/src/frames.rs
+++ b/crates/wire/src/frames.rs
@@ -60,7 +60,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CodecError::Encode`] if the frame can't be encoded.
+    /// Returns [`CodecError::Encode`] if the frame can't be encoded, and
+    /// [`CodecError::FrameTooLong`] if it is longer than a receiver accepts.
     pub fn to_bytes(&self) -> Result<Bytes, CodecError> {
         to_framed(self)
     }
@@ -70,15 +71,18 @@
 ///
 /// # Errors
 ///
-/// Returns [`CodecError::Encode`] if the message can't be encoded.
+/// Returns [`CodecError::Encode`] if the message can't be encoded, and
+/// [`CodecError::FrameTooLong`] if it is longer than a receiver accepts.
 pub fn to_framed<T>(message: &T) -> Result<Bytes, CodecError>
 where
     T: Serialize,
 {
     let body = crate::to_bytes(message)?;
-    let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
-    let mut bytes = BytesMut::with_capacity(LENGTH_BYTES + body.len());
-    bytes.extend_from_slice(&length.to_le_bytes());
+    let (length, max) = (body.len(), FRAME_MAX_BYTES);
+    ensure!(length <= max, FrameTooLongSnafu { length, max });
+    let prefix = u32::try_from(length).unwrap_or(u32::MAX);
+    let mut bytes = BytesMut::with_capacity(LENGTH_BYTES + length);
+    bytes.extend_from_slice(&prefix.to_le_bytes());
     bytes.extend_from_slice(&body);
     Ok(bytes.freeze())
 }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -62,3 +62,22 @@
     decoder.push(&length.to_le_bytes());
     assert!(decoder.try_next::<Frame>().is_err());
 }
+
+/// The receiver would refuse the frame and could not decode the rest of the stream.
+#[test]
+fn the_sender_refuses_a_frame_that_is_longer_than_allowed() {
+    let frame = |length: usize| Frame::Data {
+        offset_bytes: 0,
+        bytes: Bytes::from(vec![0; length]),
+    };
+    let longest = FRAME_MAX_BYTES - 100;
+    assert!(frame(longest).to_bytes().is_ok());
+    let refused = frame(FRAME_MAX_BYTES).to_bytes();
+    assert!(
+        matches!(
+            refused,
+            Err(pimentohook_wire::CodecError::FrameTooLong { .. })
+        ),
+        "the frame was encoded"
+    );
+}
