--- a/crates/standin/src/bin/pimentohook-demo.rs
+++ b/crates/standin/src/bin/pimentohook-demo.rs
@@ -191,7 +191,8 @@
 
 /// Returns the rate limit of the origin.
 ///
-/// The origin sends about four copies in the time in which the link of a VM receives one.
+/// In the time in which the link of a VM receives one copy, the origin sends one if its bytes are to be
+/// minimised, and three if the time is.
 fn origin_rate(link_rate: size::ByteRate, policy: burst::Policy) -> size::ByteRate {
     match policy {
         burst::Policy::OriginFirst => link_rate,
