Count entries that are not heard when an entry shares out an engine's slots

One that is cut from all others took all slots, beside the others. Test: an_entry_that_hears_no_other_takes_only_its_share_of_an_engine_without_agent, failed before (4 requests at once where 2 are its share) and passes.

--- a/crates/core/src/upstream_limit/fleet.rs
+++ b/crates/core/src/upstream_limit/fleet.rs
@@ -9,6 +9,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::bucket;
 use crate::id;
 
 /// The number of entries among which coordinators are chosen, so that a choice costs the same in a
@@ -54,6 +55,20 @@
     pub alone: f64,
 }
 
+impl Shares {
+    /// Returns how many slots of an engine each entry may use while its agent does not respond; at
+    /// least one.
+    #[must_use]
+    pub fn of_slots(&self, slot_count: u32) -> u32 {
+        let share = f64::from(slot_count) * self.alone;
+        // The share of all slots is a whole number, but for rounding.
+        bucket::whole((share - ROUNDING).ceil()).max(1)
+    }
+}
+
+/// More than the error of a product of a share and a number of slots.
+const ROUNDING: f64 = 1e-6;
+
 impl Default for Shares {
     /// Returns the shares of the only entry of a fleet.
     fn default() -> Self {
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -367,11 +367,14 @@
 }
 
 /// Returns whether this entry uses less than its share of an engine's slots.
+///
+/// Entries that are not heard may be cut off and use the engine too, so they keep their shares for a
+/// while.
 fn is_within_share(
     app: &app::App,
     profile: &engine::EngineProfile,
     state: &app::UpstreamState,
 ) -> bool {
-    let share = profile.slot_count.div_ceil(app.entry_count()).max(1);
+    let share = app.upstream_limits.shares().of_slots(profile.slot_count);
     state.in_flight.load(atomic::Ordering::Relaxed) < share
 }
