--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -10,7 +10,7 @@
 use pimentohook_platform::request;
 use pimentohook_runtime::{body, client, server};
 
-use super::{app, limited_upstream, placement, proxy, upstream_limits};
+use super::{app, limited_upstream, placement, proxy, upstream_limits, weights_versions};
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 const EVENT_STREAM: &str = "text/event-stream";
@@ -106,7 +106,7 @@
         request::ResponseClass::OtherInstance => {
             // An upstream that doesn't serve the expected version responds in the same way, so only
             // a request without one shows that another instance has the address.
-            if placement.weights_version.is_none() {
+            if placement.expected_weights().is_none() {
                 state.is_replaced.store(true, atomic::Ordering::Relaxed);
             }
             return Outcome::Fault(Fault::NotRun);
@@ -193,7 +193,7 @@
             .as_ref()
             .map(|organisation| organisation.name.as_str()),
         remaining: request.remaining(),
-        weights_version: placement.weights_version,
+        weights_version: placement.expected_weights(),
         last_event_id,
     };
     let mut upstream_request = Request::builder()
@@ -237,7 +237,7 @@
             .and_then(|value| value.to_str().ok())
             .is_some_and(|value| value.starts_with(EVENT_STREAM));
         if self.response.status().is_success() && (is_events || request.route.streaming) {
-            return self.read_stream(app, placement).await;
+            return self.read_stream(app, request, placement).await;
         }
         self.read_complete(app, placement).await
     }
@@ -262,7 +262,12 @@
         Outcome::Complete(respond(&head, server::full(body)))
     }
 
-    async fn read_stream(self, app: &app::App, placement: &placement::Placement) -> Outcome {
+    async fn read_stream(
+        self,
+        app: &app::App,
+        request: &proxy::ProxiedRequest,
+        placement: &placement::Placement,
+    ) -> Outcome {
         let state = placement.candidate.state.clone();
         let (head, body) = self.response.into_parts();
         let mut open = OpenStream {
@@ -280,6 +285,7 @@
             return Outcome::Fault(Fault::MayHaveRun);
         }
         open.state.stats.record_success(self.started_at.elapsed());
+        weights_versions::record_begun(app, request, placement, &open.head);
         Outcome::Stream(Box::new(open))
     }
 }
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -408,6 +408,10 @@
         for (model, version) in &announced_versions {
             let versions = announced.entry(model.clone()).or_insert_with(Vec::new);
             if versions.last().is_none_or(|last| last.version < *version) {
+                log::info!(
+                    "feed: event=weights_named model={model} version={version} before={:?}",
+                    versions.last().map(|last| last.version)
+                );
                 versions.push(app::AnnouncedVersion {
                     version: *version,
                     learned_at: now,
@@ -418,5 +422,4 @@
         }
         announced
     });
-    log::info!("feed: event=weights_named named={announced_versions:?}");
 }
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -8,6 +8,7 @@
 //!   weights, from the store or from other entries.
 //! * [`proxy`]: a caller's request, from its arrival to the final response.
 //! * [`placement`]: the selection of an upstream.
+//! * [`weights_versions`]: the versions of weights that a request may run on.
 //! * [`attempt`] and [`stream`]: one attempt to send a request to an upstream, and responses that
 //!   are event streams.
 //! * [`upstream_limits`], [`limited_upstream`], [`limit_gossip`] and [`permits`]: the limits that
@@ -32,6 +33,7 @@
 pub mod settings;
 pub mod stream;
 pub mod upstream_limits;
+pub mod weights_versions;
 
 use std::{sync, time};
 
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -4,17 +4,17 @@
 //! slot from the agent beside it, because only the agent sees the load from all entries. While the
 //! agent doesn't respond, an entry limits itself to its share of the engine's slots.
 
-use std::{sync, sync::atomic, time};
+use std::{fmt, sync, sync::atomic, time};
 
 use pimentohook_core::{
-    engine, id, rolling_update,
+    engine, id,
     routing::{choice, score},
     upstreams,
 };
 use pimentohook_wire::direct;
 use rand::RngExt as _;
 
-use super::{app, permits};
+use super::{app, permits, weights_versions};
 
 const SLOT_REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(60);
 const AGENT_SILENCE_MS: u64 = 500;
@@ -63,8 +63,26 @@
 pub struct Placement {
     /// The upstream.
     pub candidate: app::Candidate,
-    /// The version of the weights that the upstream must serve; `None` if any version will do.
-    pub weights_version: Option<u64>,
+    /// What was known of the weights of an engine; `None` for a plain service.
+    pub weights: Option<weights_versions::SelectedWeights>,
+}
+
+impl Placement {
+    /// Returns the version of the weights that the upstream must check; `None` if any will do.
+    #[must_use]
+    pub fn expected_weights(&self) -> Option<u64> {
+        self.weights.as_ref()?.expected()
+    }
+}
+
+impl fmt::Display for Placement {
+    /// Formats what was known of the weights as the end of a log line.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.weights {
+            Some(weights) => write!(f, " {weights}"),
+            None => Ok(()),
+        }
+    }
 }
 
 /// Why no upstream was selected.
@@ -153,7 +171,7 @@
     candidate
         .map(|candidate| Placement {
             candidate,
-            weights_version: None,
+            weights: None,
         })
         .ok_or(denial)
 }
@@ -181,7 +199,7 @@
         if denials.acquire(app, candidate).await {
             return Ok(Placement {
                 candidate: app::Candidate::clone(candidate),
-                weights_version: None,
+                weights: None,
             });
         }
     }
@@ -222,31 +240,6 @@
     }
 }
 
-/// The versions of the weights that may serve a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct AllowedVersions {
-    /// The oldest allowed version; `None` if every version is allowed.
-    version_min: Option<u64>,
-}
-
-fn allowed_versions(app: &app::App, model: &str) -> AllowedVersions {
-    let announced = app.announced.load();
-    let previous_version_lifetime =
-        rolling_update::previous_version_lifetime(app.settings.weights_grace);
-    let now = app.clock.now();
-    let is_required = |announced: &&app::AnnouncedVersion| {
-        now.duration_since(announced.learned_at) >= previous_version_lifetime
-    };
-    let versions = announced.get(model).map_or(&[][..], Vec::as_slice);
-    AllowedVersions {
-        version_min: versions
-            .iter()
-            .filter(is_required)
-            .map(|announced| announced.version)
-            .max(),
-    }
-}
-
 async fn choose_engine(
     app: &app::App,
     request: &PlacementRequest<'_>,
@@ -254,7 +247,7 @@
     model: &str,
     usable: &[&app::Candidate],
 ) -> Result<Placement, Denial> {
-    let allowed = allowed_versions(app, model);
+    let allowed = weights_versions::allowed(app, model);
     let serves = |candidate: &&&app::Candidate| {
         let version = candidate.served_version(model);
         version.is_some_and(|version| Some(version) >= allowed.version_min)
@@ -293,15 +286,14 @@
         }
         slot_requests += 1;
         if request_slot(app, request, profile, model, allowed, candidate).await {
-            // The upstream checks this version, so that an engine that loads other weights in the
-            // meantime can't run the request on a version that is too old. Without an oldest
-            // version, any version that the engine serves will do.
-            let weights_version = allowed
-                .version_min
-                .and_then(|_| candidate.served_version(model));
+            let weights = weights_versions::SelectedWeights {
+                served: candidate.served_version(model),
+                allowed,
+                selected_at: app.clock.now(),
+            };
             return Ok(Placement {
                 candidate: candidate.clone(),
-                weights_version,
+                weights: Some(weights),
             });
         }
         permits::give_back(app, &candidate.upstream.instance);
@@ -318,7 +310,7 @@
     request: &PlacementRequest<'_>,
     profile: &engine::EngineProfile,
     model: &str,
-    allowed: AllowedVersions,
+    allowed: weights_versions::AllowedVersions,
     candidate: &app::Candidate,
 ) -> bool {
     let state = &candidate.state;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -290,15 +290,15 @@
         };
         match attempt::run(app, request, &placement, reason, None).await {
             Outcome::Complete(response) => {
-                log_response(app, request, history, &instance, response.status());
+                log_response(app, request, history, &placement, response.status());
                 return response;
             }
             Outcome::Stream(open) => {
-                log_response(app, request, history, &instance, open.head.status);
+                log_response(app, request, history, &placement, open.head.status);
                 return stream::respond(app.clone(), request.clone(), open, history.run_count);
             }
             Outcome::ServerError(response) => {
-                log_response(app, request, history, &instance, response.status());
+                log_response(app, request, history, &placement, response.status());
                 history.upstream_error = Some(response);
                 history.may_have_run = true;
                 history.run_count += 1;
@@ -306,7 +306,7 @@
             Outcome::Fault(fault) => {
                 log::warn!(
                     "proxy: event=attempt_failed request={} instance={instance} fault={fault} \
-                     after_ms={}",
+                     after_ms={}{placement}",
                     request.id(),
                     request.arrived_at.elapsed().as_millis()
                 );
@@ -347,7 +347,7 @@
     app: &app::App,
     request: &ProxiedRequest,
     history: &AttemptHistory,
-    instance: &str,
+    placement: &placement::Placement,
     status: StatusCode,
 ) {
     app.count("answered");
@@ -357,10 +357,11 @@
         log::debug!("metrics: event=not_kept name=first_byte error={error:?}");
     }
     log::info!(
-        "proxy: event=answered request={} route={} instance={instance} status={} attempt={} \
-         after_ms={} configuration={}",
+        "proxy: event=answered request={} route={} instance={} status={} attempt={} \
+         after_ms={} configuration={}{placement}",
         request.id(),
         request.route.name,
+        placement.candidate.upstream.instance,
         status.as_u16(),
         history.tried.len(),
         request.arrived_at.elapsed().as_millis(),
