--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -6,6 +6,7 @@
 use cadence::StatsdClient;
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{
+    announcement,
     burst::{self, chunks, ledger, uploader},
     clock, engine, engine_admission, id,
 };
@@ -97,8 +98,10 @@
     pub service: ArcSwapOption<Service>,
     /// The newest announced version; `None` until one is known.
     pub newest_version: ArcSwapOption<TargetVersion>,
-    /// The announced versions, the newest last.
+    /// The announced versions to load, the newest last.
     pub announced: ArcSwap<Vec<TargetVersion>>,
+    /// When versions were announced.
+    pub announcements: ArcSwap<announcement::Announcements>,
     /// Wakes the download loop when a version is announced or its manifest arrives.
     pub weights_announced: Notify,
     /// Whether the announced versions have been read from the store.
@@ -179,6 +182,7 @@
             service: ArcSwapOption::empty(),
             newest_version: ArcSwapOption::empty(),
             announced: ArcSwap::default(),
+            announcements: ArcSwap::default(),
             weights_announced: Notify::new(),
             announcements_read: atomic::AtomicBool::new(false),
             peers: ArcSwap::default(),
@@ -246,13 +250,10 @@
         }
     }
 
-    /// Records an announced version, unless the same or a later one of the model is known.
-    pub fn record_announced(&self, model: &str, version: u64) {
-        let known = self.newest_version.load();
-        let is_newer = known
-            .as_ref()
-            .is_none_or(|known| known.model != model || known.version < version);
-        if !is_newer {
+    /// Sets a version as the one to load, unless the same or a later one of the model is set.
+    pub fn set_target(&self, model: &str, version: u64) {
+        let is_known = |known: &TargetVersion| known.model == model && known.version >= version;
+        if self.announced.load().iter().any(is_known) {
             return;
         }
         log::info!("agent: event=weights_wanted model={model} version={version}");
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -7,14 +7,14 @@
 use std::{net, sync, sync::atomic, time};
 
 use indexmap::IndexMap;
-use pimentohook_core::{collection, id, routes, upstreams};
+use pimentohook_core::{announcement, clock, collection, id, routes, upstreams};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time as tokio_time;
 
-use super::app;
+use super::{app, weights_versions};
 
 const LONG_POLL_WAIT: time::Duration = time::Duration::from_secs(12);
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
@@ -70,32 +70,33 @@
     retry_delay: &mut time::Duration,
 ) -> Result<(), store::StoreError> {
     let kind = store::Kind::Weights;
+    let mut read = announcement::Read::Fetched(app.clock.boot_now());
     let listing = app.store.list(kind, store::Freshness::Current).await?;
     *retry_delay = RETRY_DELAY;
     let mut objects = index_by_name(listing.objects);
     let mut revision = listing.revision;
     loop {
-        record_announced_weights(app, &objects);
+        record_announced_weights(app, &objects, read);
         app.announcements_read
             .store(true, atomic::Ordering::Relaxed);
+        let span = announcement::WatchSpan::start(&*app.clock, &app.announcements.load());
         let changes = app.store.watch(kind, revision, LONG_POLL_WAIT).await?;
+        read = span.end(&*app.clock, changes.cost.transfer);
         revision = changes.revision;
         let present = changes.changes.into_iter().filter(|change| !change.removed);
         objects.extend(present.map(|change| (change.object.name.clone(), change.object)));
     }
 }
 
-fn record_announced_weights(app: &app::App, objects: &Objects) {
-    let announced = decode::announced_versions(objects);
+fn record_announced_weights(app: &app::App, objects: &Objects, read: announcement::Read) {
     let service = app.service.load();
-    for (model, version) in announced {
-        let is_own_model = service
-            .as_ref()
-            .is_none_or(|service| service.figures.models.contains(&model));
-        if is_own_model {
-            app.record_announced(&model, version);
-        }
-    }
+    let is_own_model = |(model, _): &(String, u64)| {
+        let service = service.as_ref();
+        service.is_none_or(|service| service.figures.models.contains(model))
+    };
+    let announced = decode::announced_versions(objects).into_iter();
+    let announced: Vec<_> = announced.filter(is_own_model).collect();
+    weights_versions::record_read(app, &announced, read);
 }
 
 /// The agent's copies of the collections that it refreshes.
@@ -249,7 +250,10 @@
             OldSnafu { age_ms }
         );
         if caches.get_mut(kind).merge(reply.delta) {
-            apply(app, kind, caches.get_mut(kind).objects());
+            let confirmed_at = age.and_then(|age| app.clock.boot_now().checked_sub(age));
+            let never = clock::BootInstant::from_boot(time::Duration::ZERO);
+            let read = announcement::Read::Fetched(confirmed_at.unwrap_or(never));
+            apply(app, kind, caches.get_mut(kind).objects(), read);
         }
     }
     refresh_service(app, entry, timeout).await
@@ -268,11 +272,13 @@
     let request = direct::ServiceRequest {
         service: app.settings.service.clone(),
         configuration: known.unwrap_or(0),
+        announced: weights_versions::statements(app),
     };
     let call = app
         .client
         .call(entry.peers, direct::SERVICE_PATH, &request, timeout);
     let reply: direct::ServiceReply = call.await.context(EntrySnafu)?;
+    weights_versions::merge(app, &reply.announced);
     if let Some(service) = reply.service {
         set_service(app, reply.configuration, service);
     }
@@ -294,6 +300,7 @@
     caches: &mut CachedCollections,
     kind: RefreshedKind,
 ) {
+    let read = announcement::Read::Fetched(app.clock.boot_now());
     let Some(listing) = list(app, kind.store_kind(), store::Freshness::MayBeStale).await else {
         return;
     };
@@ -301,7 +308,7 @@
         .get_mut(kind)
         .replace(listing.revision, listing.objects)
     {
-        apply(app, kind, caches.get_mut(kind).objects());
+        apply(app, kind, caches.get_mut(kind).objects(), read);
     }
 }
 
@@ -342,11 +349,11 @@
     }
 }
 
-fn apply(app: &app::App, kind: RefreshedKind, objects: &Objects) {
+fn apply(app: &app::App, kind: RefreshedKind, objects: &Objects, read: announcement::Read) {
     match kind {
         RefreshedKind::Upstreams => apply_upstreams(app, &decode::upstreams(objects)),
         RefreshedKind::Entries => apply_entries(app, objects),
-        RefreshedKind::Weights => record_announced_weights(app, objects),
+        RefreshedKind::Weights => record_announced_weights(app, objects, read),
     }
 }
 
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -8,7 +8,7 @@
 use pimentohook_runtime::process;
 use pimentohook_wire::direct;
 
-use super::{app, swarm};
+use super::{app, swarm, weights_versions};
 use crate::app::lock;
 
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -143,9 +143,9 @@
 fn assume_version(app: &app::App, service: &app::Service, report: &runner::Report) {
     let served = report.weights.first();
     match (served, service.figures.models.first()) {
-        (Some((model, version)), _) => app.record_announced(model, *version),
+        (Some((model, version)), _) => app.set_target(model, *version),
         (None, Some(model)) if app.announcements_read.load(atomic::Ordering::Relaxed) => {
-            app.record_announced(model, FIRST_VERSION);
+            app.set_target(model, FIRST_VERSION);
         }
         (None, _) => {}
     }
@@ -161,13 +161,10 @@
     let now = app.clock.now();
     // Without an estimate of when the chunks are complete the engine keeps serving, even if its
     // load slot has started.
-    let next_load_at = next
-        .and_then(|target| {
-            Some(
-                target.learned_at + load_delay(app, target).max(estimated_completion(app, target)?),
-            )
-        })
-        .map(|at| at.max(now));
+    let next_load_at = next.and_then(|target| {
+        let completes_at = target.learned_at + estimated_completion(app, target)?;
+        Some(completes_at.max(now + time_to_load(app, target)))
+    });
     lock(&app.admission).set_next_load_at(next_load_at);
 }
 
@@ -188,7 +185,16 @@
 
 /// Returns whether this engine's load slot in the rolling update has started.
 fn is_load_due(app: &app::App, target: &app::TargetVersion) -> bool {
-    app.clock.now().duration_since(target.learned_at) >= load_delay(app, target)
+    time_to_load(app, target).is_zero()
+}
+
+/// Returns the time until this engine's load slot starts; zero if it has started, or if nobody
+/// knows when the version was announced.
+fn time_to_load(app: &app::App, target: &app::TargetVersion) -> time::Duration {
+    let age = weights_versions::age(app, target);
+    age.map_or(time::Duration::ZERO, |age| {
+        load_delay(app, target).saturating_sub(age)
+    })
 }
 
 /// Returns how long after the announcement of a version this engine's load slot starts.
--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! * [`settings`] and [`app`]: settings and shared state.
 //! * [`feed`]: configuration, announced weights, peers and entries.
+//! * [`weights_versions`]: when versions of weights were announced.
 //! * [`gossip`] and [`swarm`]: exchange of progress with peers, and download of weights.
 //! * [`grants`]: permission to download chunks from the origin, which bounds what it sends.
 //! * [`loader`]: staging of chunks, load orders, and the engine's report.
@@ -18,6 +19,7 @@
 pub mod place;
 pub mod settings;
 pub mod swarm;
+pub mod weights_versions;
 
 use std::sync;
 
--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -8,7 +8,7 @@
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
-use super::app;
+use super::{app, weights_versions};
 use crate::app::lock;
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
@@ -22,12 +22,13 @@
     let Some(service) = app.service.load_full() else {
         return server::respond_text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
     };
+    let version_min = weights_versions::version_min(&app, &request.model).max(request.version_min);
     let admission_request = engine_admission::AdmissionRequest {
         model: &request.model,
         prompt_tokens: request.prompt_tokens,
         answer_tokens: request.answer_tokens,
         first_token_max: time::Duration::from_millis(u64::from(request.first_token_max_ms)),
-        version_min: request.version_min,
+        version_min,
         spare_only: request.spare_only,
     };
     let now = app.clock.now();
--- /dev/null
+++ b/crates/core/src/announcement.rs
@@ -0,0 +1,345 @@
+//! When versions of weights were announced, as far as processes together can tell.
+//!
+//! The grace period of a version runs from its announcement, whenever a process learns of it. A
+//! process that starts later, is cut off from the platform for a while or stands still can't tell
+//! when that was. So processes pass on what they know, and each [`Announcements`] merges it: an
+//! observed announcement counts more than a bound, an earlier observation more than a later one,
+//! and of two bounds the later one is closer. What nobody knows counts as long ago.
+//!
+//! ```
+//! use std::time;
+//!
+//! use pimentohook_core::{announcement, clock};
+//!
+//! let now = clock::BootInstant::from_boot(time::Duration::from_secs(60));
+//! let lifetime = time::Duration::from_secs(8);
+//! let mut announcements = announcement::Announcements::default();
+//! announcements.record("model-1", 2, announcement::Moment::Observed(now));
+//! assert_eq!(announcements.version_min("model-1", now, lifetime), None);
+//! assert_eq!(announcements.version_min("model-1", now + lifetime, lifetime), Some(2));
+//! ```
+
+use std::time;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::clock;
+
+/// The number of versions of a model that are remembered. If there are more, the grace periods of
+/// the oldest ones end at once.
+const VERSIONS_MAX: usize = 32;
+
+/// When a version was announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moment {
+    /// A process received the announcement at this instant, as soon as it was made.
+    Observed(clock::BootInstant),
+    /// Nobody is known to have observed it; it was not announced before this instant.
+    NotBefore(clock::BootInstant),
+    /// Nothing is known, so it may have been long ago.
+    Unknown,
+}
+
+impl Moment {
+    /// Returns the instant from which the grace period is counted; `None` if it counts as over.
+    #[must_use]
+    pub const fn counted_from(self) -> Option<clock::BootInstant> {
+        match self {
+            Self::Observed(at) | Self::NotBefore(at) => Some(at),
+            Self::Unknown => None,
+        }
+    }
+
+    /// Combines what two processes know.
+    #[must_use]
+    pub fn merge(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Observed(at), Self::Observed(other)) => Self::Observed(at.min(other)),
+            (Self::NotBefore(at), Self::NotBefore(other)) => Self::NotBefore(at.max(other)),
+            (Self::Unknown, known) | (known, Self::Unknown) => known,
+            (Self::Observed(at), Self::NotBefore(_)) | (Self::NotBefore(_), Self::Observed(at)) => {
+                Self::Observed(at)
+            }
+        }
+    }
+}
+
+/// An announced version of a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// The version.
+    pub version: u64,
+    /// When it was announced.
+    pub moment: Moment,
+}
+
+impl Announcement {
+    /// Returns whether a span of time has passed since the announcement.
+    #[must_use]
+    pub fn is_older_than(&self, span: time::Duration, now: clock::BootInstant) -> bool {
+        let counted_from = self.moment.counted_from();
+        counted_from.is_none_or(|at| now.saturating_duration_since(at) >= span)
+    }
+}
+
+/// How a process read the announced versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// The source reported a change at this instant, as soon as it was made.
+    Pushed(clock::BootInstant),
+    /// The source was asked, and stated what held at this instant or later.
+    Fetched(clock::BootInstant),
+}
+
+/// What a process tells others of an announcement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    /// The model.
+    pub model: String,
+    /// The announced version.
+    pub version: u64,
+    /// The time since the announcement, in milliseconds; `None` if nothing is known.
+    pub age_ms: Option<u64>,
+    /// Whether the announcement was observed, or `age_ms` is an upper bound.
+    pub is_observed: bool,
+}
+
+/// The announced versions of a model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct ModelVersions {
+    /// Ordered by version.
+    versions: Vec<Announcement>,
+    /// The newest version that was forgotten because there were too many.
+    forgotten: Option<u64>,
+}
+
+/// The announced versions of each model, as a process knows them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Announcements {
+    models: IndexMap<String, ModelVersions>,
+    /// The newest version of each model that the process has read itself.
+    read_versions: IndexMap<String, u64>,
+    /// The last instant for which the process knows what it had read to be complete.
+    read_at: Option<clock::BootInstant>,
+}
+
+impl Announcements {
+    /// Records what is known of a version; returns whether the version is newer than all known
+    /// ones.
+    pub fn record(&mut self, model: &str, version: u64, moment: Moment) -> bool {
+        let of_model = self.models.entry(String::from(model)).or_default();
+        let versions = &mut of_model.versions;
+        let is_newest = versions.last().is_none_or(|last| last.version < version);
+        match versions.binary_search_by_key(&version, |known| known.version) {
+            Ok(index) => versions[index].moment = versions[index].moment.merge(moment),
+            Err(index) => versions.insert(index, Announcement { version, moment }),
+        }
+        while versions.len() > VERSIONS_MAX {
+            of_model.forgotten = of_model.forgotten.max(Some(versions.remove(0).version));
+        }
+        is_newest
+    }
+
+    /// Records all announced versions as the process has read them; returns those that are newer
+    /// than all known ones.
+    ///
+    /// A change that was pushed was made just now, one that was fetched since the last read.
+    pub fn record_read<V>(&mut self, announced: V, read: Read) -> Vec<(String, u64)>
+    where
+        V: IntoIterator<Item = (String, u64)>,
+    {
+        let moment = match (read, self.read_at) {
+            (Read::Pushed(at), _) => Moment::Observed(at),
+            (Read::Fetched(_), Some(before)) => Moment::NotBefore(before),
+            (Read::Fetched(_), None) => Moment::Unknown,
+        };
+        let mut newest = Vec::new();
+        for (model, version) in announced {
+            let known = self.read_versions.get(&model).copied();
+            if known >= Some(version) {
+                continue;
+            }
+            self.read_versions.insert(model.clone(), version);
+            if self.record(&model, version, moment) {
+                newest.push((model, version));
+            }
+        }
+        self.confirm_read(read);
+        newest
+    }
+
+    /// Records that the process has read that nothing changed.
+    pub fn confirm_read(&mut self, read: Read) {
+        let (Read::Pushed(at) | Read::Fetched(at)) = read;
+        self.read_at = self.read_at.max(Some(at));
+    }
+
+    /// Records what another process stated; returns whether any version is newer than all known
+    /// ones.
+    pub fn merge(&mut self, statements: &[Statement], now: clock::BootInstant) -> bool {
+        let mut is_any_newest = false;
+        for statement in statements {
+            let age = statement.age_ms.map(time::Duration::from_millis);
+            let at = age.and_then(|age| now.checked_sub(age));
+            let moment = match at {
+                Some(at) if statement.is_observed => Moment::Observed(at),
+                Some(at) => Moment::NotBefore(at),
+                None => Moment::Unknown,
+            };
+            is_any_newest |= self.record(&statement.model, statement.version, moment);
+        }
+        is_any_newest
+    }
+
+    fn forgotten(&self, model: &str) -> Option<u64> {
+        self.models.get(model)?.forgotten
+    }
+
+    /// Returns whether a version was announced.
+    #[must_use]
+    pub fn is_known(&self, model: &str, version: u64) -> bool {
+        let mut of_model = self.of_model(model).iter();
+        of_model.any(|known| known.version == version)
+    }
+
+    /// Returns the time since a version was announced; `None` if that is not known.
+    #[must_use]
+    pub fn age(
+        &self,
+        model: &str,
+        version: u64,
+        now: clock::BootInstant,
+    ) -> Option<time::Duration> {
+        let mut of_model = self.of_model(model).iter();
+        let known = of_model.find(|known| known.version == version)?;
+        let at = known.moment.counted_from()?;
+        Some(now.saturating_duration_since(at))
+    }
+
+    /// Returns how much of `span` from the announcement of the first newer version on is left;
+    /// `None` if no newer version is known.
+    #[must_use]
+    pub fn remaining(
+        &self,
+        model: &str,
+        version: u64,
+        span: time::Duration,
+        now: clock::BootInstant,
+    ) -> Option<time::Duration> {
+        if self.forgotten(model) > Some(version) {
+            return Some(time::Duration::ZERO);
+        }
+        let newer = self
+            .of_model(model)
+            .iter()
+            .filter(|known| known.version > version);
+        let remaining = newer.map(|known| match known.moment.counted_from() {
+            Some(at) => span.saturating_sub(now.saturating_duration_since(at)),
+            None => time::Duration::ZERO,
+        });
+        remaining.min()
+    }
+
+    /// Forgets versions that no longer matter: those before one whose grace period is over for
+    /// certain. A bound that counts as over may still be replaced by a later moment.
+    pub fn prune(&mut self, now: clock::BootInstant, grace: time::Duration) {
+        for of_model in self.models.values_mut() {
+            let is_over = |known: &Announcement| {
+                matches!(known.moment, Moment::Observed(_)) && known.is_older_than(grace, now)
+            };
+            let newest_over = of_model.versions.iter().rposition(is_over).unwrap_or(0);
+            of_model.versions.drain(..newest_over);
+        }
+    }
+
+    /// Returns the announced versions of a model, the newest last.
+    #[must_use]
+    pub fn of_model(&self, model: &str) -> &[Announcement] {
+        let of_model = self.models.get(model);
+        of_model.map_or(&[], |of_model| of_model.versions.as_slice())
+    }
+
+    /// Returns the newest version that was announced at least `lifetime` ago, which is the oldest
+    /// that requests may still start on; `None` if they may start on any version.
+    #[must_use]
+    pub fn version_min(
+        &self,
+        model: &str,
+        now: clock::BootInstant,
+        lifetime: time::Duration,
+    ) -> Option<u64> {
+        let mut newest_first = self.of_model(model).iter().rev();
+        let required = newest_first.find(|known| known.is_older_than(lifetime, now));
+        let required = required.map(|known| known.version);
+        required.max(self.forgotten(model))
+    }
+
+    /// Returns what to tell other processes.
+    #[must_use]
+    pub fn statements(&self, now: clock::BootInstant) -> Vec<Statement> {
+        let all = self.models.iter().flat_map(|(model, of_model)| {
+            of_model.versions.iter().map(|known| {
+                let age = known
+                    .moment
+                    .counted_from()
+                    .map(|at| now.saturating_duration_since(at).as_millis());
+                Statement {
+                    model: model.clone(),
+                    version: known.version,
+                    age_ms: age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
+                    is_observed: matches!(known.moment, Moment::Observed(_)),
+                }
+            })
+        });
+        all.collect()
+    }
+}
+
+/// A watch that starts longer than this after the last read may report at once what was announced
+/// in between.
+const PUSH_GAP_MAX: time::Duration = time::Duration::from_millis(250);
+
+/// In a process that was not suspended, the clocks differ by less than this.
+const SUSPENSION_MIN: time::Duration = time::Duration::from_millis(50);
+
+/// The span of a watch of the announced versions, which tells how what it reports was read.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchSpan {
+    started_at: time::Instant,
+    started_boot_at: clock::BootInstant,
+    /// Whether the versions were read right before.
+    is_continued: bool,
+}
+
+impl WatchSpan {
+    /// Starts the span of a watch that continues what was read last.
+    #[must_use]
+    pub fn start(clock: &dyn clock::Clock, announcements: &Announcements) -> Self {
+        let started_boot_at = clock.boot_now();
+        let is_recent = |read_at| {
+            let gap = started_boot_at.saturating_duration_since(read_at);
+            gap <= PUSH_GAP_MAX
+        };
+        Self {
+            started_at: clock.now(),
+            started_boot_at,
+            is_continued: announcements.read_at.is_some_and(is_recent),
+        }
+    }
+
+    /// Ends the span when the watch responds, after `transfer` from the first byte to the last.
+    ///
+    /// What was received while the VM was suspended may have been sent any time before.
+    #[must_use]
+    pub fn end(self, clock: &dyn clock::Clock, transfer: time::Duration) -> Read {
+        let now = clock.boot_now();
+        let elapsed = clock.now().duration_since(self.started_at);
+        let boot_elapsed = now.saturating_duration_since(self.started_boot_at);
+        let is_suspended = boot_elapsed.saturating_sub(elapsed) > SUSPENSION_MIN;
+        match now.checked_sub(transfer) {
+            Some(at) if self.is_continued && !is_suspended => Read::Pushed(at),
+            _ => Read::Fetched(self.started_boot_at),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,11 +36,13 @@
 //! * [`event_stream`]: the events of a streamed response.
 //! * [`refusal_rate`]: when refused callers should retry.
 //! * [`shutdown`]: which requests a process accepts while it is shutting down.
+//! * [`announcement`]: when versions of weights were announced.
 //! * [`rolling_update`]: when engines load a newer version of weights.
 //! * [`collection`]: copies of the platform's objects.
 //! * [`relay`]: the sources that an entry follows for these objects.
 
 pub mod admission;
+pub mod announcement;
 pub mod burst;
 pub mod clock;
 pub mod collection;
--- a/crates/entry/src/direct/agents.rs
+++ b/crates/entry/src/direct/agents.rs
@@ -8,7 +8,7 @@
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
-use super::app;
+use super::{app, weights_versions};
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 
@@ -47,6 +47,7 @@
         Ok(request) => request,
         Err(error) => return server::respond_text(error.status(), &error.to_string()),
     };
+    weights_versions::merge(&app, "agent", &request.announced);
     let configuration = app.configuration_version();
     let is_newer = configuration > request.configuration;
     server::respond_message(&direct::ServiceReply {
@@ -54,6 +55,7 @@
         service: is_newer
             .then(|| engine_service(&app, &request.service))
             .flatten(),
+        announced: weights_versions::statements(&app),
     })
 }
 
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,7 +6,7 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    clock, id, limits, refusal_rate, routes, routing::score, shutdown, upstreams,
+    announcement, clock, id, limits, refusal_rate, routes, routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{body, client, metrics};
@@ -56,15 +56,6 @@
 /// The upstreams, by service.
 pub type Candidates = IndexMap<id::ServiceName, Vec<Candidate>>;
 
-/// An announced version of weights.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AnnouncedVersion {
-    /// The version.
-    pub version: u64,
-    /// When this entry learned of it.
-    pub learned_at: time::Instant,
-}
-
 /// Another entry.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -92,8 +83,8 @@
     pub table: ArcSwapOption<routes::RouteTable>,
     /// The upstreams that may be selected.
     pub candidates: ArcSwap<Candidates>,
-    /// The announced versions of weights, by model, the newest last.
-    pub announced: ArcSwap<IndexMap<String, Vec<AnnouncedVersion>>>,
+    /// The announced versions of weights.
+    pub announced: ArcSwap<announcement::Announcements>,
     /// The other entries, by name.
     pub peers: ArcSwap<IndexMap<String, Peer>>,
     /// The limits that upstreams have named.
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -8,14 +8,14 @@
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
-use pimentohook_core::{collection, relay};
+use pimentohook_core::{announcement, clock, collection, relay};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::{client, server};
 use pimentohook_wire::direct;
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::time as tokio_time;
 
-use super::app;
+use super::{app, weights_versions};
 
 /// The delay after a change, so that changes close together are fetched together.
 const COALESCE_DELAY: time::Duration = time::Duration::from_millis(100);
@@ -23,8 +23,6 @@
 const COALESCE_DELAY_UPSTREAMS: time::Duration = time::Duration::from_millis(350);
 /// Longer, because heartbeats also spread the state of entries.
 const COALESCE_DELAY_ENTRIES: time::Duration = time::Duration::from_millis(700);
-/// The number of announced versions that are remembered for each model.
-const ANNOUNCED_VERSIONS_MAX: usize = 8;
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 /// How long an entry that has just started waits for other entries before it chooses a source.
 const PEER_DISCOVERY_TIMEOUT: time::Duration = time::Duration::from_millis(60);
@@ -83,7 +81,10 @@
     follow_wait: time::Duration::from_millis(700),
     age_max: time::Duration::from_secs(6),
 };
+/// For a relay, so that a connection that has fallen silent does not hold back an announcement.
+const RELAY_WEIGHTS_WATCH_WAIT: time::Duration = time::Duration::from_secs(2);
 /// Announced versions are few and small, so each entry prefers the store over relays for them.
+/// Heartbeats spread them too.
 const TIMING_WEIGHTS: FollowTiming = FollowTiming {
     watch_wait: time::Duration::from_secs(12),
     follow_wait: time::Duration::from_secs(1),
@@ -95,6 +96,10 @@
         store::Kind::Configuration => configuration_timing(app.settings.configuration_grace),
         store::Kind::Upstreams if has_followers(app) => TIMING_UPSTREAMS,
         store::Kind::Upstreams | store::Kind::Entries | store::Kind::Grants => TIMING_LISTS,
+        store::Kind::Weights if is_relay(app) => FollowTiming {
+            watch_wait: RELAY_WEIGHTS_WATCH_WAIT,
+            ..TIMING_WEIGHTS
+        },
         store::Kind::Weights => TIMING_WEIGHTS,
     }
 }
@@ -178,6 +183,11 @@
     relay::may_have_followers(&relay_candidate(&app.peer_state()), &ready_peers(app))
 }
 
+fn is_relay(app: &app::App) -> bool {
+    let order = relay::source_order(&relay_candidate(&app.peer_state()), &ready_peers(app));
+    order.first() == Some(&relay::Source::Store)
+}
+
 /// Returns the sources for a kind in order of preference.
 fn sources(app: &app::App, kind: store::Kind) -> Vec<relay::Source> {
     let mut order = relay::source_order(&relay_candidate(&app.peer_state()), &ready_peers(app));
@@ -227,6 +237,7 @@
 
 async fn list(app: &app::App, kind: store::Kind) -> Result<bool, FeedError> {
     let requested_at = app.clock.now();
+    let read = announcement::Read::Fetched(app.clock.boot_now());
     let response = app.store.list(kind, store::Freshness::Current).await;
     let listing = response.context(StoreSnafu)?;
     log::info!(
@@ -241,7 +252,7 @@
     let is_changed =
         cache.update(|collection| collection.replace(listing.revision, listing.objects));
     cache.confirm(requested_at);
-    apply_changed(app, kind, is_changed);
+    apply(app, kind, is_changed, read);
     Ok(is_changed)
 }
 
@@ -249,6 +260,7 @@
     let cache = app.cached(kind);
     let revision = cache.collection().revision();
     let wait = watch_wait(app, kind);
+    let span = announcement::WatchSpan::start(&*app.clock, &app.announced.load());
     let changes = match app.store.watch(kind, revision, wait).await {
         Err(store::StoreError::Compacted { .. }) => {
             log::info!("feed: event=history_gone kind={kind} revision={revision}");
@@ -275,7 +287,12 @@
     if let Some(responded_at) = responded_at {
         cache.confirm(responded_at);
     }
-    apply_changed(app, kind, is_changed);
+    apply(
+        app,
+        kind,
+        is_changed,
+        span.end(&*app.clock, changes.cost.transfer),
+    );
     Ok(is_changed)
 }
 
@@ -313,8 +330,8 @@
         app.internal
             .call_with_timeouts(peer.state.peers, direct::FOLLOW_PATH, &request, timeouts);
     let reply: direct::FollowReply = call.await.context(EntrySnafu)?;
-    let is_changed = merge_delta(app, kind, name, reply.delta);
     let age = reply.age_ms.map(time::Duration::from_millis);
+    let is_changed = merge_delta(app, kind, name, reply.delta, age);
     let age = age.filter(|age| *age <= timing.age_max);
     let confirmed_at = age.and_then(|age| app.clock.now().checked_sub(age));
     let age_ms = reply.age_ms;
@@ -322,7 +339,13 @@
     Ok(is_changed)
 }
 
-fn merge_delta(app: &app::App, kind: store::Kind, name: &str, delta: collection::Delta) -> bool {
+fn merge_delta(
+    app: &app::App,
+    kind: store::Kind,
+    name: &str,
+    delta: collection::Delta,
+    age: Option<time::Duration>,
+) -> bool {
     let body_bytes = delta.content_bytes();
     app.count_read("peers", kind, body_bytes);
     let revision = delta.revision;
@@ -335,7 +358,10 @@
              bytes={body_bytes}"
         );
     }
-    apply_changed(app, kind, is_changed);
+    let confirmed_at = age.and_then(|age| app.clock.boot_now().checked_sub(age));
+    let never = clock::BootInstant::from_boot(time::Duration::ZERO);
+    let read = announcement::Read::Fetched(confirmed_at.unwrap_or(never));
+    apply(app, kind, is_changed, read);
     is_changed
 }
 
@@ -358,8 +384,11 @@
     server::respond_message(&direct::FollowReply { delta, age_ms })
 }
 
-fn apply_changed(app: &app::App, kind: store::Kind, is_changed: bool) {
+fn apply(app: &app::App, kind: store::Kind, is_changed: bool, read: announcement::Read) {
     if !is_changed {
+        if kind == store::Kind::Weights {
+            weights_versions::confirm_read(app, read);
+        }
         return;
     }
     let collection = app.cached(kind).collection();
@@ -367,7 +396,9 @@
     match kind {
         store::Kind::Configuration => apply_configuration(app, objects),
         store::Kind::Upstreams => app.set_upstreams(decode::upstreams(objects)),
-        store::Kind::Weights => apply_weights(app, objects),
+        store::Kind::Weights => {
+            weights_versions::record_read(app, &decode::announced_versions(objects), read);
+        }
         store::Kind::Entries | store::Kind::Grants => {}
     }
 }
@@ -399,27 +430,3 @@
         app.table.store(Some(sync::Arc::new(table)));
     }
 }
-
-fn apply_weights(app: &app::App, objects: &IndexMap<String, collection::Object>) {
-    let now = app.clock.now();
-    let announced_versions = decode::announced_versions(objects);
-    app.announced.rcu(|announced| {
-        let mut announced = IndexMap::clone(announced);
-        for (model, version) in &announced_versions {
-            let versions = announced.entry(model.clone()).or_insert_with(Vec::new);
-            if versions.last().is_none_or(|last| last.version < *version) {
-                log::info!(
-                    "feed: event=weights_named model={model} version={version} before={:?}",
-                    versions.last().map(|last| last.version)
-                );
-                versions.push(app::AnnouncedVersion {
-                    version: *version,
-                    learned_at: now,
-                });
-            }
-            let surplus = versions.len().saturating_sub(ANNOUNCED_VERSIONS_MAX);
-            versions.drain(..surplus);
-        }
-        announced
-    });
-}
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -12,7 +12,7 @@
 use rand::seq::IndexedRandom as _;
 use tokio::time as tokio_time;
 
-use super::app;
+use super::{app, weights_versions};
 
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
@@ -118,6 +118,7 @@
     let request = direct::PeerRequest {
         peer: app.peer_state(),
         configuration: app.configuration_version(),
+        announced: weights_versions::statements(&app),
     };
     let result = app
         .internal
@@ -140,6 +141,7 @@
     };
     record_peer(&app, &reply.peer, time::Duration::ZERO);
     app.record_peer_configuration(reply.configuration);
+    weights_versions::merge(&app, &reply.peer.entry, &reply.announced);
     for known in &reply.known {
         record_peer(&app, &known.peer, time::Duration::from_millis(known.age_ms));
     }
@@ -204,10 +206,12 @@
     };
     record_peer(&app, &request.peer, time::Duration::ZERO);
     app.record_peer_configuration(request.configuration);
+    weights_versions::merge(&app, &request.peer.entry, &request.announced);
     let reply = direct::PeerReply {
         peer: app.peer_state(),
         configuration: app.configuration_version(),
         known: known_peers(&app),
+        announced: weights_versions::statements(&app),
     };
     server::respond_message(&reply)
 }
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -248,11 +248,11 @@
     usable: &[&app::Candidate],
 ) -> Result<Placement, Denial> {
     let allowed = weights_versions::allowed(app, model);
-    let serves = |candidate: &&&app::Candidate| {
+    let is_allowed = |candidate: &&&app::Candidate| {
         let version = candidate.served_version(model);
         version.is_some_and(|version| Some(version) >= allowed.version_min)
     };
-    let mut serving: Vec<&app::Candidate> = usable.iter().filter(serves).copied().collect();
+    let mut serving: Vec<&app::Candidate> = usable.iter().filter(is_allowed).copied().collect();
     if serving.is_empty() {
         return Err(Denial::Nobody);
     }
@@ -285,12 +285,9 @@
             continue;
         }
         slot_requests += 1;
-        if request_slot(app, request, profile, model, allowed, candidate).await {
-            let weights = weights_versions::SelectedWeights {
-                served: candidate.served_version(model),
-                allowed,
-                selected_at: app.clock.now(),
-            };
+        if request_slot(app, request, profile, model, &allowed, candidate).await {
+            let served = candidate.served_version(model);
+            let weights = weights_versions::SelectedWeights::new(app, served, allowed);
             return Ok(Placement {
                 candidate: candidate.clone(),
                 weights: Some(weights),
@@ -310,7 +307,7 @@
     request: &PlacementRequest<'_>,
     profile: &engine::EngineProfile,
     model: &str,
-    allowed: weights_versions::AllowedVersions,
+    allowed: &weights_versions::AllowedVersions,
     candidate: &app::Candidate,
 ) -> bool {
     let state = &candidate.state;
@@ -318,13 +315,13 @@
     if state.agent_silent_until_ms.load(atomic::Ordering::Relaxed) > now_ms {
         return is_within_share(app, profile, state);
     }
-    let max_ms = request.first_token_max.as_millis() * u128::from(FIRST_TOKEN_BUDGET_PERCENT) / 100;
+    let first_token_max = request.first_token_max * FIRST_TOKEN_BUDGET_PERCENT / 100;
     let slot_request = direct::SlotRequest {
         instance: candidate.upstream.instance.clone(),
         model: String::from(model),
         prompt_tokens: request.prompt_tokens,
         answer_tokens: request.answer_tokens,
-        first_token_max_ms: u32::try_from(max_ms).unwrap_or(u32::MAX),
+        first_token_max_ms: u32::try_from(first_token_max.as_millis()).unwrap_or(u32::MAX),
         version_min: allowed.version_min,
         spare_only: request.spare_only,
     };
--- a/crates/entry/src/direct/weights_versions.rs
+++ b/crates/entry/src/direct/weights_versions.rs
@@ -1,45 +1,90 @@
 //! The versions of weights that requests may run on, and the ones that they did run on.
+//!
+//! Entries and agents tell each other when versions were announced, so that one that learns of a
+//! version late, or starts after it, ends the use of the previous one with the others.
 
-use std::{fmt, time};
+use std::{fmt, sync, time};
 
 use hyper::http;
-use pimentohook_core::rolling_update;
+use pimentohook_core::{announcement, rolling_update};
 use pimentohook_platform::request;
 
 use super::{app, placement, proxy};
 
+/// Records the announced versions that this entry has read.
+pub fn record_read<V>(app: &app::App, announced: &V, read: announcement::Read)
+where
+    V: IntoIterator<Item = (String, u64)> + Clone,
+{
+    let mut newest = Vec::new();
+    update(app, |announcements| {
+        newest = announcements.record_read(announced.clone(), read);
+    });
+    for (model, version) in newest {
+        log::info!("feed: event=weights_named model={model} version={version} read={read:?}");
+    }
+}
+
+/// Records that this entry has read that no version was announced.
+pub fn confirm_read(app: &app::App, read: announcement::Read) {
+    update(app, |announcements| announcements.confirm_read(read));
+}
+
+/// Records what another entry or an agent stated of announced versions.
+pub fn merge(app: &app::App, from: &str, statements: &[announcement::Statement]) {
+    if statements.is_empty() {
+        return;
+    }
+    let now = app.clock.boot_now();
+    let mut is_any_newest = false;
+    update(app, |announcements| {
+        is_any_newest = announcements.merge(statements, now);
+    });
+    if is_any_newest {
+        log::info!("feed: event=weights_named from={from} stated={statements:?}");
+    }
+}
+
+/// Returns what this entry states of announced versions.
+#[must_use]
+pub fn statements(app: &app::App) -> Vec<announcement::Statement> {
+    app.announced.load().statements(app.clock.boot_now())
+}
+
+fn update<F>(app: &app::App, mut change: F)
+where
+    F: FnMut(&mut announcement::Announcements),
+{
+    let now = app.clock.boot_now();
+    app.announced.rcu(|announced| {
+        let mut announced = announcement::Announcements::clone(announced);
+        change(&mut announced);
+        announced.prune(now, app.settings.weights_grace);
+        announced
+    });
+}
+
 /// The versions of the weights that may serve a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct AllowedVersions {
     /// The oldest allowed version; `None` if every version is allowed.
     pub version_min: Option<u64>,
-    /// The newest announced version; `None` if none is known.
-    pub newest: Option<app::AnnouncedVersion>,
+    announced: sync::Arc<announcement::Announcements>,
 }
 
 /// Returns the versions of a model that requests may run on now.
 #[must_use]
 pub fn allowed(app: &app::App, model: &str) -> AllowedVersions {
-    let announced = app.announced.load();
-    let previous_version_lifetime =
-        rolling_update::previous_version_lifetime(app.settings.weights_grace);
-    let now = app.clock.now();
-    let is_required = |announced: &&app::AnnouncedVersion| {
-        now.duration_since(announced.learned_at) >= previous_version_lifetime
-    };
-    let versions = announced.get(model).map_or(&[][..], Vec::as_slice);
+    let announced = app.announced.load_full();
+    let lifetime = rolling_update::previous_version_lifetime(app.settings.weights_grace);
     AllowedVersions {
-        version_min: versions
-            .iter()
-            .filter(is_required)
-            .map(|announced| announced.version)
-            .max(),
-        newest: versions.last().copied(),
+        version_min: announced.version_min(model, app.clock.boot_now(), lifetime),
+        announced,
     }
 }
 
 /// What an entry knew of an engine's weights when it selected the engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct SelectedWeights {
     /// The version that the engine serves.
     pub served: Option<u64>,
@@ -50,6 +95,16 @@
 }
 
 impl SelectedWeights {
+    /// Describes the selection of an engine that serves a version of a model.
+    #[must_use]
+    pub fn new(app: &app::App, served: Option<u64>, allowed: AllowedVersions) -> Self {
+        Self {
+            served,
+            allowed,
+            selected_at: app.clock.now(),
+        }
+    }
+
     /// Returns the version that the engine must check; `None` if any version will do.
     ///
     /// The engine checks it so that a request does not run on a version that is too old if the
@@ -62,15 +117,10 @@
 
 impl fmt::Display for SelectedWeights {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let newest = self.allowed.newest;
-        let age = newest.map(|newest| self.selected_at.duration_since(newest.learned_at));
         write!(
             f,
-            "weights={:?} weights_min={:?} weights_newest={:?} newest_age_ms={:?}",
-            self.served,
-            self.allowed.version_min,
-            newest.map(|newest| newest.version),
-            age.map(|age| age.as_millis())
+            "weights={:?} weights_min={:?} announced={:?}",
+            self.served, self.allowed.version_min, self.allowed.announced
         )
     }
 }
@@ -91,23 +141,21 @@
         return;
     };
     let announced = app.announced.load();
-    let now = app.clock.now();
-    let grace = app.settings.weights_grace;
-    let is_over = |announced: &&app::AnnouncedVersion| {
-        announced.version > begun && now.duration_since(announced.learned_at) > grace
-    };
-    let replaced_by = announced.get(model).into_iter().flatten().find(is_over);
-    let Some(replaced_by) = replaced_by else {
+    let now = app.clock.boot_now();
+    let remaining = announced.remaining(model, begun, app.settings.weights_grace, now);
+    if remaining != Some(time::Duration::ZERO) {
         return;
-    };
+    }
     app.count("older_weights_begun");
     log::warn!(
-        "weights: event=older_begun request={} instance={} version={begun} replaced_by={} \
-         announced_before_ms={} sent_before_ms={} {selected}",
+        "weights: event=older_begun request={} instance={} version={begun} sent_before_ms={} \
+         announced={:?} {selected}",
         request.id(),
         placement.candidate.upstream.instance,
-        replaced_by.version,
-        now.duration_since(replaced_by.learned_at).as_millis(),
-        now.duration_since(selected.selected_at).as_millis(),
+        app.clock
+            .now()
+            .duration_since(selected.selected_at)
+            .as_millis(),
+        announced.of_model(model),
     );
 }
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -2,7 +2,7 @@
 //! upstreams.
 
 use indexmap::IndexMap;
-use pimentohook_core::{collection, engine, id, size, upstream_limit::rate};
+use pimentohook_core::{announcement, collection, engine, id, size, upstream_limit::rate};
 use serde::{Deserialize, Serialize};
 
 /// The path at which agents accept a [`SlotRequest`].
@@ -102,6 +102,9 @@
     pub service: id::ServiceName,
     /// The version of the configuration that the agent has; 0 if it has none.
     pub configuration: u64,
+    /// The announced versions of weights that the agent knows.
+    #[serde(default)]
+    pub announced: Vec<announcement::Statement>,
 }
 
 /// The reply to a [`ServiceRequest`].
@@ -112,6 +115,9 @@
     /// The configuration of the service; `None` if the agent's configuration is up to date, or if
     /// the service has no engines.
     pub service: Option<EngineService>,
+    /// The announced versions of weights that the entry knows.
+    #[serde(default)]
+    pub announced: Vec<announcement::Statement>,
 }
 
 /// The configuration of a service with engines.
@@ -130,6 +136,9 @@
     pub peer: PeerState,
     /// The version of the configuration that the sender has in force; 0 if it has none.
     pub configuration: u64,
+    /// The announced versions of weights that the sender knows.
+    #[serde(default)]
+    pub announced: Vec<announcement::Statement>,
 }
 
 /// The state that an entry reports to other entries.
@@ -174,6 +183,9 @@
     pub configuration: u64,
     /// Some of the other entries that the replying entry knows, so that a new entry discovers them.
     pub known: Vec<KnownPeer>,
+    /// The announced versions of weights that the replying entry knows.
+    #[serde(default)]
+    pub announced: Vec<announcement::Statement>,
 }
 
 /// What an entry believes of the limit of an upstream.
