--- a/crates/core/src/rolling_update.rs
+++ b/crates/core/src/rolling_update.rs
@@ -3,19 +3,28 @@
 //!
 //! The announcement of a version starts its grace period, during which requests may still start on
 //! the previous version. Engines load one after another within it, so that the others serve the
-//! requests meanwhile. A request may wait in the queue of its engine before it starts, so the last
-//! load and the last use of the previous version both come earlier than the end of the grace
-//! period.
+//! requests meanwhile. A request may wait at its engine before it starts, and a sound engine may
+//! stand still for a moment. So the last load and the last use of the previous version both come
+//! earlier than the end of the grace period, and what has not started by then is withdrawn.
 
 use std::time;
 
-/// How long a request may wait in the queue of an engine until it starts.
+/// How long a request may wait in the queue of an engine whose queue nobody is watching.
 pub const ENGINE_QUEUE_WAIT_MAX: time::Duration = time::Duration::from_millis(1_400);
 
+/// How long a sound engine may stand still.
+pub const ENGINE_PAUSE_MAX: time::Duration = time::Duration::from_millis(1_500);
+
+/// What the estimated start of a request and the known moment of an announcement may be off by.
+pub const START_ERROR_MAX: time::Duration = time::Duration::from_millis(300);
+
+/// The time that a withdrawal takes to reach the engine.
+const WITHDRAWAL_TIME_MAX: time::Duration = time::Duration::from_millis(100);
+
 /// The first engine loads no sooner, since the chunks are still being distributed.
 const FIRST_LOAD_DELAY: time::Duration = time::Duration::from_secs(3);
 
-/// The time that the load order takes to reach the last engine, beside [`ENGINE_QUEUE_WAIT_MAX`].
+/// The time that the load order takes to reach the last engine.
 const LOAD_ORDER_TIME_MAX: time::Duration = time::Duration::from_millis(100);
 
 /// Returns how long after the announcement of a version an engine starts to load it.
@@ -24,17 +33,26 @@
 /// period, so that few engines drain at the same time.
 #[must_use]
 pub fn load_delay(grace: time::Duration, rank: u32, count: u32) -> time::Duration {
-    let last = grace.saturating_sub(ENGINE_QUEUE_WAIT_MAX + LOAD_ORDER_TIME_MAX);
+    let last = previous_version_lifetime(grace).saturating_sub(LOAD_ORDER_TIME_MAX);
     let first = FIRST_LOAD_DELAY.min(last);
     let share = f64::from(rank.min(count)) / f64::from(count.max(1));
     first + last.saturating_sub(first).mul_f64(share)
 }
 
-/// Returns how long after the announcement of a newer version requests are still sent to engines
-/// with an older one.
+/// Returns how long after the announcement of a newer version requests that start at once are still
+/// sent to engines with an older one.
+#[must_use]
+pub const fn previous_version_lifetime(grace: time::Duration) -> time::Duration {
+    grace
+        .saturating_sub(ENGINE_PAUSE_MAX)
+        .saturating_sub(START_ERROR_MAX)
+}
+
+/// Returns how long after the announcement of a newer version a request that has not started on an
+/// older one is withdrawn.
 #[must_use]
-pub fn previous_version_lifetime(grace: time::Duration) -> time::Duration {
-    grace.saturating_sub(ENGINE_QUEUE_WAIT_MAX)
+pub const fn withdrawal_delay(grace: time::Duration) -> time::Duration {
+    grace.saturating_sub(WITHDRAWAL_TIME_MAX)
 }
 
 /// The number of downloaded chunks that an estimate requires.
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -82,7 +82,12 @@
             return Outcome::Fault(Fault::NotRun);
         }
     };
+    let withdrawn_after = placement.withdrawn_after();
+    if withdrawn_after == Some(time::Duration::ZERO) {
+        return Outcome::Fault(Fault::NotRun);
+    }
     let attempt_timeout = attempt_timeout(request);
+    let attempt_timeout = withdrawn_after.map_or(attempt_timeout, |max| max.min(attempt_timeout));
     if let Some(limited) = app.upstream_limits.get(&upstream.instance) {
         limited.count_send(reason);
     }
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -7,7 +7,7 @@
 use std::{fmt, sync, sync::atomic, time};
 
 use pimentohook_core::{
-    engine, id,
+    engine, id, rolling_update,
     routing::{choice, score},
     upstreams,
 };
@@ -68,6 +68,15 @@
 }
 
 impl Placement {
+    /// Returns within what time a request that has not started is withdrawn, so that it does not
+    /// start on weights whose time is over; `None` if there is no bound.
+    #[must_use]
+    pub fn withdrawn_after(&self) -> Option<time::Duration> {
+        let weights = self.weights.as_ref()?;
+        let after = weights.withdrawn_after?;
+        Some(after.saturating_sub(weights.selected_at.elapsed()))
+    }
+
     /// Returns the version of the weights that the upstream must check; `None` if any will do.
     #[must_use]
     pub fn expected_weights(&self) -> Option<u64> {
@@ -287,7 +296,7 @@
         slot_requests += 1;
         if request_slot(app, request, profile, model, &allowed, candidate).await {
             let served = candidate.served_version(model);
-            let weights = weights_versions::SelectedWeights::new(app, served, allowed);
+            let weights = weights_versions::SelectedWeights::new(app, model, served, allowed);
             return Ok(Placement {
                 candidate: candidate.clone(),
                 weights: Some(weights),
@@ -312,10 +321,15 @@
 ) -> bool {
     let state = &candidate.state;
     let now_ms = app.now_ms();
+    let start_within = allowed.start_within(app, model, candidate.served_version(model));
+    // Nobody watches the queue of an engine whose agent is silent.
+    let may_wait = start_within.is_none_or(|within| within > rolling_update::ENGINE_QUEUE_WAIT_MAX);
+    let is_admitted_without_agent = || may_wait && is_within_share(app, profile, state);
     if state.agent_silent_until_ms.load(atomic::Ordering::Relaxed) > now_ms {
-        return is_within_share(app, profile, state);
+        return is_admitted_without_agent();
     }
     let first_token_max = request.first_token_max * FIRST_TOKEN_BUDGET_PERCENT / 100;
+    let first_token_max = start_within.map_or(first_token_max, |max| max.min(first_token_max));
     let slot_request = direct::SlotRequest {
         instance: candidate.upstream.instance.clone(),
         model: String::from(model),
@@ -343,7 +357,7 @@
             state
                 .agent_silent_until_ms
                 .store(until, atomic::Ordering::Relaxed);
-            return is_within_share(app, profile, state);
+            return is_admitted_without_agent();
         }
     };
     if !reply.granted {
--- a/crates/entry/src/direct/weights_versions.rs
+++ b/crates/entry/src/direct/weights_versions.rs
@@ -83,6 +83,22 @@
     }
 }
 
+impl AllowedVersions {
+    /// Returns within what time a request has to start if it runs on a version, even if the engine
+    /// stands still for a moment; `None` if there is no bound.
+    #[must_use]
+    pub fn start_within(
+        &self,
+        app: &app::App,
+        model: &str,
+        version: Option<u64>,
+    ) -> Option<time::Duration> {
+        let lifetime = rolling_update::previous_version_lifetime(app.settings.weights_grace);
+        let now = app.clock.boot_now();
+        self.announced.remaining(model, version?, lifetime, now)
+    }
+}
+
 /// What an entry knew of an engine's weights when it selected the engine.
 #[derive(Clone, Debug)]
 pub struct SelectedWeights {
@@ -90,6 +106,9 @@
     pub served: Option<u64>,
     /// The versions that were allowed.
     pub allowed: AllowedVersions,
+    /// Within what time from the selection a request that has not started is withdrawn; `None` if
+    /// there is no bound.
+    pub withdrawn_after: Option<time::Duration>,
     /// When the engine was selected.
     pub selected_at: time::Instant,
 }
@@ -97,9 +116,13 @@
 impl SelectedWeights {
     /// Describes the selection of an engine that serves a version of a model.
     #[must_use]
-    pub fn new(app: &app::App, served: Option<u64>, allowed: AllowedVersions) -> Self {
+    pub fn new(app: &app::App, model: &str, served: Option<u64>, allowed: AllowedVersions) -> Self {
+        let delay = rolling_update::withdrawal_delay(app.settings.weights_grace);
+        let now = app.clock.boot_now();
+        let remaining = |served| allowed.announced.remaining(model, served, delay, now);
         Self {
             served,
+            withdrawn_after: served.and_then(remaining),
             allowed,
             selected_at: app.clock.now(),
         }
@@ -119,8 +142,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "weights={:?} weights_min={:?} announced={:?}",
-            self.served, self.allowed.version_min, self.allowed.announced
+            "weights={:?} weights_min={:?} withdrawn_after_ms={:?}",
+            self.served,
+            self.allowed.version_min,
+            self.withdrawn_after.map(|after| after.as_millis())
         )
     }
 }
