--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -7,7 +7,7 @@
 use std::{net, sync, sync::atomic, time};
 
 use indexmap::IndexMap;
-use pimentohook_core::{announcement, clock, collection, id, routes, upstreams};
+use pimentohook_core::{announcement, collection, id, routes, upstreams};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
@@ -250,9 +250,7 @@
             OldSnafu { age_ms }
         );
         if caches.get_mut(kind).merge(reply.delta) {
-            let confirmed_at = age.and_then(|age| app.clock.boot_now().checked_sub(age));
-            let never = clock::BootInstant::from_boot(time::Duration::ZERO);
-            let read = announcement::Read::Fetched(confirmed_at.unwrap_or(never));
+            let read = announcement::Read::fetched_ago(age, &*app.clock);
             apply(app, kind, caches.get_mut(kind).objects(), read);
         }
     }
@@ -272,13 +270,18 @@
     let request = direct::ServiceRequest {
         service: app.settings.service.clone(),
         configuration: known.unwrap_or(0),
-        announced: weights_versions::statements(app),
+        announced: weights_versions::report(app),
     };
+    let requested_at = app.clock.boot_now();
     let call = app
         .client
         .call(entry.peers, direct::SERVICE_PATH, &request, timeout);
     let reply: direct::ServiceReply = call.await.context(EntrySnafu)?;
-    weights_versions::merge(app, &reply.announced);
+    let heard = announcement::Heard::InReply {
+        requested_at,
+        now: app.clock.boot_now(),
+    };
+    weights_versions::merge(app, &reply.announced, heard);
     if let Some(service) = reply.service {
         set_service(app, reply.configuration, service);
     }
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -188,13 +188,9 @@
     time_to_load(app, target).is_zero()
 }
 
-/// Returns the time until this engine's load slot starts; zero if it has started, or if nobody
-/// knows when the version was announced.
+/// Returns the time until this engine's load slot starts; zero if it has started.
 fn time_to_load(app: &app::App, target: &app::TargetVersion) -> time::Duration {
-    let age = weights_versions::age(app, target);
-    age.map_or(time::Duration::ZERO, |age| {
-        load_delay(app, target).saturating_sub(age)
-    })
+    load_delay(app, target).saturating_sub(weights_versions::age(app, target))
 }
 
 /// Returns how long after the announcement of a version this engine's load slot starts.
--- a/crates/agent/src/direct/weights_versions.rs
+++ b/crates/agent/src/direct/weights_versions.rs
@@ -19,18 +19,17 @@
     }
 }
 
-/// Records what an entry stated of announced versions.
-pub fn merge(app: &app::App, statements: &[announcement::Statement]) {
-    let now = app.clock.boot_now();
+/// Records what an entry reported of announced versions.
+pub fn merge(app: &app::App, report: &announcement::Report, heard: announcement::Heard) {
     update(app, |announcements| {
-        announcements.merge(statements, now);
+        announcements.merge(report, heard);
     });
 }
 
-/// Returns what this agent states of announced versions.
+/// Returns what this agent reports of announced versions.
 #[must_use]
-pub fn statements(app: &app::App) -> Vec<announcement::Statement> {
-    app.announcements.load().statements(app.clock.boot_now())
+pub fn report(app: &app::App) -> announcement::Report {
+    app.announcements.load().report(app.clock.boot_now())
 }
 
 fn update<F>(app: &app::App, mut change: F)
@@ -46,23 +45,23 @@
     });
 }
 
-/// Returns the time since the announcement of a version; `None` if nobody knows.
-///
-/// A version that was not announced is as old as this agent's interest in it.
+/// Returns the time since the announcement of a version, or since this agent learned of it if nobody
+/// is known to have observed the announcement.
 #[must_use]
-pub fn age(app: &app::App, target: &app::TargetVersion) -> Option<time::Duration> {
+pub fn age(app: &app::App, target: &app::TargetVersion) -> time::Duration {
     let announcements = app.announcements.load();
-    let (model, version) = (&target.model, target.version);
-    if announcements.is_known(model, version) {
-        return announcements.age(model, version, app.clock.boot_now());
-    }
-    Some(app.clock.now().duration_since(target.learned_at))
+    let now = app.clock.boot_now();
+    let age = announcements.age(&target.model, target.version, now);
+    age.unwrap_or_else(|| app.clock.now().duration_since(target.learned_at))
 }
 
 /// Returns the oldest version of a model that requests may start on; `None` if any will do.
+///
+/// Entries decide by all that is known. The agent only refuses what is certainly too old, which an
+/// entry may have missed.
 #[must_use]
 pub fn version_min(app: &app::App, model: &str) -> Option<u64> {
     let lifetime = rolling_update::previous_version_lifetime(app.settings.weights_grace);
     let announcements = app.announcements.load();
-    announcements.version_min(model, app.clock.boot_now(), lifetime)
+    announcements.observed_version_min(model, app.clock.boot_now(), lifetime)
 }
--- a/crates/core/src/announcement.rs
+++ b/crates/core/src/announcement.rs
@@ -92,6 +92,15 @@
     Fetched(clock::BootInstant),
 }
 
+impl Read {
+    /// Describes the read of what a source stated to have held `age` ago; `None` if it never knew.
+    #[must_use]
+    pub fn fetched_ago(age: Option<time::Duration>, clock: &dyn clock::Clock) -> Self {
+        let age = age.unwrap_or(time::Duration::MAX);
+        Self::Fetched(clock.boot_now().saturating_sub(age))
+    }
+}
+
 /// What a process tells others of an announcement.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Statement {
@@ -105,6 +114,32 @@
     pub is_observed: bool,
 }
 
+/// What a process tells others of all announcements.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The announced versions.
+    pub statements: Vec<Statement>,
+    /// The time since these were known to be all, in milliseconds; `None` if they never were.
+    pub read_age_ms: Option<u64>,
+}
+
+/// How a report was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// In a request, which may have been on its way for any time.
+    InRequest {
+        /// The current instant.
+        now: clock::BootInstant,
+    },
+    /// In a reply, which was made after the request was sent.
+    InReply {
+        /// When the request was sent.
+        requested_at: clock::BootInstant,
+        /// The current instant.
+        now: clock::BootInstant,
+    },
+}
+
 /// The announced versions of a model.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct ModelVersions {
@@ -175,35 +210,56 @@
         self.read_at = self.read_at.max(Some(at));
     }
 
-    /// Records what another process stated; returns whether any version is newer than all known
-    /// ones.
-    pub fn merge(&mut self, statements: &[Statement], now: clock::BootInstant) -> bool {
+    /// Records what another process has reported; returns whether any version is newer than all
+    /// known ones.
+    ///
+    /// An observation that took long to arrive is late, and an earlier one replaces it. A bound must
+    /// not become later on its way, so bounds are taken from replies only, counted from the request.
+    pub fn merge(&mut self, report: &Report, heard: Heard) -> bool {
         let mut is_any_newest = false;
-        for statement in statements {
+        for statement in &report.statements {
             let age = statement.age_ms.map(time::Duration::from_millis);
-            let at = age.and_then(|age| now.checked_sub(age));
-            let moment = match at {
-                Some(at) if statement.is_observed => Moment::Observed(at),
-                Some(at) => Moment::NotBefore(at),
-                None => Moment::Unknown,
+            let moment = match (age, heard) {
+                (Some(age), Heard::InRequest { now } | Heard::InReply { now, .. })
+                    if statement.is_observed =>
+                {
+                    Moment::Observed(now.saturating_sub(age))
+                }
+                (Some(age), Heard::InReply { requested_at, .. }) => {
+                    Moment::NotBefore(requested_at.saturating_sub(age))
+                }
+                (None, Heard::InReply { .. }) => Moment::Unknown,
+                (_, Heard::InRequest { .. }) => continue,
             };
             is_any_newest |= self.record(&statement.model, statement.version, moment);
         }
+        if let Heard::InReply { requested_at, .. } = heard {
+            self.merge_read(report, requested_at);
+        }
         is_any_newest
     }
 
-    fn forgotten(&self, model: &str) -> Option<u64> {
-        self.models.get(model)?.forgotten
+    /// Records that another process had read, some time before `requested_at`, that there were no
+    /// versions but those in its report.
+    fn merge_read(&mut self, report: &Report, requested_at: clock::BootInstant) {
+        let Some(read_age_ms) = report.read_age_ms else {
+            return;
+        };
+        for statement in &report.statements {
+            let model = statement.model.clone();
+            let read_version = self.read_versions.entry(model).or_default();
+            *read_version = statement.version.max(*read_version);
+        }
+        let read_age = time::Duration::from_millis(read_age_ms);
+        let read_at = requested_at.saturating_sub(read_age);
+        self.confirm_read(Read::Fetched(read_at));
     }
 
-    /// Returns whether a version was announced.
-    #[must_use]
-    pub fn is_known(&self, model: &str, version: u64) -> bool {
-        let mut of_model = self.of_model(model).iter();
-        of_model.any(|known| known.version == version)
+    fn forgotten(&self, model: &str) -> Option<u64> {
+        self.models.get(model)?.forgotten
     }
 
-    /// Returns the time since a version was announced; `None` if that is not known.
+    /// Returns the time since a version was announced; `None` if nobody observed it.
     #[must_use]
     pub fn age(
         &self,
@@ -213,8 +269,10 @@
     ) -> Option<time::Duration> {
         let mut of_model = self.of_model(model).iter();
         let known = of_model.find(|known| known.version == version)?;
-        let at = known.moment.counted_from()?;
-        Some(now.saturating_duration_since(at))
+        match known.moment {
+            Moment::Observed(at) => Some(now.saturating_duration_since(at)),
+            Moment::NotBefore(_) | Moment::Unknown => None,
+        }
     }
 
     /// Returns how much of `span` from the announcement of the first newer version on is left;
@@ -275,9 +333,32 @@
         required.max(self.forgotten(model))
     }
 
+    /// Like [`Announcements::version_min`], for announcements that were observed only.
+    #[must_use]
+    pub fn observed_version_min(
+        &self,
+        model: &str,
+        now: clock::BootInstant,
+        lifetime: time::Duration,
+    ) -> Option<u64> {
+        let mut newest_first = self.of_model(model).iter().rev();
+        let required = newest_first.find(|known| {
+            matches!(known.moment, Moment::Observed(_)) && known.is_older_than(lifetime, now)
+        });
+        required.map(|known| known.version)
+    }
+
     /// Returns what to tell other processes.
     #[must_use]
-    pub fn statements(&self, now: clock::BootInstant) -> Vec<Statement> {
+    pub fn report(&self, now: clock::BootInstant) -> Report {
+        let read_age = self.read_at.map(|at| now.saturating_duration_since(at));
+        Report {
+            statements: self.statements(now),
+            read_age_ms: read_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        }
+    }
+
+    fn statements(&self, now: clock::BootInstant) -> Vec<Statement> {
         let all = self.models.iter().flat_map(|(model, of_model)| {
             of_model.versions.iter().map(|known| {
                 let age = known
@@ -337,9 +418,10 @@
         let elapsed = clock.now().duration_since(self.started_at);
         let boot_elapsed = now.saturating_duration_since(self.started_boot_at);
         let is_suspended = boot_elapsed.saturating_sub(elapsed) > SUSPENSION_MIN;
-        match now.checked_sub(transfer) {
-            Some(at) if self.is_continued && !is_suspended => Read::Pushed(at),
-            _ => Read::Fetched(self.started_boot_at),
+        if self.is_continued && !is_suspended {
+            Read::Pushed(now.saturating_sub(transfer))
+        } else {
+            Read::Fetched(self.started_boot_at)
         }
     }
 }
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -18,27 +18,33 @@
 /// An instant of a clock that advances while the VM is suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BootInstant {
-    since_boot: time::Duration,
+    since_epoch: time::Duration,
 }
 
+/// The time from the epoch to the start of the VM, so that instants before that can be stated.
+const EPOCH_TO_BOOT: time::Duration = time::Duration::from_secs(1 << 32);
+
 impl BootInstant {
     /// Creates the instant that is this long after the start of the VM.
     #[must_use]
-    pub const fn from_boot(since_boot: time::Duration) -> Self {
-        Self { since_boot }
+    pub fn from_boot(since_boot: time::Duration) -> Self {
+        Self {
+            since_epoch: EPOCH_TO_BOOT.saturating_add(since_boot),
+        }
     }
 
     /// Returns the time since an earlier instant; zero if that is later than this one.
     #[must_use]
     pub const fn saturating_duration_since(self, earlier: Self) -> time::Duration {
-        self.since_boot.saturating_sub(earlier.since_boot)
+        self.since_epoch.saturating_sub(earlier.since_epoch)
     }
 
-    /// Returns the instant that is this much earlier; `None` if that is before the start of the VM.
+    /// Returns the instant that is this much earlier, or the earliest one.
     #[must_use]
-    pub fn checked_sub(self, duration: time::Duration) -> Option<Self> {
-        let since_boot = self.since_boot.checked_sub(duration)?;
-        Some(Self { since_boot })
+    pub const fn saturating_sub(self, duration: time::Duration) -> Self {
+        Self {
+            since_epoch: self.since_epoch.saturating_sub(duration),
+        }
     }
 }
 
@@ -47,7 +53,7 @@
 
     fn add(self, duration: time::Duration) -> Self {
         Self {
-            since_boot: self.since_boot + duration,
+            since_epoch: self.since_epoch.saturating_add(duration),
         }
     }
 }
--- a/crates/core/src/rolling_update.rs
+++ b/crates/core/src/rolling_update.rs
@@ -52,7 +52,9 @@
 /// older one is withdrawn.
 #[must_use]
 pub const fn withdrawal_delay(grace: time::Duration) -> time::Duration {
-    grace.saturating_sub(WITHDRAWAL_TIME_MAX)
+    grace
+        .saturating_sub(START_ERROR_MAX)
+        .saturating_sub(WITHDRAWAL_TIME_MAX)
 }
 
 /// The number of downloaded chunks that an estimate requires.
--- a/crates/entry/src/direct/agents.rs
+++ b/crates/entry/src/direct/agents.rs
@@ -4,7 +4,7 @@
 
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
-use pimentohook_core::id;
+use pimentohook_core::{announcement, id};
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
@@ -47,7 +47,9 @@
         Ok(request) => request,
         Err(error) => return server::respond_text(error.status(), &error.to_string()),
     };
-    weights_versions::merge(&app, "agent", &request.announced);
+    let now = app.clock.boot_now();
+    let heard = announcement::Heard::InRequest { now };
+    weights_versions::merge(&app, "agent", &request.announced, heard);
     let configuration = app.configuration_version();
     let is_newer = configuration > request.configuration;
     server::respond_message(&direct::ServiceReply {
@@ -55,7 +57,7 @@
         service: is_newer
             .then(|| engine_service(&app, &request.service))
             .flatten(),
-        announced: weights_versions::statements(&app),
+        announced: weights_versions::report(&app),
     })
 }
 
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -82,21 +82,22 @@
             return Outcome::Fault(Fault::NotRun);
         }
     };
-    let withdrawn_after = placement.withdrawn_after();
-    if withdrawn_after == Some(time::Duration::ZERO) {
-        return Outcome::Fault(Fault::NotRun);
-    }
     let attempt_timeout = attempt_timeout(request);
-    let attempt_timeout = withdrawn_after.map_or(attempt_timeout, |max| max.min(attempt_timeout));
+    let withdrawn_after = placement.withdrawn_after();
+    let start_timeout = withdrawn_after.map_or(attempt_timeout, |max| max.min(attempt_timeout));
     if let Some(limited) = app.upstream_limits.get(&upstream.instance) {
         limited.count_send(reason);
     }
     let result = app
         .upstreams
-        .send(upstream.address, upstream_request, attempt_timeout)
+        .send(upstream.address, upstream_request, start_timeout)
         .await;
     let response = match result {
         Ok(response) => response,
+        Err(_) if placement.is_withdrawn() => {
+            app.count("withdrawn");
+            return Outcome::Fault(Fault::MayHaveRun);
+        }
         Err(error) => return send_failed(app, state, &error),
     };
     let class = request::classify_response(
@@ -126,6 +127,7 @@
         in_flight,
         started_at,
         timeout: attempt_timeout.saturating_sub(started_at.elapsed()),
+        start_timeout: start_timeout.saturating_sub(started_at.elapsed()),
         last_event_id,
     };
     upstream_response.read(app, request, placement).await
@@ -224,6 +226,8 @@
     in_flight: placement::InFlightGuard,
     started_at: time::Instant,
     timeout: time::Duration,
+    /// Within what time a stream has to start.
+    start_timeout: time::Duration,
     /// The last event that an earlier upstream sent, if the request resumes a stream.
     last_event_id: Option<u64>,
 }
@@ -284,7 +288,11 @@
             instance: placement.candidate.upstream.instance.clone(),
             in_flight: self.in_flight,
         };
-        let first = tokio::time::timeout(self.timeout, open.fill()).await;
+        let first = tokio::time::timeout(self.start_timeout, open.fill()).await;
+        if first.is_err() && placement.is_withdrawn() {
+            app.count("withdrawn");
+            return Outcome::Fault(Fault::MayHaveRun);
+        }
         if !matches!(first, Ok(true)) {
             open.state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -8,7 +8,7 @@
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
-use pimentohook_core::{announcement, clock, collection, relay};
+use pimentohook_core::{announcement, collection, relay};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::{client, server};
 use pimentohook_wire::direct;
@@ -358,9 +358,7 @@
              bytes={body_bytes}"
         );
     }
-    let confirmed_at = age.and_then(|age| app.clock.boot_now().checked_sub(age));
-    let never = clock::BootInstant::from_boot(time::Duration::ZERO);
-    let read = announcement::Read::Fetched(confirmed_at.unwrap_or(never));
+    let read = announcement::Read::fetched_ago(age, &*app.clock);
     apply(app, kind, is_changed, read);
     is_changed
 }
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -6,6 +6,7 @@
 use gotham::helpers::http::Body;
 use hyper::Response;
 use indexmap::IndexMap;
+use pimentohook_core::announcement;
 use pimentohook_platform::store;
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
@@ -118,8 +119,10 @@
     let request = direct::PeerRequest {
         peer: app.peer_state(),
         configuration: app.configuration_version(),
-        announced: weights_versions::statements(&app),
+        announced: weights_versions::report(&app),
     };
+    let requested_at = app.clock.boot_now();
+    let sent_at = app.clock.now();
     let result = app
         .internal
         .call(address, direct::PEER_PATH, &request, HEARTBEAT_TIMEOUT)
@@ -141,9 +144,19 @@
     };
     record_peer(&app, &reply.peer, time::Duration::ZERO);
     app.record_peer_configuration(reply.configuration);
-    weights_versions::merge(&app, &reply.peer.entry, &reply.announced);
+    let heard = announcement::Heard::InReply {
+        requested_at,
+        now: app.clock.boot_now(),
+    };
+    weights_versions::merge(&app, &reply.peer.entry, &reply.announced, heard);
+    // Counted from the request, so that no entry looks younger each time that it is passed on.
     for known in &reply.known {
-        record_peer(&app, &known.peer, time::Duration::from_millis(known.age_ms));
+        let age = time::Duration::from_millis(known.age_ms);
+        record_peer(
+            &app,
+            &known.peer,
+            age + app.clock.now().duration_since(sent_at),
+        );
     }
 }
 
@@ -206,12 +219,14 @@
     };
     record_peer(&app, &request.peer, time::Duration::ZERO);
     app.record_peer_configuration(request.configuration);
-    weights_versions::merge(&app, &request.peer.entry, &request.announced);
+    let now = app.clock.boot_now();
+    let heard = announcement::Heard::InRequest { now };
+    weights_versions::merge(&app, &request.peer.entry, &request.announced, heard);
     let reply = direct::PeerReply {
         peer: app.peer_state(),
         configuration: app.configuration_version(),
         known: known_peers(&app),
-        announced: weights_versions::statements(&app),
+        announced: weights_versions::report(&app),
     };
     server::respond_message(&reply)
 }
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -77,6 +77,12 @@
         Some(after.saturating_sub(weights.selected_at.elapsed()))
     }
 
+    /// Returns whether a request that has not started by now is withdrawn.
+    #[must_use]
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawn_after() == Some(time::Duration::ZERO)
+    }
+
     /// Returns the version of the weights that the upstream must check; `None` if any will do.
     #[must_use]
     pub fn expected_weights(&self) -> Option<u64> {
@@ -154,6 +160,14 @@
         && !request.excluded.contains(&candidate.upstream.instance)
 }
 
+/// Returns whether an upstream is listed as ready now, after it was selected.
+fn is_still_ready(app: &app::App, service: &id::ServiceName, selected: &app::Candidate) -> bool {
+    let all = app.candidates.load();
+    let listed = all.get(service).into_iter().flatten();
+    let mut same = listed.filter(|listed| listed.upstream.instance == selected.upstream.instance);
+    same.any(|listed| listed.upstream.state == upstreams::State::Ready)
+}
+
 async fn choose_plain(app: &app::App, usable: &[&app::Candidate]) -> Result<Placement, Denial> {
     let mut shuffled = usable.to_vec();
     rand::seq::SliceRandom::shuffle(shuffled.as_mut_slice(), &mut rand::rng());
@@ -296,11 +310,16 @@
         slot_requests += 1;
         if request_slot(app, request, profile, model, &allowed, candidate).await {
             let served = candidate.served_version(model);
+            let allowed = weights_versions::allowed(app, model);
             let weights = weights_versions::SelectedWeights::new(app, model, served, allowed);
-            return Ok(Placement {
+            let placement = Placement {
                 candidate: candidate.clone(),
                 weights: Some(weights),
-            });
+            };
+            // What was waited for may have taken long.
+            if !placement.is_withdrawn() && is_still_ready(app, request.service, candidate) {
+                return Ok(placement);
+            }
         }
         permits::give_back(app, &candidate.upstream.instance);
     }
--- a/crates/entry/src/direct/weights_versions.rs
+++ b/crates/entry/src/direct/weights_versions.rs
@@ -30,25 +30,26 @@
     update(app, |announcements| announcements.confirm_read(read));
 }
 
-/// Records what another entry or an agent stated of announced versions.
-pub fn merge(app: &app::App, from: &str, statements: &[announcement::Statement]) {
-    if statements.is_empty() {
-        return;
-    }
-    let now = app.clock.boot_now();
+/// Records what another entry or an agent reported of announced versions.
+pub fn merge(
+    app: &app::App,
+    from: &str,
+    report: &announcement::Report,
+    heard: announcement::Heard,
+) {
     let mut is_any_newest = false;
     update(app, |announcements| {
-        is_any_newest = announcements.merge(statements, now);
+        is_any_newest = announcements.merge(report, heard);
     });
     if is_any_newest {
-        log::info!("feed: event=weights_named from={from} stated={statements:?}");
+        log::info!("feed: event=weights_named from={from} stated={report:?}");
     }
 }
 
-/// Returns what this entry states of announced versions.
+/// Returns what this entry reports of announced versions.
 #[must_use]
-pub fn statements(app: &app::App) -> Vec<announcement::Statement> {
-    app.announced.load().statements(app.clock.boot_now())
+pub fn report(app: &app::App) -> announcement::Report {
+    app.announced.load().report(app.clock.boot_now())
 }
 
 fn update<F>(app: &app::App, mut change: F)
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -104,7 +104,7 @@
     pub configuration: u64,
     /// The announced versions of weights that the agent knows.
     #[serde(default)]
-    pub announced: Vec<announcement::Statement>,
+    pub announced: announcement::Report,
 }
 
 /// The reply to a [`ServiceRequest`].
@@ -117,7 +117,7 @@
     pub service: Option<EngineService>,
     /// The announced versions of weights that the entry knows.
     #[serde(default)]
-    pub announced: Vec<announcement::Statement>,
+    pub announced: announcement::Report,
 }
 
 /// The configuration of a service with engines.
@@ -138,7 +138,7 @@
     pub configuration: u64,
     /// The announced versions of weights that the sender knows.
     #[serde(default)]
-    pub announced: Vec<announcement::Statement>,
+    pub announced: announcement::Report,
 }
 
 /// The state that an entry reports to other entries.
@@ -185,7 +185,7 @@
     pub known: Vec<KnownPeer>,
     /// The announced versions of weights that the replying entry knows.
     #[serde(default)]
-    pub announced: Vec<announcement::Statement>,
+    pub announced: announcement::Report,
 }
 
 /// What an entry believes of the limit of an upstream.
