--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -14,23 +14,15 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
-use hyper_util::{
-    client::legacy::{self, connect::HttpConnector},
-    rt::TokioExecutor,
-};
+use hyper_util::{client::legacy, rt::TokioExecutor};
 use pimentohook_wire::CodecError;
 use serde::{Serialize, de};
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time as tokio_time;
 
-use crate::body;
+use crate::{body, connector};
 
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 const POOL_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
-const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
-const KEEPALIVE_RETRIES: u32 = 2;
-/// The time for which sent bytes may stay unacknowledged before the connection is closed.
-const UNACKNOWLEDGED_MAX: time::Duration = time::Duration::from_secs(3);
 
 /// The maximum size of the head of a response.
 const HEAD_MAX_BYTES: usize = 64 << 10;
@@ -126,7 +118,7 @@
     pub body: time::Duration,
 }
 
-type Pool = legacy::Client<HttpConnector, Full<Bytes>>;
+type Pool = legacy::Client<connector::Connector, Full<Bytes>>;
 
 /// An HTTP client with a connection pool.
 #[derive(Debug)]
@@ -138,21 +130,13 @@
 }
 
 fn new_pool(idle_max: usize, local_address: Option<net::IpAddr>) -> Pool {
-    let mut connector = HttpConnector::new();
-    connector.set_local_address(local_address);
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
-    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
-    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
     legacy::Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
         .pool_timer(hyper_util::rt::TokioTimer::new())
         .pool_max_idle_per_host(idle_max)
         .http1_max_buf_size(HEAD_MAX_BYTES)
-        .build(connector)
+        .build(connector::Connector::new(local_address))
 }
 
 const IDLE_CONNECTIONS_MAX: usize = 64;
@@ -331,13 +315,9 @@
     mut request: Request<Full<Bytes>>,
     timeout: time::Duration,
 ) -> Result<Response<Incoming>, ClientError> {
-    let too_many_informational = watch_informational(&mut request);
+    connector::cut_off_after(&mut request, INFORMATIONAL_MAX);
     let call = async {
-        let response = tokio::select! {
-            response = pool.request(request) => response,
-            () = too_many_informational.notified() => return BrokenSnafu { address }.fail(),
-        };
-        response.map_err(|error| {
+        pool.request(request).await.map_err(|error| {
             if error.is_connect() {
                 ClientError::Connect { address }
             } else if is_canceled(&error) {
@@ -350,19 +330,6 @@
     with_timeout(address, timeout, call).await
 }
 
-/// Returns a notification for when a request has got more informational responses than allowed.
-fn watch_informational(request: &mut Request<Full<Bytes>>) -> sync::Arc<tokio::sync::Notify> {
-    let too_many = sync::Arc::new(tokio::sync::Notify::new());
-    let notify = too_many.clone();
-    let count = atomic::AtomicU32::new(0);
-    hyper::ext::on_informational(request, move |_| {
-        if count.fetch_add(1, atomic::Ordering::Relaxed) == INFORMATIONAL_MAX {
-            notify.notify_one();
-        }
-    });
-    too_many
-}
-
 /// Returns whether the request was canceled, which happens only before it has been written.
 fn is_canceled(error: &legacy::Error) -> bool {
     let source = std::error::Error::source(error);
--- /dev/null
+++ b/crates/runtime/src/connector.rs
@@ -0,0 +1,168 @@
+//! Connects a client's connection pool, and lets a request cut off the connection that it is on.
+//!
+//! The task of a connection reads as much as its peer sends for as long as it runs, so dropping a
+//! request ends its connection only once that task runs again. [`cut_off_after`] takes effect with
+//! the next read instead.
+
+use std::{
+    io, net, pin,
+    sync::{self, atomic},
+    task, time,
+};
+
+use futures_util::future;
+use hyper::{Request, Uri, rt};
+use hyper_util::{
+    client::legacy::connect::{self, Connected, Connection, HttpConnector},
+    rt::TokioIo,
+};
+use tokio::net::TcpStream;
+use tower_service::Service;
+
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 2;
+/// The time for which sent bytes may stay unacknowledged before the connection is closed.
+const UNACKNOWLEDGED_MAX: time::Duration = time::Duration::from_secs(3);
+
+/// Establishes connections.
+#[derive(Clone, Debug)]
+pub struct Connector {
+    http: HttpConnector,
+}
+
+impl Connector {
+    /// Creates a connector whose connections use `local_address` as their source address, if given.
+    #[must_use]
+    pub fn new(local_address: Option<net::IpAddr>) -> Self {
+        let mut http = HttpConnector::new();
+        http.set_local_address(local_address);
+        http.set_nodelay(true);
+        http.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        http.set_keepalive(Some(KEEPALIVE_INTERVAL));
+        http.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+        http.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+        http.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
+        Self { http }
+    }
+}
+
+impl Service<Uri> for Connector {
+    type Response = CutOffStream;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = future::BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(
+        &mut self,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Result<(), Self::Error>> {
+        self.http.poll_ready(context)
+    }
+
+    fn call(&mut self, destination: Uri) -> Self::Future {
+        let connecting = self.http.call(destination);
+        Box::pin(async {
+            let io = connecting.await?;
+            let is_cut_off = CutOff::default();
+            Ok(CutOffStream { io, is_cut_off })
+        })
+    }
+}
+
+/// Whether a connection is cut off.
+#[derive(Clone, Debug, Default)]
+struct CutOff {
+    is_set: sync::Arc<atomic::AtomicBool>,
+}
+
+impl CutOff {
+    fn set(&self) {
+        self.is_set.store(true, atomic::Ordering::Relaxed);
+    }
+
+    fn is_set(&self) -> bool {
+        self.is_set.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// A connection that can be cut off, after which reads fail.
+#[derive(Debug)]
+pub struct CutOffStream {
+    io: TokioIo<TcpStream>,
+    is_cut_off: CutOff,
+}
+
+impl Connection for CutOffStream {
+    fn connected(&self) -> Connected {
+        self.io.connected().extra(self.is_cut_off.clone())
+    }
+}
+
+impl rt::Read for CutOffStream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: rt::ReadBufCursor<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        if self.is_cut_off.is_set() {
+            return task::Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        pin::Pin::new(&mut self.io).poll_read(context, buffer)
+    }
+}
+
+impl rt::Write for CutOffStream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.io).poll_write(context, bytes)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.io).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.io).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.io).poll_write_vectored(context, slices)
+    }
+}
+
+/// Cuts off the connection of a request once it has got more than `informational_max` informational
+/// responses, with a status below 200.
+pub fn cut_off_after<B>(request: &mut Request<B>, informational_max: u32) {
+    let captured = connect::capture_connection(request);
+    let count = atomic::AtomicU32::new(0);
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, atomic::Ordering::Relaxed) < informational_max {
+            return;
+        }
+        let mut extensions = hyper::http::Extensions::new();
+        if let Some(connected) = captured.connection_metadata().as_ref() {
+            connected.get_extras(&mut extensions);
+        }
+        match extensions.get::<CutOff>() {
+            Some(cut_off) => cut_off.set(),
+            None => log::warn!("client: event=connection_not_cut_off reason=unknown_connection"),
+        }
+    });
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod body;
 pub mod client;
+mod connector;
 pub mod logs;
 pub mod metrics;
 pub mod process;
