--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -3,7 +3,8 @@
 //!
 //! The simulation drives the same request tables, views and failovers as the binaries, over a
 //! network that delays, loses and duplicates messages, with agents that crash and restart at the
-//! same address and entries that are suspended.
+//! same address and entries that are suspended. An entry sends each message once and on one
+//! connection, so a copy of it reaches the same process of an agent or none.
 
 mod network;
 mod ops;
@@ -105,3 +106,47 @@
     world.advance(time::Duration::from_secs(25));
     world.check().expect("the promises are kept");
 }
+
+const DUPLICATED: Delivery = Delivery {
+    delay_ms: 1,
+    lost: false,
+    duplicated: true,
+};
+
+#[test]
+fn a_copy_of_a_dispatch_reaches_the_process_that_received_the_dispatch() {
+    let mut world = World::new(vec![DUPLICATED]);
+    world.send(0, 0, true);
+    world.advance(time::Duration::from_secs(3));
+    assert_eq!((world.delivered_to_agents, world.runs.len()), (2, 1));
+}
+
+#[test]
+fn a_copy_of_a_dispatch_does_not_reach_a_process_that_was_started_later() {
+    let mut world = World::new(vec![DUPLICATED]);
+    world.send(0, 0, true);
+    world.advance(time::Duration::from_secs(1));
+    for agent in 0..world::AGENT_COUNT {
+        world.restart(agent);
+    }
+    world.advance(time::Duration::from_secs(2));
+    assert_eq!((world.delivered_to_agents, world.runs.len()), (1, 1));
+}
+
+/// A copy whose original was lost is the first message on its connection.
+#[test]
+fn a_dispatch_that_is_late_reaches_a_process_that_was_started_later() {
+    let late = Delivery {
+        lost: true,
+        ..DUPLICATED
+    };
+    let mut world = World::new(vec![late]);
+    world.send(0, 0, true);
+    world.advance(time::Duration::from_millis(500));
+    for agent in 0..world::AGENT_COUNT {
+        world.restart(agent);
+    }
+    world.advance(time::Duration::from_secs(2));
+    assert!(world.delivered_to_agents >= 1);
+    assert_eq!(world.runs.len(), 0);
+}
--- /dev/null
+++ b/crates/runtime/tests/sent_once.rs
@@ -0,0 +1,73 @@
+//! Tests that a client sends a request on one connection only, whatever becomes of it.
+
+use std::{
+    io::{Read as _, Write as _},
+    net,
+    sync::{self, atomic},
+    thread, time,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use pimentohook_runtime::client;
+use rstest::rstest;
+
+const TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// The time within which a second copy of a request would have been received.
+const COPY_DELAY: time::Duration = time::Duration::from_millis(200);
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/// A server that responds to the first `answered_count` requests, and closes the connection of each
+/// later one without a response.
+struct Server {
+    address: net::SocketAddr,
+    received_count: sync::Arc<atomic::AtomicUsize>,
+}
+
+fn start_server(answered_count: usize) -> Server {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let received_count = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let received = received_count.clone();
+    thread::spawn(move || {
+        for socket in listener.incoming() {
+            let mut socket = socket.expect("a connection");
+            while socket.read(&mut [0; 4096]).is_ok_and(|read| read > 0) {
+                let earlier_count = received.fetch_add(1, atomic::Ordering::SeqCst);
+                if earlier_count >= answered_count {
+                    break;
+                }
+                socket.write_all(RESPONSE).expect("a client that reads");
+            }
+        }
+    });
+    Server {
+        address,
+        received_count,
+    }
+}
+
+#[rstest]
+#[case::new_connection(0)]
+#[case::reused_connection(1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_connection_broke_is_not_sent_again(#[case] answered_count: usize) {
+    let server = start_server(answered_count);
+    let client = client::Client::new(net::Ipv4Addr::LOCALHOST.into());
+    let mut results = Vec::new();
+    for _ in 0..=answered_count {
+        let request = Request::get(format!("http://{}/", server.address))
+            .body(Full::new(Bytes::new()))
+            .expect("a request");
+        let result = client
+            .send_and_read_body(server.address, request, TIMEOUT)
+            .await;
+        results.push(result.is_ok());
+    }
+    tokio::time::sleep(COPY_DELAY).await;
+    assert_eq!(results.pop(), Some(false));
+    assert!(results.into_iter().all(|is_ok| is_ok));
+    let received_count = server.received_count.load(atomic::Ordering::SeqCst);
+    assert_eq!(received_count, answered_count + 1);
+}
