--- a/crates/core/src/routing/failover.rs
+++ b/crates/core/src/routing/failover.rs
@@ -8,7 +8,9 @@
 //! A request that its caller retries may have started through another entry. Its failover first
 //! revokes earlier attempts at every agent that may have run one, and attaches to the run if there
 //! is one. It then dispatches the request to a single agent, after all others have promised not to
-//! run this attempt either.
+//! run this attempt either. That agent's own promise covers only lower numbers, and callers that
+//! don't number their attempts send several with the same one, so only a refusal by the same process
+//! proves that the request did not run there.
 
 use crate::{admission, id};
 
@@ -228,18 +230,32 @@
     fn record_dispatch(&mut self, position: usize, event: Event) {
         match event {
             Event::Started => self.stage = Stage::Relaying { position },
-            Event::NeverConnected => self.try_next(position),
+            Event::NeverConnected => {
+                self.may_have_run |= self.may_share_number();
+                self.try_next(position);
+            }
             Event::Refused(refusal) => self.record_refusal(position, refusal),
-            Event::RetryDenied => self.fail(),
+            Event::RetryDenied => {
+                self.may_have_run |= self.may_share_number();
+                self.fail();
+            }
             _ => self.stage = Stage::RevokingDispatch { position },
         }
     }
 
+    /// Returns whether another attempt with the same number may have run at the agent that this one
+    /// is dispatched to.
+    fn may_share_number(&self) -> bool {
+        self.target.is_some()
+    }
+
     fn record_refusal(&mut self, position: usize, refusal: admission::Refusal) {
         self.retry_after_ms = self.retry_after_ms.max(refusal.retry_after_ms);
         // Another entry has revoked this attempt on behalf of a later attempt, which may run.
         let superseded = refusal.reason == admission::RefusalReason::Revoked;
-        if superseded || !refusal.revoked {
+        let is_other_process = refusal.reason == admission::RefusalReason::WrongIncarnation;
+        let may_have_run_before = is_other_process && self.may_share_number();
+        if superseded || may_have_run_before || !refusal.revoked {
             self.may_have_run = true;
         }
         self.try_next(position);
--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -107,6 +107,56 @@
     world.check().expect("the promises are kept");
 }
 
+/// Found with a random seed: two attempts that their caller didn't number are under way at two
+/// entries; one runs at the agent that the other can't connect to any more.
+#[test]
+fn an_attempt_without_a_number_is_not_reported_as_not_run_after_another_one_ran() {
+    let delivery = |delay_ms, lost| Delivery {
+        delay_ms,
+        lost,
+        duplicated: false,
+    };
+    let send = |request, entry| Op::Send {
+        request,
+        entry,
+        numbered: false,
+    };
+    let ops = [
+        send(0, 1),
+        send(0, 1),
+        Op::Advance { millis: 23 },
+        Op::Suspend {
+            entry: 1,
+            millis: 1_440,
+        },
+        send(0, 0),
+        send(1, 2),
+        Op::Partition { entry: 1, agent: 3 },
+        send(0, 0),
+        Op::Advance { millis: 1 },
+    ];
+    let mut deliveries = vec![
+        delivery(1, true),
+        delivery(1, false),
+        delivery(1, false),
+        delivery(1_022, false),
+        delivery(1, true),
+        delivery(14, false),
+        delivery(9, false),
+        delivery(5, false),
+        delivery(1_500, false),
+    ];
+    deliveries
+        .extend([false, false, false, false, false, true, true].map(|lost| delivery(1, lost)));
+    deliveries.extend([delivery(1, false); 4]);
+    let mut world = World::new(deliveries);
+    for op in &ops {
+        world.apply(op);
+    }
+    world.advance(time::Duration::from_secs(25));
+    world.check().expect("the promises are kept");
+}
+
 const DUPLICATED: Delivery = Delivery {
     delay_ms: 1,
     lost: false,
