--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode, body};
 use pimentohook_core::{admission, clock::Clock as _, id};
 use pimentohook_platform::engine;
-use pimentohook_runtime::server;
+use pimentohook_runtime::{client, server};
 use pimentohook_wire::{frames, messages};
 
 use crate::{
@@ -20,6 +20,7 @@
 const MESSAGE_MAX_BYTES: usize = 4 << 20;
 const PLAIN_RESPONSE_MAX_BYTES: usize = 16 << 20;
 const ENGINE_FULL_RETRY_MS: u64 = 200;
+const ENGINE_DOWN_RETRY_MS: u64 = 1_000;
 
 /// Handles a dispatch; the response is a stream of frames.
 pub async fn dispatch(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
@@ -166,8 +167,15 @@
         table.finish(now, &request_id);
     }
     drop(table);
-    if let responses::End::Failed(reason) = &end {
-        log::warn!("dispatch: request {request_id} failed: {reason}.");
+    match &end {
+        responses::End::Failed(reason) => {
+            log::warn!("dispatch: request {request_id} failed: {reason}.");
+        }
+        responses::End::Refused(refusal) => {
+            let reason = refusal.reason;
+            log::info!("dispatch: request {request_id} is refused by the engine: {reason}.");
+        }
+        responses::End::Complete => {}
     }
     response.end(now, end);
     app.responses.evict(now);
@@ -250,23 +258,20 @@
 }
 
 /// Distinguishes a request that certainly did not run from one that may have.
-fn classify_start_error(error: &engine::EngineError) -> responses::End {
-    let is_not_run = match error {
-        engine::EngineError::Refused { .. } => true,
-        engine::EngineError::Unreachable { source } => {
-            matches!(
-                source,
-                pimentohook_runtime::client::ClientError::Connect { .. }
-            )
+#[must_use]
+pub fn classify_start_error(error: &engine::EngineError) -> responses::End {
+    let (reason, retry_after_ms) = match error {
+        engine::EngineError::Refused { .. } => {
+            (admission::RefusalReason::Full, ENGINE_FULL_RETRY_MS)
         }
-        _ => false,
+        engine::EngineError::Unreachable {
+            source: client::ClientError::Connect { .. },
+        } => (admission::RefusalReason::EngineDown, ENGINE_DOWN_RETRY_MS),
+        _ => return responses::End::Failed(error.to_string()),
     };
-    if !is_not_run {
-        return responses::End::Failed(error.to_string());
-    }
     responses::End::Refused(admission::Refusal {
-        reason: admission::RefusalReason::Full,
+        reason,
         revoked: true,
-        retry_after_ms: ENGINE_FULL_RETRY_MS,
+        retry_after_ms,
     })
 }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -186,6 +186,16 @@
     TooLate,
     /// The request table is full.
     TableFull,
+    /// The engine refuses connections.
+    EngineDown,
+}
+
+impl RefusalReason {
+    /// Returns whether the refusal shows a failure of the upstream, rather than its load or state.
+    #[must_use]
+    pub const fn is_upstream_failure(self) -> bool {
+        matches!(self, Self::EngineDown)
+    }
 }
 
 /// A refused dispatch.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -218,7 +218,9 @@
             if refusal.reason == admission::RefusalReason::Leaving {
                 agents::record_leaving(&self.app, &member.report.vm, member.report.incarnation);
             }
-            return;
+            if !refusal.reason.is_upstream_failure() {
+                return;
+            }
         }
         if let Some(stats) = self.app.stats(&member.report.vm) {
             stats.record_failure(self.app.now_ms());
