--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -3,6 +3,7 @@
 
 use std::{sync, time};
 
+use futures_util::{StreamExt as _, stream};
 use gotham::helpers::http::Body;
 use hyper::Response;
 use indexmap::IndexMap;
@@ -19,6 +20,8 @@
 /// The number of entries that get a heartbeat in each round; if there are more, the replies report
 /// the others.
 const HEARTBEAT_FANOUT: usize = 6;
+/// The number of entries that an announcement is sent to at the same time.
+const CONCURRENT_ANNOUNCEMENTS_MAX: usize = 64;
 /// The number of other entries that a heartbeat reply reports.
 const REPORTED_PEERS_MAX: usize = 8;
 /// An entry that was last seen longer ago than this is removed from the directory.
@@ -42,12 +45,21 @@
     }
 }
 
-/// Sends the state of this entry to a sample of the other entries immediately.
+/// Sends the state of this entry to all other entries immediately.
+///
+/// Entries that could not be reached in time learn it from heartbeats.
 pub async fn announce(app: &sync::Arc<app::App>) {
-    let calls = heartbeat_targets(app)
+    let addresses = peer_addresses(app);
+    let count = addresses.len();
+    let calls = addresses
         .into_iter()
         .map(|address| send_heartbeat(app.clone(), address));
-    futures_util::future::join_all(calls).await;
+    let calls = stream::iter(calls).buffer_unordered(CONCURRENT_ANNOUNCEMENTS_MAX);
+    let announced = tokio_time::timeout(HEARTBEAT_TIMEOUT, calls.collect::<Vec<()>>()).await;
+    log::info!(
+        "peers: event=announced entries={count} in_time={}",
+        announced.is_ok()
+    );
 }
 
 /// Registers this entry in the store; returns false if that has to be retried.
@@ -90,9 +102,16 @@
     }
 }
 
-/// Returns the addresses for a round of heartbeats: a sample of the entries that are registered,
-/// known or seeds.
+/// Returns the addresses for a round of heartbeats, a sample of all other entries.
 fn heartbeat_targets(app: &app::App) -> Vec<std::net::SocketAddr> {
+    peer_addresses(app)
+        .sample(&mut rand::rng(), HEARTBEAT_FANOUT)
+        .copied()
+        .collect()
+}
+
+/// Returns the addresses of the other entries that are registered, known or seeds.
+fn peer_addresses(app: &app::App) -> Vec<std::net::SocketAddr> {
     let mut addresses = indexmap::IndexSet::new();
     let registered = app.cached(store::Kind::Entries).collection();
     for (name, object) in registered.objects() {
@@ -108,10 +127,7 @@
     addresses.extend(app.peers.load().values().map(|peer| peer.state.peers));
     addresses.extend(&app.settings.seeds);
     addresses.shift_remove(&app.settings.peers);
-    let all: Vec<_> = addresses.into_iter().collect();
-    all.sample(&mut rand::rng(), HEARTBEAT_FANOUT)
-        .copied()
-        .collect()
+    addresses.into_iter().collect()
 }
 
 async fn send_heartbeat(app: sync::Arc<app::App>, address: std::net::SocketAddr) {
