--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -10,7 +10,7 @@
 use pimentohook_runtime::server;
 use pimentohook_wire::public;
 use rand::RngExt as _;
-use snafu::{ResultExt, Snafu};
+use snafu::{IntoError as _, ResultExt, Snafu};
 use subtle::ConstantTimeEq as _;
 
 use crate::{
@@ -21,6 +21,7 @@
 const BODY_MAX_BYTES: usize = 256 << 10;
 const ACTIVATION_ESTIMATE: time::Duration = time::Duration::from_secs(1);
 const CONFIRM_ATTEMPTS_MAX: usize = 4;
+const SERVER_ERROR_STATUS_MIN: u16 = 500;
 const STATUS_CONFIRMATIONS_MAX: usize = 20;
 
 /// An operator's request failed.
@@ -47,14 +48,13 @@
         /// The underlying error.
         source: weights::StoreError,
     },
-    /// A call to the platform failed; nothing is accepted meanwhile.
-    #[snafu(display(
-        "{source}; nothing is accepted until it does, what is in force stays in force; \
-         confirming again later is safe"
-    ))]
+    /// A call to the platform failed.
+    #[snafu(display("{source}; {}", platform_consequence(source, *may_be_in_force)))]
     Platform {
         /// The underlying error.
         source: objects::ObjectError,
+        /// Whether a write of the change may have taken effect.
+        may_be_in_force: bool,
     },
     /// The platform holds no configuration yet.
     #[snafu(display("the platform holds no configuration; see docs/OPERATORS.md, `First start`"))]
@@ -69,6 +69,38 @@
     },
 }
 
+/// Returns what a failed call to the platform means for the operator's change.
+const fn platform_consequence(
+    source: &objects::ObjectError,
+    may_be_in_force: bool,
+) -> &'static str {
+    if may_be_in_force {
+        return "the change may be in force; confirming again is safe and shows whether it is";
+    }
+    match source {
+        objects::ObjectError::Unreachable { .. } => {
+            "nothing is accepted until it does, what is in force stays in force; confirming again \
+             later is safe"
+        }
+        objects::ObjectError::Conflict { .. } => {
+            "other changes were faster, and this one is not in force; confirming again is safe"
+        }
+        objects::ObjectError::Refused { .. } | objects::ObjectError::Malformed { .. } => {
+            "nothing was changed, what is in force stays in force; confirming again later is safe"
+        }
+    }
+}
+
+/// Returns whether a write that failed with this error may have taken effect.
+const fn may_have_been_written(error: &objects::ObjectError) -> bool {
+    match error {
+        objects::ObjectError::Unreachable { source } => !source.is_unsent(),
+        objects::ObjectError::Refused { status } => status.as_u16() >= SERVER_ERROR_STATUS_MIN,
+        objects::ObjectError::Conflict { .. } => false,
+        objects::ObjectError::Malformed { .. } => true,
+    }
+}
+
 impl OperatorError {
     /// Converts the error into a response.
     #[must_use]
@@ -158,7 +190,7 @@
 ///
 /// Returns an [`OperatorError`] if the intent can't be planned.
 pub async fn plan(app: &app::App, intent: intent::Intent) -> Result<intent::Plan, OperatorError> {
-    let current = read_config(app).await?;
+    let current = read_config(app, false).await?;
     plan_against(app, &current.value, intent).await
 }
 
@@ -191,8 +223,9 @@
 ) -> Result<id::ConfigVersion, OperatorError> {
     let weights = weights_for(app, &plan.intent).await?;
     let mut last_error: Option<objects::ObjectError> = None;
+    let mut may_be_in_force = false;
     for _ in 0..CONFIRM_ATTEMPTS_MAX {
-        let current = read_config(app).await?;
+        let current = read_config(app, may_be_in_force).await?;
         let mut config = current.value.clone();
         match config.confirm(plan, operator, weights.as_ref()) {
             Ok(()) => {}
@@ -218,12 +251,19 @@
             Err(
                 error @ (objects::ObjectError::Conflict { .. }
                 | objects::ObjectError::Unreachable { .. }),
-            ) => last_error = Some(error),
-            Err(source) => return Err(OperatorError::Platform { source }),
+            ) => {
+                may_be_in_force |= may_have_been_written(&error);
+                last_error = Some(error);
+            }
+            Err(source) => {
+                may_be_in_force |= may_have_been_written(&source);
+                let error = PlatformSnafu { may_be_in_force };
+                return Err(error.into_error(source));
+            }
         }
     }
     match last_error {
-        Some(source) => Err(OperatorError::Platform { source }),
+        Some(source) => Err(PlatformSnafu { may_be_in_force }.into_error(source)),
         None => Err(OperatorError::NoConfig),
     }
 }
@@ -253,9 +293,12 @@
     }
 }
 
-async fn read_config(app: &app::App) -> Result<objects::Versioned<intent::Config>, OperatorError> {
+async fn read_config(
+    app: &app::App,
+    may_be_in_force: bool,
+) -> Result<objects::Versioned<intent::Config>, OperatorError> {
     let read = app.objects.get(configuration::CONFIG_OBJECT).await;
-    let read = read.context(PlatformSnafu)?;
+    let read = read.context(PlatformSnafu { may_be_in_force })?;
     read.ok_or(OperatorError::NoConfig)
 }
 
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -128,9 +128,9 @@
 
     /// Waits for the injected delay and returns whether the API is down.
     async fn delay_and_check_down(&self) -> bool {
-        let faults = *lock(&self.faults);
-        tokio::time::sleep(time::Duration::from_millis(faults.delay_ms)).await;
-        faults.down
+        let delay_ms = lock(&self.faults).delay_ms;
+        tokio::time::sleep(time::Duration::from_millis(delay_ms)).await;
+        lock(&self.faults).down
     }
 
     /// Returns whether the reply to this write is lost, and decrements the injected count.
