--- a/crates/agent/src/transfer/upload.rs
+++ b/crates/agent/src/transfer/upload.rs
@@ -7,7 +7,7 @@
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::{Response, StatusCode, body};
-use pimentohook_core::id;
+use pimentohook_core::{burst::uploader, id};
 use pimentohook_runtime::server;
 use pimentohook_wire::{frames, messages};
 
@@ -35,21 +35,25 @@
         request.chunk,
         request.overdraft,
     );
+    let chunk = set.chunks.get(request.chunk as usize).cloned().flatten();
+    let is_missing = chunk.is_none().then_some(uploader::UploadDenial::NotHeld);
     let reply = messages::ChunkReply {
-        denial: started.err(),
+        denial: started.err().or(is_missing),
         held,
         given_count: set.uploader.uploaded_count(),
     };
-    let chunk = set.chunks.get(request.chunk as usize).cloned().flatten();
     drop(sets);
+    let slot = started.is_ok().then(|| UploadSlot {
+        transfers,
+        manifest: request.manifest,
+    });
     let Ok(header) = frames::to_framed(&reply) else {
         return server::respond_text(StatusCode::INTERNAL_SERVER_ERROR, "can't encode");
     };
-    match chunk {
-        Some(bytes) if reply.denial.is_none() => {
+    match (slot, chunk) {
+        (Some(slot), Some(bytes)) => {
             let upload = Upload {
-                transfers,
-                manifest: request.manifest,
+                slot,
                 header: Some(header),
                 remaining: bytes,
             };
@@ -59,15 +63,20 @@
     }
 }
 
-/// An upload of one chunk; releases its slot on drop.
-struct Upload {
+/// A slot for an upload, which is released on drop.
+struct UploadSlot {
     transfers: sync::Arc<Transfers>,
     manifest: id::Digest,
+}
+
+/// An upload of one chunk.
+struct Upload {
+    slot: UploadSlot,
     header: Option<Bytes>,
     remaining: Bytes,
 }
 
-impl Drop for Upload {
+impl Drop for UploadSlot {
     fn drop(&mut self) {
         if let Some(set) = lock(&self.transfers.sets).get_mut(&self.manifest) {
             set.uploader.release_slot();
@@ -95,7 +104,8 @@
         let piece = self
             .remaining
             .split_to(self.remaining.len().min(PIECE_BYTES));
-        self.transfers.outgoing.acquire(byte_count_of(&piece)).await;
+        let outgoing = &self.slot.transfers.outgoing;
+        outgoing.acquire(byte_count_of(&piece)).await;
         Some(piece)
     }
 }
