--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -14,7 +14,7 @@
 use pimentohook_runtime::{client, metrics};
 use tokio::sync::watch;
 
-use crate::{responses, settings, transfer};
+use crate::{mutex::lock, responses, settings, transfer};
 
 const ACTIVE_WINDOW: time::Duration = time::Duration::from_secs(2);
 const LINK_PERCENT_MAX: u32 = 200;
@@ -60,11 +60,6 @@
     first_byte_mean_ms: atomic::AtomicU64,
 }
 
-/// Locks a mutex; ignores poisoning, because a panic of a holder doesn't leave a partial update.
-pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
 impl App {
     /// Creates the state of an agent that listens on `address`.
     ///
--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Notify;
 
 use super::settings;
-use crate::{app::lock, transfer};
+use crate::{mutex::lock, transfer};
 
 const STALL_MAX: time::Duration = time::Duration::from_millis(700);
 /// Peers in the same failure domain are preferred, so some VMs upload more than others.
--- a/crates/agent/src/direct/gossip.rs
+++ b/crates/agent/src/direct/gossip.rs
@@ -14,7 +14,7 @@
 use rand::seq::IndexedRandom as _;
 
 use super::{app, grants};
-use crate::app::lock;
+use crate::mutex::lock;
 
 /// The interval at which a sample of the peers is called.
 pub const SAMPLE_INTERVAL: time::Duration = time::Duration::from_millis(120);
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -13,7 +13,7 @@
 use pimentohook_platform::store;
 
 use super::app;
-use crate::app::lock;
+use crate::mutex::lock;
 
 /// When a granted chunk that no agent holds is granted again, and how many grants may be
 /// outstanding: enough to keep the origin busy until the next ones are recorded and handed out.
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -9,7 +9,7 @@
 use pimentohook_wire::direct;
 
 use super::{app, swarm};
-use crate::app::lock;
+use crate::mutex::lock;
 
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(50);
 const STATE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -9,7 +9,7 @@
 use pimentohook_wire::direct;
 
 use super::app;
-use crate::app::lock;
+use crate::mutex::lock;
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -13,7 +13,7 @@
 use pimentohook_runtime::process;
 
 use super::{app, gossip, grants};
-use crate::{app::lock, transfer};
+use crate::{mutex::lock, transfer};
 
 /// The interval of calls to grantors until the first chunk is held.
 const FIRST_CHUNK_CALL_INTERVAL: time::Duration = time::Duration::from_millis(40);
--- a/crates/agent/src/dispatch.rs
+++ b/crates/agent/src/dispatch.rs
@@ -12,10 +12,7 @@
 use pimentohook_runtime::{client, server};
 use pimentohook_wire::{frames, messages};
 
-use crate::{
-    app::{self, lock},
-    responses, settings,
-};
+use crate::{app, mutex::lock, responses, settings};
 
 const MESSAGE_MAX_BYTES: usize = 4 << 20;
 const PLAIN_RESPONSE_MAX_BYTES: usize = 16 << 20;
--- a/crates/agent/src/follow.rs
+++ b/crates/agent/src/follow.rs
@@ -10,10 +10,7 @@
 use pimentohook_platform::weights;
 use pimentohook_runtime::process;
 
-use crate::{
-    app::{self, lock},
-    transfer,
-};
+use crate::{app, mutex::lock, transfer};
 
 const DOWNLOADS_MAX: usize = 3;
 const MANIFEST_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
--- a/crates/agent/src/heartbeat.rs
+++ b/crates/agent/src/heartbeat.rs
@@ -6,7 +6,7 @@
 use pimentohook_runtime::process;
 use pimentohook_wire::messages;
 
-use crate::app::{self, lock};
+use crate::{app, mutex::lock};
 
 const DOWNLOADING_INTERVAL_DIVISOR: u32 = 4;
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(800);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod dispatch;
 pub mod follow;
 pub mod heartbeat;
+mod mutex;
 pub mod orders;
 pub mod responses;
 pub mod settings;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -9,10 +9,7 @@
 use pimentohook_runtime::{process, server};
 use pimentohook_wire::messages;
 
-use crate::{
-    app::{self, lock},
-    follow,
-};
+use crate::{app, follow, mutex::lock};
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
--- a/crates/agent/src/responses.rs
+++ b/crates/agent/src/responses.rs
@@ -13,7 +13,7 @@
 use pimentohook_wire::frames;
 use tokio::{sync::watch, time as tokio_time};
 
-use crate::app::lock;
+use crate::mutex::lock;
 
 const KEEP_ALIVE_INTERVAL: time::Duration = time::Duration::from_millis(200);
 const PIECE_BYTES: usize = 64 << 10;
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 
 pub use self::upload::upload;
-use crate::app::lock;
+use crate::mutex::lock;
 
 const PEERS_MAX: usize = 32;
 const BUSY_BACKOFF: time::Duration = time::Duration::from_millis(30);
--- a/crates/agent/src/transfer/download.rs
+++ b/crates/agent/src/transfer/download.rs
@@ -13,7 +13,7 @@
 use pimentohook_wire::{frames, messages};
 
 use super::{Content, Transfers};
-use crate::app::lock;
+use crate::mutex::lock;
 
 /// Starts the downloads that are due.
 pub fn start_due(transfers: &sync::Arc<Transfers>) {
--- a/crates/agent/src/transfer/upload.rs
+++ b/crates/agent/src/transfer/upload.rs
@@ -12,7 +12,7 @@
 use pimentohook_wire::{frames, messages};
 
 use super::{Transfers, byte_count_of};
-use crate::app::lock;
+use crate::mutex::lock;
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 /// Small pieces keep the send queue of the link short for the messages that share it.
