--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -9,7 +9,7 @@
 use pimentohook_runtime::{process, server};
 use rand::RngExt as _;
 
-use crate::{app, peers};
+use crate::{app, peer_client};
 
 /// The name of the configuration's object.
 pub const CONFIG_OBJECT: &str = "config";
@@ -69,7 +69,7 @@
 
 /// Fetches the configuration from another entry that is ahead.
 pub async fn fetch_from_peer(app: &app::App, address: net::SocketAddr) {
-    if let Some(config) = peers::get::<intent::Config>(app, address, "/v1/config").await {
+    if let Some(config) = peer_client::get::<intent::Config>(app, address, "/v1/config").await {
         apply(app, &config);
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,7 +13,7 @@
 //! * [`phone`]: a page for operators with phones.
 //! * [`configuration`]: the configuration in force, from the platform or from other entries.
 //! * [`duties`] and [`origin`]: rollouts and origin grants, under a lease.
-//! * [`peers`]: the status and the counts of the other entries.
+//! * [`peers`] and [`peer_client`]: the status and the counts of the other entries.
 
 pub mod agents;
 pub mod app;
@@ -24,6 +24,7 @@
 pub mod duties;
 pub mod operators;
 pub mod origin;
+pub mod peer_client;
 pub mod peers;
 pub mod phone;
 pub mod settings;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,16 +3,15 @@
 use std::{sync, time};
 
 use gotham::helpers::http::Body;
-use hyper::{Method, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
 use pimentohook_core::{id, report};
-use pimentohook_runtime::{client, process, server};
+use pimentohook_runtime::{process, server};
 use serde::{Deserialize, Serialize};
 
-use crate::{app, configuration};
+use crate::{app, configuration, peer_client};
 
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(500);
-const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// The status that an entry reports to other entries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,7 +37,7 @@
         let calls = other_entries(&app).map(|(name, entry)| {
             let app = app.clone();
             async move {
-                let status: PeerStatus = get(&app, entry.address, "/v1/peer").await?;
+                let status: PeerStatus = peer_client::get(&app, entry.address, "/v1/peer").await?;
                 Some((name, entry.address, status))
             }
         });
@@ -66,7 +65,12 @@
 ) -> (IndexMap<String, report::EntryCounts>, Vec<String>) {
     let calls = other_entries(app).map(|(name, entry)| {
         let app = app.clone();
-        async move { (name, get(&app, entry.address, "/v1/counts").await) }
+        async move {
+            (
+                name,
+                peer_client::get(&app, entry.address, "/v1/counts").await,
+            )
+        }
     });
     let mut replies = IndexMap::new();
     let mut missing = Vec::new();
@@ -81,23 +85,6 @@
     (replies, missing)
 }
 
-/// Fetches JSON from another entry; returns `None` if that fails.
-pub async fn get<T>(app: &app::App, address: std::net::SocketAddr, path: &str) -> Option<T>
-where
-    T: serde::de::DeserializeOwned,
-{
-    let request = client::json_request::<()>(Method::GET, address, path, None).ok()?;
-    let response = app
-        .client
-        .send_and_read_body(address, request, CALL_TIMEOUT)
-        .await;
-    let (status, body) = response.ok()?;
-    if status != StatusCode::OK {
-        return None;
-    }
-    serde_json::from_slice(&body).ok()
-}
-
 fn other_entries(
     app: &app::App,
 ) -> impl Iterator<Item = (id::EntryId, crate::settings::EntryLocation)> + use<> {
