--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -19,11 +19,7 @@
 use pimentohook_wire::{messages, public};
 use tokio::sync::mpsc;
 
-use crate::{
-    agents, app,
-    callers::{self, CallerRequest},
-    stream,
-};
+use crate::{agents, app, caller_request::CallerRequest, caller_response, stream};
 
 const RETRIES_MAX: usize = 2;
 const BUFFERED_FRAMES_MAX: usize = 16;
@@ -50,7 +46,7 @@
     let member = member.filter(|member| member.report.incarnation == incarnation);
     let Some(member) = member else {
         let error = "the agent that had this answer is gone";
-        return callers::error_response(StatusCode::GONE, error, None, None);
+        return caller_response::error_response(StatusCode::GONE, error, None, None);
     };
     let deadline = app.clock.now() + app.settings.deadline_max;
     let location = location_of(&member);
@@ -59,7 +55,9 @@
     let first = response_stream.next().await;
     match first {
         Ok(first) => respond(response_stream, &request_id, first, offset, None),
-        Err(error) => callers::error_response(StatusCode::GONE, &error.to_string(), None, None),
+        Err(error) => {
+            caller_response::error_response(StatusCode::GONE, &error.to_string(), None, None)
+        }
     }
 }
 
@@ -306,10 +304,10 @@
 fn failure_response(outcome: failover::FailureOutcome) -> Response<Body> {
     match outcome {
         failover::FailureOutcome::NotRun { retry_after_ms } => {
-            callers::not_run("no replica can take it now", retry_after_ms)
+            caller_response::not_run("no replica can take it now", retry_after_ms)
         }
         failover::FailureOutcome::Unknown => {
-            callers::outcome_unknown("contact with a replica was lost")
+            caller_response::outcome_unknown("contact with a replica was lost")
         }
     }
 }
@@ -351,7 +349,7 @@
         .header(public::REQUEST_ID_HEADER, request_id.as_str())
         .header(public::RESUME_HEADER, location)
         .body(StreamBody::new(frames).boxed_unsync());
-    response.unwrap_or_else(|_| callers::outcome_unknown("the answer's head can't be made"))
+    response.unwrap_or_else(|_| caller_response::outcome_unknown("the answer's head can't be made"))
 }
 
 /// Forwards data until the response ends or is interrupted, or its caller disconnects.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! * [`direct`]: direct mode. The other modules make up gateway mode.
 //! * [`settings`] and [`app`]: the settings and the shared state.
-//! * [`callers`]: callers' requests, and the list of entries.
+//! * [`callers`], [`caller_request`] and [`caller_response`]: callers' requests, and the list of
+//!   entries.
 //! * [`dispatch`] and [`stream`]: the dispatch of a request to agents with failover, and the
 //!   response that is read from an agent.
 //! * [`agents`]: heartbeats from agents.
@@ -17,6 +18,8 @@
 
 pub mod agents;
 pub mod app;
+pub mod caller_request;
+pub mod caller_response;
 pub mod callers;
 pub mod configuration;
 pub mod direct;
