--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,28 +1,23 @@
-//! Dispatches a request to agents with failover, and forwards the response.
+//! Dispatches a request to agents with failover.
 //!
 //! Its log lines have the part `relay`, which operators search for.
 
 use std::{sync, time};
 
-use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http_body_util::{BodyExt as _, StreamBody};
-use hyper::{Response, StatusCode, body::Frame};
+use hyper::{Response, StatusCode};
 use pimentohook_core::{
     admission,
     clock::Clock as _,
     id, membership,
-    report::commands::Outcome as RequestOutcome,
-    routing::{failover, planner, score},
+    routing::{failover, planner},
 };
 use pimentohook_runtime::client;
-use pimentohook_wire::{messages, public};
-use tokio::sync::mpsc;
+use pimentohook_wire::messages;
 
-use crate::{agents, app, caller_request::CallerRequest, caller_response, stream};
+use crate::{agents, app, caller_request::CallerRequest, caller_response, forward, stream};
 
 const RETRIES_MAX: usize = 2;
-const BUFFERED_FRAMES_MAX: usize = 16;
 
 /// Dispatches a request and returns the response to its caller.
 pub async fn serve(
@@ -54,31 +49,13 @@
         stream::ResponseStream::new(app, location, request_id.clone(), deadline, None);
     let first = response_stream.next().await;
     match first {
-        Ok(first) => respond(response_stream, &request_id, first, offset, None),
+        Ok(first) => forward::respond(response_stream, &request_id, first, offset, None),
         Err(error) => {
             caller_response::error_response(StatusCode::GONE, &error.to_string(), None, None)
         }
     }
 }
 
-/// Counts a request as in flight at an agent until the guard is dropped.
-struct InFlightGuard {
-    stats: sync::Arc<score::UpstreamStats>,
-}
-
-impl InFlightGuard {
-    fn start(stats: sync::Arc<score::UpstreamStats>) -> Self {
-        stats.record_start();
-        Self { stats }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.stats.record_end();
-    }
-}
-
 struct Dispatcher {
     app: sync::Arc<app::App>,
     request: CallerRequest,
@@ -88,7 +65,7 @@
     sent_at: Option<time::Instant>,
     dispatch_count: usize,
     reader: Option<stream::FrameReader>,
-    in_flight: Option<InFlightGuard>,
+    in_flight: Option<forward::InFlightGuard>,
 }
 
 impl Dispatcher {
@@ -134,7 +111,7 @@
         let member = self.members[position].clone();
         let message = self.message_for(&member, remaining);
         if let Some(stats) = self.app.stats(&member.report.vm) {
-            self.in_flight = Some(InFlightGuard::start(stats));
+            self.in_flight = Some(forward::InFlightGuard::start(stats));
         }
         self.sent_at = Some(now);
         let event = self.send(&member, &message).await;
@@ -271,13 +248,13 @@
                 {
                     stats.record_success(now.duration_since(sent_at));
                 }
-                let counter = OutcomeCounter {
+                let counter = forward::OutcomeCounter {
                     service: self.request.service.clone(),
                     latency: now.duration_since(self.arrived_at),
-                    _in_flight: self.in_flight.take(),
+                    in_flight: self.in_flight.take(),
                 };
                 let request_id = &self.request.request_id;
-                Ok(respond(
+                Ok(forward::respond(
                     response_stream,
                     request_id,
                     first,
@@ -320,88 +297,6 @@
     }
 }
 
-/// What is counted when a response has been forwarded or was interrupted.
-struct OutcomeCounter {
-    service: id::ServiceName,
-    latency: time::Duration,
-    _in_flight: Option<InFlightGuard>,
-}
-
-/// Builds the response that forwards a stream without its first `skip` bytes.
-fn respond(
-    response_stream: stream::ResponseStream,
-    request_id: &id::RequestId,
-    first: Option<Bytes>,
-    skip: u64,
-    counter: Option<OutcomeCounter>,
-) -> Response<Body> {
-    let location = format!(
-        "{}:{}",
-        response_stream.location.vm, response_stream.location.incarnation
-    );
-    let (sender, receiver) = mpsc::channel(BUFFERED_FRAMES_MAX);
-    tokio::spawn(forward(response_stream, first, skip, sender, counter));
-    let frames = futures_util::stream::unfold(receiver, |mut receiver| async move {
-        let frame: Result<Frame<Bytes>, std::io::Error> = receiver.recv().await?;
-        Some((frame, receiver))
-    });
-    let response = Response::builder()
-        .header(public::REQUEST_ID_HEADER, request_id.as_str())
-        .header(public::RESUME_HEADER, location)
-        .body(StreamBody::new(frames).boxed_unsync());
-    response.unwrap_or_else(|_| caller_response::outcome_unknown("the answer's head can't be made"))
-}
-
-/// Forwards data until the response ends or is interrupted, or its caller disconnects.
-async fn forward(
-    mut response_stream: stream::ResponseStream,
-    first: Option<Bytes>,
-    mut skip: u64,
-    sender: mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>,
-    counter: Option<OutcomeCounter>,
-) {
-    let app = response_stream.app();
-    let mut next: Result<Option<Bytes>, stream::StreamError> = Ok(first);
-    loop {
-        let bytes = match next {
-            Ok(Some(bytes)) => bytes,
-            Ok(None) => {
-                response_stream.release(true);
-                if let Some(counter) = counter {
-                    app.count(&counter.service, RequestOutcome::Answered(counter.latency));
-                }
-                return;
-            }
-            Err(error) => {
-                log::warn!("relay: response to the caller was interrupted: {error}.");
-                // The error ends the body without its terminator, so the caller doesn't take the
-                // response for complete.
-                let stream_error = std::io::Error::other(error.to_string());
-                let _ = sender.send(Err(stream_error)).await;
-                response_stream.release(false);
-                if let Some(counter) = counter {
-                    app.count(&counter.service, RequestOutcome::Failed);
-                }
-                return;
-            }
-        };
-        let skipped = skip.min(bytes.len() as u64);
-        skip -= skipped;
-        let rest = bytes.slice(usize::try_from(skipped).unwrap_or(0)..);
-        if !rest.is_empty() && sender.send(Ok(Frame::data(rest))).await.is_err() {
-            response_stream.release(false);
-            return;
-        }
-        next = tokio::select! {
-            next = response_stream.next() => next,
-            () = sender.closed() => {
-                response_stream.release(false);
-                return;
-            }
-        };
-    }
-}
-
 /// Plans the agents that a request may be dispatched to, in order.
 fn plan_route(app: &app::App, request: &CallerRequest) -> planner::RoutePlan {
     let now = app.clock.now();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,8 +7,8 @@
 //! * [`settings`] and [`app`]: the settings and the shared state.
 //! * [`callers`], [`caller_request`] and [`caller_response`]: callers' requests, and the list of
 //!   entries.
-//! * [`dispatch`] and [`stream`]: the dispatch of a request to agents with failover, and the
-//!   response that is read from an agent.
+//! * [`dispatch`], [`stream`] and [`forward`]: the dispatch of a request to agents with failover,
+//!   and the response that is read from an agent and forwarded.
 //! * [`agents`]: heartbeats from agents.
 //! * [`operators`]: intents, plans, confirmations, status and the burn report.
 //! * [`phone`]: a page for operators with phones.
@@ -25,6 +25,7 @@
 pub mod direct;
 pub mod dispatch;
 pub mod duties;
+pub mod forward;
 pub mod operators;
 pub mod origin;
 pub mod peer_client;
