--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -8,6 +8,8 @@
 //! After a connection has become unresponsive, the caller should call
 //! [`Client::drop_idle_connections`], since other connections to the same host may be dead too.
 
+mod error;
+
 use std::{net, sync, sync::atomic, time};
 
 use arc_swap::ArcSwap;
@@ -15,11 +17,12 @@
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use hyper_util::{client::legacy, rt::TokioExecutor};
-use pimentohook_wire::CodecError;
 use serde::{Serialize, de};
-use snafu::{ResultExt, Snafu, ensure};
+use snafu::{ResultExt, ensure};
 use tokio::time as tokio_time;
 
+pub use self::error::ClientError;
+use self::error::{BuildSnafu, CodecSnafu, JsonSnafu, StatusSnafu, TimeoutSnafu};
 use crate::{body, connector};
 
 const POOL_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
@@ -29,86 +32,6 @@
 /// The maximum number of informational responses, with a status below 200, before a response.
 const INFORMATIONAL_MAX: u32 = 16;
 
-/// An error from sending a request or reading its response.
-#[derive(Debug, Snafu)]
-pub enum ClientError {
-    /// No connection could be established, so nothing was sent.
-    #[snafu(display("no connection to {address} could be made"))]
-    Connect {
-        /// The address.
-        address: net::SocketAddr,
-    },
-    /// The connection was closed before the request was written to it.
-    #[snafu(display("connection to {address} closed before the request was sent"))]
-    Unsent {
-        /// The address.
-        address: net::SocketAddr,
-    },
-    /// The connection broke after the request may have been sent.
-    #[snafu(display("connection to {address} broke"))]
-    Broken {
-        /// The address.
-        address: net::SocketAddr,
-    },
-    /// The timeout passed before the response was received.
-    #[snafu(display("{address} did not answer within {timeout:?}"))]
-    Timeout {
-        /// The address.
-        address: net::SocketAddr,
-        /// The timeout.
-        timeout: time::Duration,
-    },
-    /// The response has a status other than success.
-    #[snafu(display("{address} answered {status}: {text}"))]
-    Status {
-        /// The address.
-        address: net::SocketAddr,
-        /// The status code.
-        status: StatusCode,
-        /// The beginning of the response body.
-        text: String,
-    },
-    /// The response body is larger than allowed.
-    #[snafu(display("answer of {address} is larger than {max_bytes} bytes"))]
-    TooLarge {
-        /// The address.
-        address: net::SocketAddr,
-        /// The maximum size, in bytes.
-        max_bytes: usize,
-    },
-    /// The request can't be built.
-    #[snafu(display("request can't be built: {source}"))]
-    Build {
-        /// The underlying error.
-        source: hyper::http::Error,
-    },
-    /// A message can't be encoded or decoded.
-    #[snafu(display("{source}"))]
-    Codec {
-        /// The underlying error.
-        source: CodecError,
-    },
-    /// A JSON body can't be encoded or decoded.
-    #[snafu(display("JSON of {address}: {source}"))]
-    Json {
-        /// The address.
-        address: net::SocketAddr,
-        /// The underlying error.
-        source: serde_json::Error,
-    },
-}
-
-impl ClientError {
-    /// Returns whether it is certain that no part of the request was sent.
-    #[must_use]
-    pub const fn is_unsent(&self) -> bool {
-        matches!(
-            self,
-            Self::Connect { .. } | Self::Unsent { .. } | Self::Build { .. }
-        )
-    }
-}
-
 /// The timeouts for the two phases of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
