--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //! * [`routes`]: which service a request goes to, and how it may be handled.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
+//! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
 //! * [`engine`]: how long an engine takes to respond.
 //! * [`engine_admission`]: which requests an engine admits.
 //! * [`event_stream`]: the events of a streamed response.
@@ -62,4 +63,5 @@
 pub mod shutdown;
 pub mod size;
 pub mod upstream_limit;
+pub mod upstream_notice;
 pub mod upstreams;
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -14,7 +14,7 @@
 
 use strum::IntoEnumIterator as _;
 
-use super::{cache, settings, upstream_limits};
+use super::{cache, settings, upstream_limits, upstream_notices};
 
 /// State of an upstream that the entry tracks itself, in addition to the listed data.
 #[derive(Debug, Default)]
@@ -98,6 +98,8 @@
     pub peers: ArcSwap<IndexMap<String, Peer>>,
     /// The limits that upstreams have named.
     pub upstream_limits: upstream_limits::UpstreamLimits,
+    /// What upstreams have said of leaving and of back-offs.
+    pub upstream_notices: upstream_notices::UpstreamNotices,
     cached: IndexMap<store::Kind, cache::CachedCollection>,
     /// The newest version of the configuration that another entry reported in force.
     peer_configuration: atomic::AtomicU64,
@@ -147,6 +149,7 @@
             announced: ArcSwap::default(),
             peers: ArcSwap::default(),
             upstream_limits: upstream_limits::UpstreamLimits::default(),
+            upstream_notices: upstream_notices::UpstreamNotices::default(),
             cached: store::Kind::iter()
                 .map(|kind| (kind, cache::CachedCollection::default()))
                 .collect(),
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -10,7 +10,7 @@
 use pimentohook_platform::request;
 use pimentohook_runtime::{body, client, server};
 
-use super::{app, limited_upstream, placement, proxy, upstream_limits};
+use super::{app, limited_upstream, placement, proxy, upstream_limits, upstream_notices};
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 const EVENT_STREAM: &str = "text/event-stream";
@@ -100,6 +100,8 @@
         request.caller.request_id.as_deref(),
     );
     record_limit(app, &upstream.instance, class, &response, started_at);
+    let statement = request::upstream_statement(response.status(), response.headers(), class);
+    upstream_notices::record_response(app, request.id(), upstream, &statement);
     match class {
         request::ResponseClass::Answer => {}
         request::ResponseClass::NotRun => return Outcome::Fault(Fault::NotRun),
--- a/crates/entry/src/direct/limit_gossip.rs
+++ b/crates/entry/src/direct/limit_gossip.rs
@@ -1,5 +1,5 @@
 //! Spreads what entries believe of upstreams' limits, so that an entry knows a limit before it sends
-//! its first request to the upstream.
+//! its first request to the upstream, and which upstreams have said that they are leaving.
 
 use std::{sync, time};
 
@@ -10,7 +10,7 @@
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use tokio::time as tokio_time;
 
-use super::{app, permits, upstream_limits};
+use super::{app, permits, upstream_limits, upstream_notices};
 
 const ROUND_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// The shortest time between two messages about changes, however often limits change.
@@ -21,6 +21,8 @@
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// The number of limits in a message, a random sample of them.
 const LIMITS_MAX: usize = 12;
+/// The number of leaving upstreams in a message, a random sample of them.
+const LEAVING_MAX: usize = 12;
 /// How long an upstream that has withdrawn its limit is mentioned.
 const WITHDRAWN_MENTION: time::Duration = time::Duration::from_secs(10);
 const MESSAGE_MAX_BYTES: usize = 1 << 13;
@@ -46,6 +48,7 @@
         if now >= log_at {
             upstream_limits::log_usage(&app);
             app.upstream_limits.remove_untracked(app.clock.now());
+            upstream_notices::remove_unlisted(&app);
             log_at = now + USAGE_LOG_INTERVAL;
         }
         if is_changed {
@@ -70,7 +73,8 @@
 
 /// Returns a sample of the other entries; none if there is nothing to tell.
 fn round_targets(app: &app::App) -> Vec<std::net::SocketAddr> {
-    if stated_limits(app).limits.is_empty() {
+    let message = stated_limits(app);
+    if message.limits.is_empty() && message.leaving.is_empty() {
         return Vec::new();
     }
     let peers = app.peers.load();
@@ -98,6 +102,9 @@
     for stated in &message.limits {
         upstream_limits::record_stated(app, stated, "gossip");
     }
+    for stated in &message.leaving {
+        upstream_notices::record_hint(app, stated);
+    }
 }
 
 /// Handles a message of another entry.
@@ -110,7 +117,7 @@
     server::respond_message(&stated_limits(&app))
 }
 
-/// Returns the limits to tell another entry.
+/// Returns what to tell another entry.
 fn stated_limits(app: &app::App) -> direct::StatedLimits {
     let now = app.clock.now();
     let all = app.upstream_limits.all();
@@ -120,7 +127,10 @@
     let mut limits: Vec<_> = stated.filter(is_mentioned).collect();
     limits.shuffle(&mut rand::rng());
     limits.truncate(LIMITS_MAX);
-    direct::StatedLimits { limits }
+    let mut leaving = app.upstream_notices.stated(now);
+    leaving.shuffle(&mut rand::rng());
+    leaving.truncate(LEAVING_MAX);
+    direct::StatedLimits { limits, leaving }
 }
 
 fn is_mentioned(stated: &direct::StatedLimit) -> bool {
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -12,6 +12,8 @@
 //!   are event streams.
 //! * [`upstream_limits`], [`limited_upstream`], [`limit_gossip`] and [`permits`]: the limits that
 //!   upstreams name in their responses, and the permits with which all entries together keep them.
+//! * [`upstream_notices`]: which upstreams have said that they are leaving, or that they want no
+//!   requests for a while.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`agents`]: agents' reports of engine states, and their requests for the configuration of a
@@ -32,6 +34,7 @@
 pub mod settings;
 pub mod stream;
 pub mod upstream_limits;
+pub mod upstream_notices;
 
 use std::{sync, time};
 
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -9,7 +9,7 @@
 use pimentohook_core::{
     engine, id, rolling_update,
     routing::{choice, score},
-    upstreams,
+    upstream_notice, upstreams,
 };
 use pimentohook_wire::direct;
 use rand::RngExt as _;
@@ -75,6 +75,11 @@
     Nobody,
     /// All upstreams of the service are at capacity.
     Full,
+    /// All upstreams of the service that could take the request want none for a while.
+    BackingOff {
+        /// When the first of them may take requests again.
+        retry_after: time::Duration,
+    },
     /// All upstreams of the service that could take the request get as many as their limits allow.
     Limited {
         /// When one of them may take another request.
@@ -113,22 +118,86 @@
     let Some(listed) = all.get(request.service) else {
         return Err(Denial::Nobody);
     };
-    let usable = |candidate: &&app::Candidate| is_usable(candidate, request);
+    let usable = |candidate: &&app::Candidate| is_usable(app, candidate, request);
     let usable: Vec<&app::Candidate> = listed.iter().filter(usable).collect();
-    match (request.profile, request.model) {
+    let chosen = match (request.profile, request.model) {
         (Some(profile), Some(model)) => choose_engine(app, request, profile, model, &usable).await,
         _ => choose_plain(app, &usable).await,
-    }
+    };
+    chosen.map_err(|denial| match back_off_end(app, request, listed) {
+        Some(retry_after) => Denial::BackingOff { retry_after },
+        None => denial,
+    })
 }
 
-fn is_usable(candidate: &app::Candidate, request: &PlacementRequest<'_>) -> bool {
+fn is_usable(app: &app::App, candidate: &app::Candidate, request: &PlacementRequest<'_>) -> bool {
+    is_staying(candidate)
+        && !request.excluded.contains(&candidate.upstream.instance)
+        && app
+            .upstream_notices
+            .allows_requests(&candidate.upstream, app.clock.now())
+}
+
+/// Returns whether an upstream is listed as ready and still has its address.
+fn is_staying(candidate: &app::Candidate) -> bool {
     candidate.upstream.state == upstreams::State::Ready
         && !candidate.state.is_replaced.load(atomic::Ordering::Relaxed)
-        && !request.excluded.contains(&candidate.upstream.instance)
+}
+
+/// Returns when the first back-off ends if all upstreams that could take the request back off.
+///
+/// Those that have already failed the request count too, because the caller's next one may go there.
+fn back_off_end(
+    app: &app::App,
+    request: &PlacementRequest<'_>,
+    listed: &[app::Candidate],
+) -> Option<time::Duration> {
+    let now = app.clock.now();
+    let model = request.model.filter(|_| request.profile.is_some());
+    let allowed = model.map(|model| (model, allowed_versions(app, model)));
+    let could_serve = |candidate: &&app::Candidate| {
+        is_staying(candidate)
+            && allowed.is_none_or(|(model, allowed)| serves(candidate, model, allowed))
+    };
+    let mut earliest: Option<time::Instant> = None;
+    for candidate in listed.iter().filter(could_serve) {
+        match app.upstream_notices.standing(&candidate.upstream, now) {
+            upstream_notice::Standing::Leaving => {}
+            upstream_notice::Standing::BackingOff { until } => {
+                earliest = Some(earliest.map_or(until, |earliest| earliest.min(until)));
+            }
+            upstream_notice::Standing::Available | upstream_notice::Standing::HintedLeaving => {
+                return None;
+            }
+        }
+    }
+    earliest.map(|until| until.saturating_duration_since(now))
+}
+
+/// Returns the upstreams of a plain service without those that are only hinted to be leaving, unless
+/// no other one is sound.
+fn without_hinted<'a>(app: &app::App, usable: &[&'a app::Candidate]) -> Vec<&'a app::Candidate> {
+    let now = app.clock.now();
+    let is_hinted = |candidate: &&app::Candidate| {
+        let standing = app.upstream_notices.standing(&candidate.upstream, now);
+        standing == upstream_notice::Standing::HintedLeaving
+    };
+    let others = usable.iter().filter(|candidate| !is_hinted(candidate));
+    let others: Vec<&app::Candidate> = others.copied().collect();
+    let now_ms = app.now_ms();
+    if others
+        .iter()
+        .any(|candidate| !candidate.state.stats.is_ejected(now_ms))
+    {
+        others
+    } else {
+        usable.to_vec()
+    }
 }
 
 async fn choose_plain(app: &app::App, usable: &[&app::Candidate]) -> Result<Placement, Denial> {
-    let mut shuffled = usable.to_vec();
+    let mut shuffled = without_hinted(app, usable);
+    let usable_count = shuffled.len();
     rand::seq::SliceRandom::shuffle(shuffled.as_mut_slice(), &mut rand::rng());
     let is_limited = |candidate: &&app::Candidate| {
         let instance = &candidate.upstream.instance;
@@ -136,7 +205,7 @@
     };
     let (limited, unlimited): (Vec<_>, Vec<_>) = shuffled.into_iter().partition(is_limited);
     let mut denial = Denial::Nobody;
-    if unlimited.is_empty() || is_limited_first(limited.len(), usable.len()) {
+    if unlimited.is_empty() || is_limited_first(limited.len(), usable_count) {
         let skips_ejected = !unlimited.is_empty();
         match choose_limited(app, &limited, skips_ejected).await {
             Ok(placement) => return Ok(placement),
@@ -247,6 +316,12 @@
     }
 }
 
+/// Returns whether an engine serves an allowed version of a model.
+fn serves(candidate: &app::Candidate, model: &str, allowed: AllowedVersions) -> bool {
+    let version = candidate.served_version(model);
+    version.is_some_and(|version| Some(version) >= allowed.version_min)
+}
+
 async fn choose_engine(
     app: &app::App,
     request: &PlacementRequest<'_>,
@@ -255,16 +330,18 @@
     usable: &[&app::Candidate],
 ) -> Result<Placement, Denial> {
     let allowed = allowed_versions(app, model);
-    let serves = |candidate: &&&app::Candidate| {
-        let version = candidate.served_version(model);
-        version.is_some_and(|version| Some(version) >= allowed.version_min)
-    };
-    let mut serving: Vec<&app::Candidate> = usable.iter().filter(serves).copied().collect();
+    let serving = usable
+        .iter()
+        .filter(|candidate| serves(candidate, model, allowed));
+    let mut serving: Vec<&app::Candidate> = serving.copied().collect();
     if serving.is_empty() {
         return Err(Denial::Nobody);
     }
+    let now = app.clock.now();
     let now_ms = app.now_ms();
     let rank = |candidate: &&app::Candidate| {
+        let standing = app.upstream_notices.standing(&candidate.upstream, now);
+        let is_hinted = standing == upstream_notice::Standing::HintedLeaving;
         let is_refusing = candidate
             .state
             .refusing_until_ms
@@ -274,7 +351,13 @@
         let in_flight = candidate.state.in_flight.load(atomic::Ordering::Relaxed);
         let is_cross_domain = candidate.upstream.failure_domain != app.settings.failure_domain;
         let cost = in_flight + u32::from(is_cross_domain) * CROSS_DOMAIN_COST;
-        (is_ejected, is_refusing, cost, rand::rng().random::<u32>())
+        (
+            is_ejected,
+            is_hinted,
+            is_refusing,
+            cost,
+            rand::rng().random::<u32>(),
+        )
     };
     serving.sort_by_cached_key(rank);
     let slot_requests_max = if request.spare_only {
@@ -292,7 +375,9 @@
             continue;
         }
         slot_requests += 1;
-        if request_slot(app, request, profile, model, allowed, candidate).await {
+        let is_granted = request_slot(app, request, profile, model, allowed, candidate).await;
+        // The upstream may have said something in the meantime.
+        if is_granted && is_usable(app, candidate, request) {
             // The upstream checks this version, so that an engine that loads other weights in the
             // meantime can't run the request on a version that is too old. Without an oldest
             // version, any version that the engine serves will do.
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -384,6 +384,9 @@
             let longest = request.remaining() / RETRY_AFTER_REMAINING_DIVISOR;
             retry_after(app, request).max(limited.min(longest))
         }
+        placement::Denial::BackingOff {
+            retry_after: back_off,
+        } => retry_after(app, request).max(back_off),
         placement::Denial::Nobody | placement::Denial::Full => retry_after(app, request),
     };
     app.count("refused");
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -209,11 +209,27 @@
     pub retry_after_ms: u32,
 }
 
-/// Entry to entry, as request and as reply: limits that the sender believes.
+/// An upstream that said of itself that it is leaving.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StatedLeaving {
+    /// The upstream's instance.
+    pub instance: String,
+    /// When it started, in milliseconds of Unix time.
+    pub started_unix_ms: Option<u64>,
+    /// The address that it listens on.
+    pub address: std::net::SocketAddr,
+    /// The time since an entry received the response that stated it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Entry to entry, as request and as reply: what upstreams have stated of themselves.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct StatedLimits {
     /// Some of the limits that the sender tracks.
     pub limits: Vec<StatedLimit>,
+    /// Some of the upstreams that are leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<StatedLeaving>,
 }
 
 /// Agent to agent: report the chunks that the sender holds of a version of the weights.
