--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -15,8 +15,8 @@
 pub const BACK_OFF_MAX: time::Duration = time::Duration::from_mins(5);
 /// How long a hint counts after the response that it reports.
 pub const HINT_LIFETIME: time::Duration = time::Duration::from_secs(10);
-/// How long notices of upstreams that are not listed are kept.
-const UNLISTED_RETENTION: time::Duration = time::Duration::from_mins(10);
+/// How long notices of upstreams that are not listed any more are kept.
+pub const UNLISTED_RETENTION: time::Duration = time::Duration::from_mins(10);
 /// A back-off is extended by up to this share of it, so that entries don't return together.
 const JITTER_PERCENT: u32 = 25;
 const JITTER_MAX: time::Duration = time::Duration::from_secs(1);
@@ -83,7 +83,8 @@
     /// When a response to another entry said that it is leaving.
     leaving_hinted_at: Option<time::Instant>,
     back_off_until: Option<time::Instant>,
-    changed_at: time::Instant,
+    /// When it was last known to be listed.
+    listed_at: time::Instant,
 }
 
 impl Notice {
@@ -93,7 +94,7 @@
             leaving_heard_at: None,
             leaving_hinted_at: None,
             back_off_until: None,
-            changed_at: now,
+            listed_at: now,
         }
     }
 
@@ -128,10 +129,11 @@
     pub heard_at: time::Instant,
 }
 
-/// What is known of the upstreams that have said something of themselves, by instance.
+/// What is known of the upstreams that have said something of themselves.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Notices {
-    by_instance: IndexMap<String, Notice>,
+    /// The notices of each instance, one for each incarnation.
+    by_instance: IndexMap<String, Vec<Notice>>,
 }
 
 impl Notices {
@@ -145,16 +147,19 @@
     /// Returns the leaving upstreams to tell other entries about.
     #[must_use]
     pub fn hints(&self, now: time::Instant) -> Vec<LeavingHint> {
-        let hint = |(instance, notice): (&String, &Notice)| {
-            let heard_at = notice.leaving_heard_at.or(notice.leaving_hinted_at)?;
-            is_fresh(heard_at, now).then(|| LeavingHint {
-                instance: instance.clone(),
-                started_unix_ms: notice.incarnation.started_unix_ms,
-                address: notice.incarnation.address,
-                heard_at,
-            })
+        let of_instance = |(instance, notices): (&String, &Vec<Notice>)| {
+            let hints = notices.iter().filter_map(|notice| {
+                let heard_at = notice.leaving_heard_at.or(notice.leaving_hinted_at)?;
+                is_fresh(heard_at, now).then(|| LeavingHint {
+                    instance: instance.clone(),
+                    started_unix_ms: notice.incarnation.started_unix_ms,
+                    address: notice.incarnation.address,
+                    heard_at,
+                })
+            });
+            hints.collect::<Vec<_>>()
         };
-        self.by_instance.iter().filter_map(hint).collect()
+        self.by_instance.iter().flat_map(of_instance).collect()
     }
 
     /// Records what a response to this entry said.
@@ -182,7 +187,7 @@
 
     /// Records what another entry told of an upstream that is listed as `upstream`.
     ///
-    /// A hint about another incarnation, or an old one, changes nothing.
+    /// A hint about another incarnation changes nothing.
     pub fn record_hint(
         &mut self,
         upstream: &upstreams::Upstream,
@@ -192,11 +197,17 @@
         let is_same = hint.instance == upstream.instance
             && hint.started_unix_ms == upstream.started_unix_ms
             && hint.address == upstream.address;
-        if !is_same || !is_fresh(hint.heard_at, now) {
+        if !is_same {
             return;
         }
         let notice = self.get_or_insert(upstream, now);
-        notice.leaving_hinted_at.get_or_insert(hint.heard_at);
+        notice.leaving_hinted_at = notice.leaving_hinted_at.max(Some(hint.heard_at));
+    }
+
+    /// Returns whether there are no notices.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_instance.is_empty()
     }
 
     /// Drops the notices of upstreams that have not been listed for long.
@@ -204,28 +215,36 @@
     where
         F: Fn(&str) -> bool,
     {
-        self.by_instance.retain(|instance, notice| {
-            is_listed(instance)
-                || now.saturating_duration_since(notice.changed_at) < UNLISTED_RETENTION
+        self.by_instance.retain(|instance, notices| {
+            if is_listed(instance) {
+                for notice in notices.iter_mut() {
+                    notice.listed_at = now;
+                }
+            }
+            notices
+                .iter()
+                .any(|notice| now.saturating_duration_since(notice.listed_at) < UNLISTED_RETENTION)
         });
     }
 
     fn get(&self, upstream: &upstreams::Upstream) -> Option<&Notice> {
-        let notice = self.by_instance.get(&upstream.instance)?;
-        (notice.incarnation == Incarnation::of(upstream)).then_some(notice)
+        let mut notices = self.by_instance.get(&upstream.instance)?.iter();
+        notices.find(|notice| notice.incarnation == Incarnation::of(upstream))
     }
 
     fn get_or_insert(&mut self, upstream: &upstreams::Upstream, now: time::Instant) -> &mut Notice {
         let incarnation = Incarnation::of(upstream);
-        let new = || Notice::new(incarnation.clone(), now);
-        let notice = self
-            .by_instance
-            .entry(upstream.instance.clone())
-            .or_insert_with(new);
-        if notice.incarnation != incarnation {
-            *notice = new();
-        }
-        notice.changed_at = now;
+        let instance = upstream.instance.clone();
+        let notices = self.by_instance.entry(instance).or_default();
+        let index = notices
+            .iter()
+            .position(|notice| notice.incarnation == incarnation)
+            .unwrap_or_else(|| {
+                notices.push(Notice::new(incarnation, now));
+                notices.len() - 1
+            });
+        let notice = &mut notices[index];
+        notice.listed_at = now;
         notice
     }
 }
--- a/crates/entry/src/direct/upstream_notices.rs
+++ b/crates/entry/src/direct/upstream_notices.rs
@@ -199,6 +199,9 @@
 
 /// Drops what is known of upstreams that have not been listed for long.
 pub fn remove_unlisted(app: &app::App) {
+    if app.upstream_notices.notices.load().is_empty() {
+        return;
+    }
     let now = app.clock.now();
     let candidates = app.candidates.load();
     let is_listed = |instance: &str| {
