--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -107,6 +107,8 @@
     pub peers: ArcSwap<PeerAgents>,
     /// The VMs that the platform is taking away.
     pub leaving_vms: ArcSwap<IndexSet<id::VmId>>,
+    /// Whether the engine said in its last report that it is leaving.
+    pub is_engine_leaving: atomic::AtomicBool,
     /// The registered entries.
     pub entries: ArcSwap<Vec<direct::PeerState>>,
     /// The manifests of the versions that are held or being downloaded.
@@ -167,7 +169,11 @@
         sync::Arc::new(Self {
             metrics: metrics_registry.client("pimentohook.agent"),
             metrics_registry,
-            runner: runner::RunnerClient::new(settings.engine, platform_client.clone()),
+            runner: runner::RunnerClient::new(
+                settings.engine,
+                platform_client.clone(),
+                clock.clone(),
+            ),
             store: store::StoreClient::new(
                 settings.object_store,
                 platform_client.clone(),
@@ -183,6 +189,7 @@
             announcements_read: atomic::AtomicBool::new(false),
             peers: ArcSwap::default(),
             leaving_vms: ArcSwap::default(),
+            is_engine_leaving: atomic::AtomicBool::new(false),
             entries: ArcSwap::default(),
             manifests: sync::Mutex::new(IndexMap::new()),
             calls_in_flight: sync::Mutex::new(IndexSet::new()),
@@ -204,10 +211,13 @@
         metrics::Registry::count(&self.metrics, event);
     }
 
-    /// Returns whether the platform is taking a VM away.
+    /// Returns whether the platform is taking a VM away, or the engine on this VM says that it is
+    /// leaving.
     #[must_use]
     pub fn is_leaving(&self, vm: &id::VmId) -> bool {
-        self.leaving_vms.load().contains(vm)
+        let is_engine_leaving =
+            *vm == self.own_vm && self.is_engine_leaving.load(atomic::Ordering::Relaxed);
+        is_engine_leaving || self.leaving_vms.load().contains(vm)
     }
 
     /// Returns the manifest of a version, if it is known.
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -60,6 +60,7 @@
             log::info!("loader: event=engine_regained weights={:?}", report.weights);
         }
         self.is_engine_silent = false;
+        record_leaving(app, report);
         let engine = engine_admission::EngineReport {
             weights: report.weights.clone(),
             active_count: report.active_count,
@@ -94,7 +95,7 @@
         if app.newest_version.load().is_none() {
             assume_version(app, &service, report);
         }
-        if report.busy {
+        if report.busy || report.is_leaving {
             return;
         }
         schedule_load(app, report);
@@ -124,6 +125,17 @@
     }
 }
 
+/// Records whether the engine says that it is leaving; while it does, it is admitted no requests and
+/// gets no weights.
+fn record_leaving(app: &app::App, report: &runner::Report) {
+    let is_leaving = report.is_leaving;
+    let ordering = atomic::Ordering::Relaxed;
+    if app.is_engine_leaving.swap(is_leaving, ordering) != is_leaving {
+        log::info!("loader: event=engine_leaving is_leaving={is_leaving}");
+    }
+    lock(&app.admission).set_leaving(is_leaving);
+}
+
 /// Returns the newest version that is complete, if the engine serves an earlier one or none.
 ///
 /// A version that was superseded during its download is loaded too if it is complete first:
--- a/crates/core/src/engine_admission.rs
+++ b/crates/core/src/engine_admission.rs
@@ -58,6 +58,8 @@
 pub enum DenialReason {
     /// The engine has not reported recently.
     Unknown,
+    /// The engine is leaving.
+    Leaving,
     /// Weights are being loaded.
     Loading,
     /// The engine serves no acceptable version of the model.
@@ -83,6 +85,7 @@
 #[derive(Clone, Debug)]
 pub struct EngineAdmission {
     report: Option<(time::Instant, EngineReport)>,
+    leaving: bool,
     loading: bool,
     next_load_at: Option<time::Instant>,
     admitted_at: VecDeque<time::Instant>,
@@ -95,6 +98,7 @@
     pub const fn new(now: time::Instant) -> Self {
         Self {
             report: None,
+            leaving: false,
             loading: false,
             next_load_at: None,
             admitted_at: VecDeque::new(),
@@ -111,6 +115,11 @@
         changed
     }
 
+    /// Sets whether the engine is leaving; no request is admitted meanwhile.
+    pub const fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
     /// Sets whether weights are being loaded; no request is admitted meanwhile.
     pub const fn set_loading(&mut self, loading: bool) {
         self.loading = loading;
@@ -146,6 +155,9 @@
         now: time::Instant,
         request: &AdmissionRequest<'_>,
     ) -> Result<time::Duration, DenialReason> {
+        if self.leaving {
+            return Err(DenialReason::Leaving);
+        }
         if self.loading {
             return Err(DenialReason::Loading);
         }
--- a/crates/core/tests/upstream_notice.rs
+++ b/crates/core/tests/upstream_notice.rs
@@ -145,7 +145,8 @@
                     .record_statement(&listed, &statement, now, *draw);
             }
             Event::Hint { about, age_ms } => {
-                let heard_at = now - Duration::from_millis(*age_ms);
+                let age = Duration::from_millis(*age_ms);
+                let heard_at = now.checked_sub(age).expect("an earlier instant");
                 let hint = hint(&upstream(*about), heard_at);
                 if *about == self.listed && now - heard_at < HINT_LIFETIME {
                     said[*about].hints.push(heard_at);
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -310,11 +310,29 @@
         request: Request<Full<Bytes>>,
         timeout: time::Duration,
     ) -> Result<(StatusCode, Bytes), ClientError> {
+        let (head, body) = self
+            .send_and_read_response(address, request, timeout)
+            .await?;
+        Ok((head.status, body))
+    }
+
+    /// Like [`Client::send_and_read_body`], but returns the whole head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if no complete response was received.
+    pub async fn send_and_read_response(
+        &self,
+        address: net::SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: time::Duration,
+    ) -> Result<(hyper::http::response::Parts, Bytes), ClientError> {
         let call = async {
             let response = self.send(address, request, timeout).await?;
-            let status = response.status();
-            let body = body::read_body(address, response, MESSAGE_MAX_BYTES).await?;
-            Ok((status, body))
+            let (head, body) = response.into_parts();
+            let body = Response::new(body);
+            let body = body::read_body(address, body, MESSAGE_MAX_BYTES).await?;
+            Ok((head, body))
         };
         with_timeout(address, timeout, call).await
     }
