--- a/crates/entry/src/direct/weights_versions.rs
+++ b/crates/entry/src/direct/weights_versions.rs
@@ -85,6 +85,12 @@
 }
 
 impl AllowedVersions {
+    /// Returns whether requests may run on a version; not if none is served.
+    #[must_use]
+    pub fn allows(&self, version: Option<u64>) -> bool {
+        version.is_some() && version >= self.version_min
+    }
+
     /// Returns within what time a request has to start if it runs on a version, even if the engine
     /// stands still for a moment; `None` if there is no bound.
     #[must_use]
