--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -4,7 +4,8 @@
 
 use crate::server;
 use cadence::{
-    BufferedUdpMetricSink, Counted as _, NopMetricSink, QueuingMetricSink, StatsdClient,
+    BufferedUdpMetricSink, Counted as _, Gauged as _, NopMetricSink, QueuingMetricSink,
+    StatsdClient,
 };
 use gotham::helpers::http::Body;
 use hdrhistogram::Histogram;
@@ -66,7 +67,7 @@
     future::ready(server::respond_text(StatusCode::OK, &registry.to_text()))
 }
 
-/// A registry of counters and latency histograms in memory; clones share their values.
+/// A registry of counters, gauges and latency histograms in memory; clones share their values.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     values: sync::Arc<sync::Mutex<IndexMap<String, Value>>>,
@@ -75,6 +76,7 @@
 #[derive(Debug)]
 enum Value {
     Count(u64),
+    Gauge(u64),
     Latency(Box<Histogram<u64>>),
 }
 
@@ -102,14 +104,21 @@
         }
     }
 
+    /// Sets a gauge through a client of a registry.
+    pub fn set(client: &StatsdClient, name: &str, value: u64) {
+        if let Err(error) = client.gauge(name, value) {
+            log::debug!("metrics: event=not_kept name={name} error={error:?}");
+        }
+    }
+
     /// Returns all values as text, one per line.
     #[must_use]
     pub fn to_text(&self) -> String {
         let mut text = String::new();
         for (name, value) in self.lock().iter() {
             match value {
-                Value::Count(count) => {
-                    let _ = writeln!(text, "{name} {count}");
+                Value::Count(value) | Value::Gauge(value) => {
+                    let _ = writeln!(text, "{name} {value}");
                 }
                 Value::Latency(histogram) => {
                     let _ = writeln!(text, "{name}_count {}", histogram.len());
@@ -129,9 +138,9 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Records a line in the statsd format such as `name:1|c` or `name:12|ms`.
+    /// Records a line in the statsd format such as `name:1|c`, `name:3|g` or `name:12|ms`.
     ///
-    /// Returns `false` if the line is neither a counter nor a timer, or if its value is not a
+    /// Returns `false` if the line is no counter, gauge or timer, or if its value is not a
     /// non-negative integer.
     fn record(&self, line: &str) -> bool {
         let Some((name, rest)) = line.split_once(':') else {
@@ -153,6 +162,10 @@
                 }
                 true
             }
+            "g" => {
+                values.insert(name, Value::Gauge(number));
+                true
+            }
             "ms" => {
                 let Ok(histogram) =
                     Histogram::new_with_max(LATENCY_MAX_MS, LATENCY_SIGNIFICANT_DIGITS)
--- a/crates/runtime/tests/metrics.rs
+++ b/crates/runtime/tests/metrics.rs
@@ -16,3 +16,12 @@
     assert!(client.count("refused", -1).is_err(), "a counter only grows");
     insta::assert_snapshot!(registry.to_text());
 }
+
+#[test]
+fn a_gauge_has_the_value_that_was_set_last() {
+    let registry = metrics::Registry::default();
+    let client = registry.client("entry");
+    metrics::Registry::set(&client, "store_era", 7);
+    metrics::Registry::set(&client, "store_era", 3);
+    assert_eq!(registry.to_text(), "entry_store_era 3\n");
+}
