--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -4,10 +4,10 @@
 //! Links between regions have low bandwidth, so of the configuration and the lists only what no
 //! entry could supply is read from the store.
 
-use std::{net, sync, sync::atomic, time};
+use std::{convert, net, sync, sync::atomic, time};
 
 use indexmap::IndexMap;
-use pimentohook_core::{collection, id, routes, upstreams};
+use pimentohook_core::{carryover, collection, id, position, routes, upstreams};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
@@ -34,6 +34,9 @@
 /// The interval while weights are downloaded, shorter so that VMs that join are found sooner.
 const DOWNLOADING_REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(800);
 
+/// How much each process adds to the time over which all list the announced versions again.
+const LIST_SPREAD_PER_PROCESS: time::Duration = time::Duration::from_millis(2);
+
 /// Spawns the tasks that follow the store and the entries, until the process exits.
 pub fn start(app: &sync::Arc<app::App>) {
     tokio::spawn(follow_weights(app.clone()));
@@ -54,12 +57,15 @@
 async fn follow_weights(app: sync::Arc<app::App>) {
     let mut retry_delay = RETRY_DELAY;
     loop {
-        if let Err(error) = watch_weights(&app, &mut retry_delay).await {
-            log::warn!(
-                "feed: event=store_lost kind=weights error={error:?} retry_ms={}",
-                retry_delay.as_millis()
-            );
+        let Err(error) = watch_weights(&app, &mut retry_delay).await;
+        if is_restored(&app, &error) {
+            tokio_time::sleep(list_spread(&app)).await;
+            continue;
         }
+        log::warn!(
+            "feed: event=store_lost kind=weights error={error:?} retry_ms={}",
+            retry_delay.as_millis()
+        );
         tokio_time::sleep(retry_delay).await;
         retry_delay = (retry_delay * 2).min(RETRY_DELAY_MAX);
     }
@@ -68,23 +74,39 @@
 async fn watch_weights(
     app: &app::App,
     retry_delay: &mut time::Duration,
-) -> Result<(), store::StoreError> {
+) -> Result<convert::Infallible, store::StoreError> {
     let kind = store::Kind::Weights;
     let listing = app.store.list(kind, store::Freshness::Current).await?;
     *retry_delay = RETRY_DELAY;
     let mut objects = index_by_name(listing.objects);
-    let mut revision = listing.revision;
+    let mut position = listing.position;
     loop {
         record_announced_weights(app, &objects);
         app.announcements_read
             .store(true, atomic::Ordering::Relaxed);
-        let changes = app.store.watch(kind, revision, LONG_POLL_WAIT).await?;
-        revision = changes.revision;
+        let changes = app.store.watch(kind, position, LONG_POLL_WAIT).await?;
+        position = changes.position;
         let present = changes.changes.into_iter().filter(|change| !change.removed);
         objects.extend(present.map(|change| (change.object.name.clone(), change.object)));
     }
 }
 
+/// Returns whether a watch ended because the store was restored.
+fn is_restored(app: &app::App, error: &store::StoreError) -> bool {
+    match error {
+        store::StoreError::Compacted { position, .. } => position.era < app.store.era(),
+        _ => false,
+    }
+}
+
+/// Returns how long to wait before the announced versions are listed again because of a new era,
+/// since every entry and agent lists them then.
+fn list_spread(app: &app::App) -> time::Duration {
+    let count = app.entries.load().len() + app.peers.load().len() + 1;
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    carryover::spread(count, LIST_SPREAD_PER_PROCESS, rand::random())
+}
+
 fn record_announced_weights(app: &app::App, objects: &Objects) {
     let announced = decode::announced_versions(objects);
     let service = app.service.load();
@@ -104,6 +126,10 @@
     upstreams: collection::Collection,
     entries: collection::Collection,
     weights: collection::Collection,
+    /// The upstreams that a restored store has lost.
+    lost_upstreams: carryover::Carryover<upstreams::Upstream>,
+    /// The registrations of entries that a restored store has lost.
+    lost_entries: carryover::Carryover<collection::Object>,
 }
 
 impl CachedCollections {
@@ -147,6 +173,9 @@
 enum FeedError {
     #[snafu(display("{source}"))]
     Entry { source: client::ClientError },
+    /// The entry has not heard yet that the store was restored.
+    #[snafu(display("entry is at {position}, before the store was restored"))]
+    Outdated { position: position::Position },
     /// The entry's copy is too old, as it is when it can't reach the store.
     #[snafu(display("entry knows what was {age_ms:?} ms ago"))]
     Old { age_ms: Option<u64> },
@@ -163,6 +192,7 @@
         if !is_refreshed {
             refresh_from_store(&app, &mut caches).await;
         }
+        expire_lost(&app, &mut caches);
         let pause = if app.service.load().is_none() {
             RETRY_DELAY
         } else if app.transfers.is_downloading() {
@@ -235,13 +265,17 @@
     ] {
         let request = direct::FollowRequest {
             kind: kind.store_kind().to_string(),
-            revision: caches.get_mut(kind).revision(),
+            position: caches.get_mut(kind).position(),
+            era: app.store.era(),
             wait_ms: 0,
         };
         let call = app
             .client
             .call(entry.peers, direct::FOLLOW_PATH, &request, timeout);
         let reply: direct::FollowReply = call.await.context(EntrySnafu)?;
+        let position = reply.delta.position;
+        app.store.record_era(position.era);
+        ensure!(position.era >= app.store.era(), OutdatedSnafu { position });
         let age = reply.age_ms.map(time::Duration::from_millis);
         let age_ms = reply.age_ms;
         ensure!(
@@ -249,7 +283,7 @@
             OldSnafu { age_ms }
         );
         if caches.get_mut(kind).merge(reply.delta) {
-            apply(app, kind, caches.get_mut(kind).objects());
+            apply(app, kind, caches);
         }
     }
     refresh_service(app, entry, timeout).await
@@ -299,9 +333,9 @@
     };
     if caches
         .get_mut(kind)
-        .replace(listing.revision, listing.objects)
+        .replace(listing.position, listing.objects)
     {
-        apply(app, kind, caches.get_mut(kind).objects());
+        apply(app, kind, caches);
     }
 }
 
@@ -342,11 +376,34 @@
     }
 }
 
-fn apply(app: &app::App, kind: RefreshedKind, objects: &Objects) {
+fn apply(app: &app::App, kind: RefreshedKind, caches: &mut CachedCollections) {
+    let collection = caches.get_mut(kind);
+    let era = collection.position().era;
+    let objects = collection.objects().clone();
+    let now = app.clock.now();
     match kind {
-        RefreshedKind::Upstreams => apply_upstreams(app, &decode::upstreams(objects)),
-        RefreshedKind::Entries => apply_entries(app, objects),
-        RefreshedKind::Weights => record_announced_weights(app, objects),
+        RefreshedKind::Upstreams => {
+            let listed = decode::upstreams(&objects);
+            let lost = &mut caches.lost_upstreams;
+            apply_upstreams(app, &upstreams::with_lost(lost, era, listed, now));
+        }
+        RefreshedKind::Entries => {
+            let lost = &mut caches.lost_entries;
+            apply_entries(app, &lost.combine(era, objects, now, |_, listed| listed));
+        }
+        RefreshedKind::Weights => record_announced_weights(app, &objects),
+    }
+}
+
+/// Drops the upstreams and entries that a restored store has lost when their time is over.
+fn expire_lost(app: &app::App, caches: &mut CachedCollections) {
+    let now = app.clock.now();
+    let is_over = |at: Option<time::Instant>| at.is_some_and(|at| at <= now);
+    if is_over(caches.lost_upstreams.expires_at()) {
+        apply(app, RefreshedKind::Upstreams, caches);
+    }
+    if is_over(caches.lost_entries.expires_at()) {
+        apply(app, RefreshedKind::Entries, caches);
     }
 }
 
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -130,9 +130,9 @@
     if ledger.extend(now, &availability, &mut grant_times, GRANT_LIMITS) > 0 {
         match &stored {
             Some(object) => {
-                let revision = object.revision;
+                let position = object.position;
                 app.store
-                    .replace(store::Kind::Grants, &name, revision, &ledger)
+                    .replace(store::Kind::Grants, &name, position, &ledger)
                     .await?;
             }
             None => {
--- a/crates/core/src/collection.rs
+++ b/crates/core/src/collection.rs
@@ -1,22 +1,24 @@
-//! Copies of the platform's objects of one kind, and the changes between revisions.
+//! Copies of the platform's objects of one kind, and the changes between positions.
 //!
-//! A [`Collection`] is a copy of the platform's objects as of a revision. Lists replace it and
-//! watches update it. Other processes receive it as a [`Delta`], which contains only the changes
-//! since the revision that they have.
+//! A [`Collection`] is a copy of the platform's objects as of a [position](crate::position). Lists
+//! replace it and watches update it. Other processes receive it as a [`Delta`], which contains only
+//! the changes since the position that they have. When the store was restored from a copy, only a
+//! full list or snapshot leads from the earlier era to the new one.
 //!
 //! ```
-//! use pimentohook_core::collection;
+//! use pimentohook_core::{collection, id, position};
 //!
+//! let at = |revision| position::Position::new(id::StoreEra::new(1), revision);
 //! let mut copy = collection::Collection::default();
 //! let object = collection::Object {
 //!     name: String::from("main"),
-//!     revision: 7,
+//!     position: at(7),
 //!     content: String::from("{}"),
 //! };
-//! copy.replace(9, vec![object]);
-//! let delta = copy.since(0);
+//! copy.replace(at(9), vec![object]);
+//! let delta = copy.since(at(0));
 //! assert_eq!(delta.objects.len(), 1);
-//! assert!(copy.since(9).is_empty());
+//! assert!(copy.since(at(9)).is_empty());
 //! ```
 
 use std::collections::VecDeque;
@@ -24,13 +26,15 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::position::Position;
+
 /// An object of the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Object {
     /// The name, unique within the kind.
     pub name: String,
-    /// The revision of the last change.
-    pub revision: u64,
+    /// The revision of the last change, in the era in which the object was read.
+    pub position: Position,
     /// The content as JSON text.
     pub content: String,
 }
@@ -44,11 +48,11 @@
     pub removed: bool,
 }
 
-/// The changes that bring a copy from an earlier revision to a newer one.
+/// The changes that bring a copy from an earlier position to a newer one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
-    /// The newer revision.
-    pub revision: u64,
+    /// The newer position.
+    pub position: Position,
     /// Whether `objects` contains all objects (a full snapshot), so that any other is removed.
     pub is_whole: bool,
     /// The names of removed objects.
@@ -73,8 +77,8 @@
 
 #[derive(Clone, Debug)]
 struct Removal {
-    /// The revision of the removal, or a later one.
-    revision: u64,
+    /// The position of the removal, or a later one.
+    position: Position,
     name: String,
 }
 
@@ -84,18 +88,19 @@
 /// A copy of the objects of a kind.
 #[derive(Clone, Debug, Default)]
 pub struct Collection {
-    revision: u64,
+    position: Position,
     objects: IndexMap<String, Object>,
+    /// Removals of the era of `position`.
     removals: VecDeque<Removal>,
-    /// All removals after this revision are recorded.
-    removals_since: u64,
+    /// All removals after this position are recorded.
+    removals_since: Position,
 }
 
 impl Collection {
-    /// Returns the revision of the copy; 0 before the first list.
+    /// Returns the position of the copy; the start before the first list.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
-        self.revision
+    pub const fn position(&self) -> Position {
+        self.position
     }
 
     /// Returns the objects by name.
@@ -104,19 +109,26 @@
         &self.objects
     }
 
-    /// Returns the changes since `revision`: a full snapshot if that is 0 or older than the
-    /// recorded removals.
+    /// Returns the changes since `position`: a full snapshot if that is the start, of an earlier
+    /// era or older than the recorded removals, and none if it is later than the copy.
     #[must_use]
-    pub fn since(&self, revision: u64) -> Delta {
-        let is_whole = revision < self.removals_since || (revision == 0 && self.revision > 0);
-        let is_newer = |object: &&Object| is_whole || object.revision > revision;
+    pub fn since(&self, position: Position) -> Delta {
+        if position > self.position {
+            return Delta {
+                position: self.position,
+                ..Delta::default()
+            };
+        }
+        let is_behind = position.is_start() || position.era < self.position.era;
+        let is_whole = position < self.removals_since || (is_behind && !self.position.is_start());
+        let is_newer = |object: &&Object| is_whole || object.position > position;
         let is_missing = |removal: &&Removal| {
-            // A removal may be recorded at a later revision, at which the object exists again.
-            !is_whole && removal.revision > revision && !self.objects.contains_key(&removal.name)
+            // A removal may be recorded at a later position, at which the object exists again.
+            !is_whole && removal.position > position && !self.objects.contains_key(&removal.name)
         };
         let removed = self.removals.iter().filter(is_missing);
         Delta {
-            revision: self.revision,
+            position: self.position,
             is_whole,
             removed: removed.map(|removal| removal.name.clone()).collect(),
             objects: self.objects.values().filter(is_newer).cloned().collect(),
@@ -125,66 +137,82 @@
 
     /// Replaces all objects by a complete list, unless the list is older; returns whether this
     /// changed the copy.
-    pub fn replace(&mut self, revision: u64, objects: Vec<Object>) -> bool {
-        if revision < self.revision {
+    pub fn replace(&mut self, position: Position, objects: Vec<Object>) -> bool {
+        if position < self.position {
             return false;
         }
         let listed: IndexMap<String, Object> = objects
             .into_iter()
             .map(|object| (object.name.clone(), object))
             .collect();
-        let is_changed = listed != self.objects || self.revision == 0;
-        let missing = self
-            .objects
-            .keys()
-            .filter(|name| !listed.contains_key(*name));
-        for name in missing.cloned().collect::<Vec<_>>() {
-            self.record_removal(revision, name);
+        let is_first = self.position.is_start() || position.era != self.position.era;
+        let is_changed = listed != self.objects || is_first;
+        if position.era == self.position.era {
+            self.record_missing(position, &listed);
+        } else {
+            self.removals.clear();
+            self.removals_since = position;
         }
         self.objects = listed;
-        self.revision = revision;
+        self.position = position;
         is_changed
     }
 
-    /// Applies changes since the revision of the copy, oldest first.
-    pub fn apply(&mut self, revision: u64, changes: Vec<Change>) {
+    /// Applies changes since the position of the copy, oldest first; returns whether they are of
+    /// the era of the copy, without which they are ignored.
+    pub fn apply(&mut self, position: Position, changes: Vec<Change>) -> bool {
+        if position.era != self.position.era {
+            return false;
+        }
         for change in changes {
             let object = change.object;
             if change.removed {
                 self.objects.shift_remove(&object.name);
-                self.record_removal(revision, object.name);
+                self.record_removal(position, object.name);
             } else {
                 self.objects.insert(object.name.clone(), object);
             }
         }
-        self.revision = self.revision.max(revision);
+        self.position = self.position.max(position);
+        true
     }
 
     /// Applies a delta, unless it is older than the copy; returns whether this changed the copy.
     pub fn merge(&mut self, delta: Delta) -> bool {
-        if delta.revision < self.revision {
+        if delta.position < self.position {
             return false;
         }
         if delta.is_whole {
-            return self.replace(delta.revision, delta.objects);
+            return self.replace(delta.position, delta.objects);
+        }
+        if delta.position.era != self.position.era {
+            return false;
         }
         let is_changed = !delta.is_empty();
         for name in delta.removed {
             self.objects.shift_remove(&name);
-            self.record_removal(delta.revision, name);
+            self.record_removal(delta.position, name);
         }
         for object in delta.objects {
             self.objects.insert(object.name.clone(), object);
         }
-        self.revision = delta.revision;
+        self.position = delta.position;
         is_changed
     }
 
-    fn record_removal(&mut self, revision: u64, name: String) {
-        self.removals.push_back(Removal { revision, name });
+    fn record_missing(&mut self, position: Position, listed: &IndexMap<String, Object>) {
+        let names = self.objects.keys();
+        let missing = names.filter(|name| !listed.contains_key(*name));
+        for name in missing.cloned().collect::<Vec<_>>() {
+            self.record_removal(position, name);
+        }
+    }
+
+    fn record_removal(&mut self, position: Position, name: String) {
+        self.removals.push_back(Removal { position, name });
         while self.removals.len() > REMOVALS_MAX {
             if let Some(dropped) = self.removals.pop_front() {
-                self.removals_since = self.removals_since.max(dropped.revision);
+                self.removals_since = self.removals_since.max(dropped.position);
             }
         }
     }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -166,6 +166,8 @@
     ConfigVersion "configuration version";
     /// The fencing token that a lease's holder sends with each command; it only increases.
     FencingNumber "fencing number";
+    /// How often the platform's store was restored from a copy; 0 if it has not said so.
+    StoreEra "era of the store";
 }
 
 /// A BLAKE3 digest, written in hexadecimal.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,10 +38,13 @@
 //! * [`shutdown`]: which requests a process accepts while it is shutting down.
 //! * [`rolling_update`]: when engines load a newer version of weights.
 //! * [`collection`]: copies of the platform's objects.
+//! * [`position`]: positions in the history of the platform's store, which may be restored.
+//! * [`carryover`]: objects that a restored store has lost and that will be written again.
 //! * [`relay`]: the sources that an entry follows for these objects.
 
 pub mod admission;
 pub mod burst;
+pub mod carryover;
 pub mod clock;
 pub mod collection;
 pub mod engine;
@@ -52,6 +55,7 @@
 pub mod lease;
 pub mod limits;
 pub mod membership;
+pub mod position;
 pub mod refusal_rate;
 pub mod relay;
 pub mod report;
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -4,11 +4,11 @@
 //! reveals that another instance now uses an instance's address, the latter is gone, even while it
 //! is still listed.
 
-use std::net;
+use std::{net, time};
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::id;
+use crate::{carryover, id};
 
 /// Whether an instance accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -49,6 +49,38 @@
     }
 }
 
+/// Returns the listed upstreams and those that a restored store has lost.
+///
+/// An upstream that was draining before the restore is still draining, even if the copy is from
+/// before. A lost upstream whose address is listed for another one is gone.
+pub fn with_lost(
+    lost: &mut carryover::Carryover<Upstream>,
+    era: id::StoreEra,
+    listed: Vec<Upstream>,
+    now: time::Instant,
+) -> Vec<Upstream> {
+    let used: IndexSet<_> = listed.iter().map(|upstream| upstream.address).collect();
+    let by_instance: IndexMap<_, _> = listed
+        .into_iter()
+        .map(|upstream| (upstream.instance.clone(), upstream))
+        .collect();
+    let is_listed: IndexSet<String> = by_instance.keys().cloned().collect();
+    let keep_draining = |earlier: &Upstream, listed: Upstream| {
+        if earlier.is_other_incarnation(&listed) || earlier.state == State::Ready {
+            return listed;
+        }
+        Upstream {
+            state: State::Draining,
+            ..listed
+        }
+    };
+    let combined = lost.combine(era, by_instance, now, keep_draining);
+    let is_present = |upstream: &Upstream| {
+        is_listed.contains(&upstream.instance) || !used.contains(&upstream.address)
+    };
+    combined.into_values().filter(is_present).collect()
+}
+
 /// The VMs of a service, grouped by whether they are leaving.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServiceVms {
--- a/crates/core/tests/collection.rs
+++ b/crates/core/tests/collection.rs
@@ -1,12 +1,26 @@
 //! Copies of collections that are updated by deltas.
 
-use pimentohook_core::collection::{Change, Collection, Object};
+use pimentohook_core::{
+    collection::{Change, Collection, Object},
+    id,
+    position::Position,
+};
 use proptest::prelude::*;
 
+/// Returns a position in the first era.
+const fn at(revision: u64) -> Position {
+    Position::new(id::StoreEra::new(1), revision)
+}
+
+/// Returns a position in the era after a restore.
+const fn restored_at(revision: u64) -> Position {
+    Position::new(id::StoreEra::new(2), revision)
+}
+
 fn object(name: &str, revision: u64) -> Object {
     Object {
         name: String::from(name),
-        revision,
+        position: at(revision),
         content: format!("{name} at {revision}"),
     }
 }
@@ -22,7 +36,7 @@
     let mut names: Vec<_> = collection
         .objects()
         .values()
-        .map(|object| (object.name.as_str(), object.revision))
+        .map(|object| (object.name.as_str(), object.position.revision))
         .collect();
     names.sort_unstable();
     names
@@ -31,40 +45,40 @@
 #[test]
 fn a_list_older_than_the_copy_changes_nothing() {
     let mut copy = Collection::default();
-    assert!(copy.replace(9, vec![object("a", 8)]));
-    assert!(!copy.replace(7, vec![object("a", 3), object("b", 2)]));
+    assert!(copy.replace(at(9), vec![object("a", 8)]));
+    assert!(!copy.replace(at(7), vec![object("a", 3), object("b", 2)]));
     assert_eq!(names(&copy), [("a", 8)]);
-    assert_eq!(copy.revision(), 9);
+    assert_eq!(copy.position(), at(9));
 }
 
 #[test]
 fn an_object_that_was_removed_and_created_again_exists() {
     let mut relay = Collection::default();
-    relay.replace(5, vec![object("a", 4)]);
+    relay.replace(at(5), vec![object("a", 4)]);
     let mut follower = relay.clone();
-    relay.apply(9, vec![change("a", 4, true), change("a", 8, false)]);
-    assert!(follower.merge(relay.since(follower.revision())));
+    relay.apply(at(9), vec![change("a", 4, true), change("a", 8, false)]);
+    assert!(follower.merge(relay.since(follower.position())));
     assert_eq!(names(&follower), [("a", 8)]);
 }
 
 #[test]
 fn an_object_created_again_before_a_relay_received_its_removal_stays() {
     let mut lagging = Collection::default();
-    lagging.replace(1, vec![object("a", 1)]);
+    lagging.replace(at(1), vec![object("a", 1)]);
     let mut follower = lagging.clone();
-    follower.apply(4, vec![change("a", 1, true), change("a", 4, false)]);
-    lagging.apply(5, vec![change("a", 1, true), change("a", 4, false)]);
-    follower.merge(lagging.since(follower.revision()));
+    follower.apply(at(4), vec![change("a", 1, true), change("a", 4, false)]);
+    lagging.apply(at(5), vec![change("a", 1, true), change("a", 4, false)]);
+    follower.merge(lagging.since(follower.position()));
     assert_eq!(names(&follower), [("a", 4)]);
 }
 
 #[test]
 fn an_object_missing_in_a_list_is_sent_as_removed() {
     let mut relay = Collection::default();
-    relay.replace(5, vec![object("a", 4), object("b", 3)]);
+    relay.replace(at(5), vec![object("a", 4), object("b", 3)]);
     let mut follower = relay.clone();
-    relay.replace(12, vec![object("a", 4)]);
-    let delta = relay.since(5);
+    relay.replace(at(12), vec![object("a", 4)]);
+    let delta = relay.since(at(5));
     assert!(!delta.is_whole);
     assert_eq!(delta.removed, ["b"]);
     assert!(follower.merge(delta));
@@ -74,10 +88,90 @@
 #[test]
 fn the_delta_of_an_unchanged_collection_is_empty() {
     let mut relay = Collection::default();
-    relay.replace(5, vec![object("a", 4)]);
-    relay.apply(50, Vec::new());
-    assert!(relay.since(5).is_empty());
-    assert_eq!(relay.since(5).revision, 50);
+    relay.replace(at(5), vec![object("a", 4)]);
+    relay.apply(at(50), Vec::new());
+    assert!(relay.since(at(5)).is_empty());
+    assert_eq!(relay.since(at(5)).position, at(50));
+}
+
+/// Returns the position of the same revision in the era after a restore.
+fn restored(object: Object) -> Object {
+    let position = restored_at(object.position.revision);
+    Object { position, ..object }
+}
+
+#[test]
+fn a_lower_list_of_a_later_era_replaces_the_copy() {
+    let mut copy = Collection::default();
+    copy.replace(at(90), vec![object("a", 80), object("lost", 85)]);
+    let listed = vec![restored(object("a", 20))];
+    assert!(copy.replace(restored_at(30), listed));
+    assert_eq!(names(&copy), [("a", 20)]);
+    assert_eq!(copy.position(), restored_at(30));
+}
+
+#[test]
+fn an_answer_of_an_earlier_era_that_arrives_late_changes_nothing() {
+    let mut copy = Collection::default();
+    copy.replace(restored_at(30), vec![restored(object("a", 20))]);
+    let before = names(&copy).len();
+    assert!(!copy.replace(at(90), vec![object("b", 85)]));
+    assert!(!copy.apply(at(91), vec![change("b", 91, false)]));
+    let mut relay = Collection::default();
+    relay.replace(at(92), vec![object("b", 85)]);
+    assert!(!copy.merge(relay.since(at(0))));
+    assert_eq!(names(&copy), [("a", 20)]);
+    assert_eq!(names(&copy).len(), before);
+}
+
+#[test]
+fn changes_of_a_later_era_are_not_applied_to_a_copy_of_an_earlier_one() {
+    let mut copy = Collection::default();
+    copy.replace(at(90), vec![object("lost", 85)]);
+    assert!(!copy.apply(restored_at(95), vec![change("a", 95, false)]));
+    assert_eq!(copy.position(), at(90));
+    let mut relay = Collection::default();
+    relay.replace(restored_at(94), Vec::new());
+    relay.apply(restored_at(95), vec![change("a", 95, false)]);
+    assert!(
+        !copy.merge(relay.since(restored_at(94))),
+        "only differences"
+    );
+    assert_eq!(names(&copy), [("lost", 85)]);
+}
+
+#[test]
+fn a_follower_of_an_earlier_era_receives_a_full_snapshot() {
+    let mut relay = Collection::default();
+    relay.replace(at(90), vec![object("a", 80)]);
+    let mut follower = relay.clone();
+    relay.replace(restored_at(30), vec![restored(object("a", 20))]);
+    let delta = relay.since(follower.position());
+    assert!(delta.is_whole);
+    assert!(follower.merge(delta));
+    assert_eq!(names(&follower), [("a", 20)]);
+}
+
+#[test]
+fn a_follower_of_a_later_era_receives_nothing() {
+    let mut relay = Collection::default();
+    relay.replace(at(90), vec![object("a", 80)]);
+    let delta = relay.since(restored_at(30));
+    assert!(delta.is_empty());
+    assert_eq!(delta.position, at(90));
+}
+
+/// A relay that took the new era at a later revision does not know what was removed before.
+#[test]
+fn removals_before_the_first_list_of_an_era_reach_a_follower() {
+    let mut relay = Collection::default();
+    relay.replace(at(90), vec![object("a", 80)]);
+    let mut follower = Collection::default();
+    let listed = ["a", "removed"].map(|name| restored(object(name, 20)));
+    follower.replace(restored_at(30), listed.to_vec());
+    relay.replace(restored_at(40), vec![restored(object("a", 20))]);
+    follower.merge(relay.since(follower.position()));
+    assert_eq!(names(&follower), [("a", 20)]);
 }
 
 proptest! {
@@ -88,7 +182,7 @@
         events in prop::collection::vec((0_u8..6, any::<bool>(), 0_u8..8), 1..120)
     ) {
         let mut store = Collection::default();
-        store.replace(1, Vec::new());
+        store.replace(at(1), Vec::new());
         let mut relays = [store.clone(), store.clone()];
         let mut follower = Collection::default();
         let mut revision = 1;
@@ -96,22 +190,22 @@
         for (name, removed, action) in events {
             revision += 1;
             let event = change(&format!("object-{name}"), revision, removed);
-            store.apply(revision, vec![event.clone()]);
+            store.apply(at(revision), vec![event.clone()]);
             for changes in &mut pending {
                 changes.push(event.clone());
             }
             for (index, relay) in relays.iter_mut().enumerate() {
                 if action >> index & 1 == 1 {
-                    relay.apply(revision, std::mem::take(&mut pending[index]));
+                    relay.apply(at(revision), std::mem::take(&mut pending[index]));
                 }
             }
             let source = &relays[usize::from(action >> 2 & 1)];
-            follower.merge(source.since(follower.revision()));
-            prop_assert!(follower.revision() <= store.revision());
+            follower.merge(source.since(follower.position()));
+            prop_assert!(follower.position() <= store.position());
         }
         for (relay, changes) in relays.iter_mut().zip(pending) {
-            relay.apply(revision, changes);
-            follower.merge(relay.since(follower.revision()));
+            relay.apply(at(revision), changes);
+            follower.merge(relay.since(follower.position()));
         }
         prop_assert_eq!(names(&follower), names(&store));
     }
--- a/crates/entry/src/direct/cache.rs
+++ b/crates/entry/src/direct/cache.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use pimentohook_core::collection;
+use pimentohook_core::{collection, id, position};
 use tokio::{sync::watch, time as tokio_time};
 
 /// The cached objects of one kind.
@@ -62,19 +62,38 @@
         is_changed
     }
 
-    /// Waits up to `wait` for changes after `revision` and returns them; the result is empty if
-    /// nothing changed.
-    pub async fn wait_since(&self, revision: u64, wait: time::Duration) -> collection::Delta {
+    /// Waits up to `wait` until the cached state is of `era` or a later one.
+    pub async fn wait_for_era(&self, era: id::StoreEra, wait: time::Duration) {
+        let mut changed = self.changed.subscribe();
+        let era_reached = async {
+            while self.collection.load().position().era < era {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        if tokio_time::timeout(wait, era_reached).await.is_err() {
+            log::info!("feed: event=era_not_reached era={era}");
+        }
+    }
+
+    /// Waits up to `wait` for changes after `position` and returns them; the result is empty if
+    /// nothing changed, and at once if the cache is of an earlier era.
+    pub async fn wait_since(
+        &self,
+        position: position::Position,
+        wait: time::Duration,
+    ) -> collection::Delta {
         let mut changed = self.changed.subscribe();
         let deadline = tokio_time::Instant::now() + wait;
         loop {
-            let delta = self.collection.load().since(revision);
-            if !delta.is_empty() {
+            let delta = self.collection.load().since(position);
+            if !delta.is_empty() || delta.position.era < position.era {
                 return delta;
             }
             let waited = tokio_time::timeout_at(deadline, changed.changed()).await;
             if !matches!(waited, Ok(Ok(()))) {
-                return self.collection.load().since(revision);
+                return self.collection.load().since(position);
             }
         }
     }
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -8,14 +8,14 @@
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
-use pimentohook_core::{collection, relay};
+use pimentohook_core::{carryover, collection, id, position, relay};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::{client, server};
 use pimentohook_wire::direct;
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use tokio::time as tokio_time;
 
-use super::app;
+use super::{app, restored};
 
 /// The delay after a change, so that changes close together are fetched together.
 const COALESCE_DELAY: time::Duration = time::Duration::from_millis(100);
@@ -37,6 +37,10 @@
 /// The longest wait that a follower may request.
 const FOLLOW_WAIT_MAX: time::Duration = time::Duration::from_secs(5);
 const REQUEST_MAX_BYTES: usize = 1 << 12;
+/// How long a reply to a follower is delayed while this entry lists a restored store.
+const LIST_WAIT: time::Duration = time::Duration::from_millis(300);
+/// How much each entry adds to the time over which all list the announced versions again.
+const LIST_SPREAD_PER_ENTRY: time::Duration = time::Duration::from_millis(2);
 
 /// The kinds of objects that an entry follows.
 pub const FOLLOWED: [store::Kind; 4] = [
@@ -109,6 +113,12 @@
     /// The entry was removed from the known entries in the meantime.
     #[snafu(display("entry {name} is not known any more"))]
     Lost { name: String },
+    /// The entry has not heard yet that the store was restored.
+    #[snafu(display("entry {name} is at {position}, before the store was restored"))]
+    Outdated {
+        name: String,
+        position: position::Position,
+    },
     /// The state of the entry is too old, or the store has never confirmed it.
     #[snafu(display("entry {name} knows what was {age_ms:?} ms ago"))]
     Old { name: String, age_ms: Option<u64> },
@@ -138,6 +148,9 @@
                     log::info!("feed: event=following kind={kind} source={source:?}");
                     current_source = Some(source.clone());
                 }
+                if is_changed && kind == store::Kind::Upstreams {
+                    restored::expire_lost_upstreams(&app);
+                }
                 if is_changed {
                     tokio_time::sleep(coalesce_delay(kind)).await;
                 }
@@ -217,7 +230,7 @@
     source: &relay::Source,
 ) -> Result<bool, FeedError> {
     match source {
-        relay::Source::Store if app.cached(kind).collection().revision() == 0 => {
+        relay::Source::Store if app.cached(kind).collection().position().is_start() => {
             list(app, kind).await
         }
         relay::Source::Store => watch(app, kind).await,
@@ -230,8 +243,8 @@
     let response = app.store.list(kind, store::Freshness::Current).await;
     let listing = response.context(StoreSnafu)?;
     log::info!(
-        "feed: event=listed kind={kind} revision={} objects={} bytes={} transfer_ms={}",
-        listing.revision,
+        "feed: event=listed kind={kind} position={} objects={} bytes={} transfer_ms={}",
+        listing.position,
         listing.objects.len(),
         listing.cost.body_bytes,
         listing.cost.transfer.as_millis()
@@ -239,7 +252,7 @@
     app.count_read("store", kind, listing.cost.body_bytes);
     let cache = app.cached(kind);
     let is_changed =
-        cache.update(|collection| collection.replace(listing.revision, listing.objects));
+        cache.update(|collection| collection.replace(listing.position, listing.objects));
     cache.confirm(requested_at);
     apply_changed(app, kind, is_changed);
     Ok(is_changed)
@@ -247,11 +260,12 @@
 
 async fn watch(app: &app::App, kind: store::Kind) -> Result<bool, FeedError> {
     let cache = app.cached(kind);
-    let revision = cache.collection().revision();
+    let position = cache.collection().position();
     let wait = watch_wait(app, kind);
-    let changes = match app.store.watch(kind, revision, wait).await {
+    let changes = match app.store.watch(kind, position, wait).await {
         Err(store::StoreError::Compacted { .. }) => {
-            log::info!("feed: event=history_gone kind={kind} revision={revision}");
+            log::info!("feed: event=history_gone kind={kind} position={position}");
+            spread_list(app, kind, position.era).await;
             return list(app, kind).await;
         }
         result => result.context(StoreSnafu)?,
@@ -261,17 +275,14 @@
     let is_changed = !changes.changes.is_empty();
     if is_changed {
         log::info!(
-            "feed: event=changed kind={kind} revision={} changes={} bytes={} transfer_ms={}",
-            changes.revision,
+            "feed: event=changed kind={kind} position={} changes={} bytes={} transfer_ms={}",
+            changes.position,
             changes.changes.len(),
             changes.cost.body_bytes,
             changes.cost.transfer.as_millis()
         );
     }
-    cache.update(|collection| {
-        collection.apply(changes.revision, changes.changes);
-        is_changed
-    });
+    cache.update(|collection| collection.apply(changes.position, changes.changes) && is_changed);
     if let Some(responded_at) = responded_at {
         cache.confirm(responded_at);
     }
@@ -279,6 +290,15 @@
     Ok(is_changed)
 }
 
+/// Waits before the announced versions are listed again because of a new era, since every entry
+/// lists them then.
+async fn spread_list(app: &app::App, kind: store::Kind, era: id::StoreEra) {
+    if kind == store::Kind::Weights && app.store.era() > era {
+        let spread = carryover::spread(app.entry_count(), LIST_SPREAD_PER_ENTRY, rand::random());
+        tokio_time::sleep(spread).await;
+    }
+}
+
 /// Returns how long a watch may wait; if the cache is old, the watch returns almost immediately to
 /// confirm it.
 fn watch_wait(app: &app::App, kind: store::Kind) -> time::Duration {
@@ -302,7 +322,8 @@
     let timing = timing(app, kind);
     let request = direct::FollowRequest {
         kind: kind.to_string(),
-        revision: cache.collection().revision(),
+        position: cache.collection().position(),
+        era: app.store.era(),
         wait_ms: u32::try_from(timing.follow_wait.as_millis()).unwrap_or(u32::MAX),
     };
     let timeouts = client::Timeouts {
@@ -313,6 +334,12 @@
         app.internal
             .call_with_timeouts(peer.state.peers, direct::FOLLOW_PATH, &request, timeouts);
     let reply: direct::FollowReply = call.await.context(EntrySnafu)?;
+    let position = reply.delta.position;
+    app.store.record_era(position.era);
+    ensure!(
+        position.era >= app.store.era(),
+        OutdatedSnafu { name, position }
+    );
     let is_changed = merge_delta(app, kind, name, reply.delta);
     let age = reply.age_ms.map(time::Duration::from_millis);
     let age = age.filter(|age| *age <= timing.age_max);
@@ -325,13 +352,13 @@
 fn merge_delta(app: &app::App, kind: store::Kind, name: &str, delta: collection::Delta) -> bool {
     let body_bytes = delta.content_bytes();
     app.count_read("peers", kind, body_bytes);
-    let revision = delta.revision;
+    let position = delta.position;
     let is_changed = app
         .cached(kind)
         .update(|collection| collection.merge(delta));
     if is_changed {
         log::info!(
-            "feed: event=taken_from_peer kind={kind} entry={name} revision={revision} \
+            "feed: event=taken_from_peer kind={kind} entry={name} position={position} \
              bytes={body_bytes}"
         );
     }
@@ -352,8 +379,14 @@
         return server::respond_text(StatusCode::NOT_FOUND, "no such kind is followed");
     };
     let wait = time::Duration::from_millis(u64::from(request.wait_ms)).min(FOLLOW_WAIT_MAX);
+    app.store.record_era(request.era);
     let cache = app.cached(*kind);
-    let delta = cache.wait_since(request.revision, wait).await;
+    let mut delta = cache.wait_since(request.position, wait).await;
+    if delta.position.era < app.store.era() {
+        // The list of the new era is under way, and the follower would not accept an earlier one.
+        cache.wait_for_era(app.store.era(), LIST_WAIT).await;
+        delta = cache.collection().since(request.position);
+    }
     let age_ms = age_ms(&app, *kind);
     server::respond_message(&direct::FollowReply { delta, age_ms })
 }
@@ -366,7 +399,7 @@
     let objects = collection.objects();
     match kind {
         store::Kind::Configuration => apply_configuration(app, objects),
-        store::Kind::Upstreams => app.set_upstreams(decode::upstreams(objects)),
+        store::Kind::Upstreams => app.set_listed_upstreams(),
         store::Kind::Weights => apply_weights(app, objects),
         store::Kind::Entries | store::Kind::Grants => {}
     }
@@ -390,10 +423,10 @@
             continue;
         }
         log::info!(
-            "feed: event=configuration_in_force version={} before={} revision={} bytes={}",
+            "feed: event=configuration_in_force version={} before={} position={} bytes={}",
             table.version,
             current.unwrap_or_default(),
-            object.revision,
+            object.position,
             object.content.len()
         );
         app.table.store(Some(sync::Arc::new(table)));
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -14,6 +14,7 @@
 //!   upstreams name in their responses, and the permits with which all entries together keep them.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
+//! * [`restored`]: what an entry does when the store was restored from a copy.
 //! * [`agents`]: agents' reports of engine states, and their requests for the configuration of a
 //!   service.
 
@@ -29,6 +30,7 @@
 pub mod permits;
 pub mod placement;
 pub mod proxy;
+pub mod restored;
 pub mod settings;
 pub mod stream;
 pub mod upstream_limits;
@@ -134,6 +136,7 @@
     ));
     feed::start(&app);
     tokio::spawn(peers::run(app.clone()));
+    tokio::spawn(restored::run(app.clone()));
     tokio::spawn(limit_gossip::run(app.clone()));
     Ok(Running {
         stop,
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -6,6 +6,7 @@
 use gotham::helpers::http::Body;
 use hyper::Response;
 use indexmap::IndexMap;
+use pimentohook_core::{carryover, id};
 use pimentohook_platform::store;
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
@@ -24,14 +25,45 @@
 /// An entry that was last seen longer ago than this is removed from the directory.
 const HEARTBEAT_LOSS_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
+/// How much each entry adds to the time over which all register again in a restored store.
+const REGISTRATION_SPREAD_PER_ENTRY: time::Duration = time::Duration::from_millis(5);
+
+/// The registration of this entry in the store.
+struct Registration {
+    /// The era of the store in which the entry registered; `None` until it has.
+    era: Option<id::StoreEra>,
+    due_at: time::Instant,
+}
+
+impl Registration {
+    /// Registers the entry if that is due: at its start, and when the store was restored.
+    async fn renew(&mut self, app: &app::App) {
+        let era = app.store.era();
+        let now = app.clock.now();
+        if self.era.is_some_and(|registered_in| registered_in != era) {
+            self.era = None;
+            self.due_at = now
+                + carryover::spread(
+                    app.entry_count(),
+                    REGISTRATION_SPREAD_PER_ENTRY,
+                    rand::random(),
+                );
+        }
+        let is_due = self.era.is_none() && now >= self.due_at;
+        if is_due && !app.is_shutting_down() && register(app).await {
+            self.era = Some(era);
+        }
+    }
+}
 
 /// Exchanges heartbeats with the other entries until the process exits.
 pub async fn run(app: sync::Arc<app::App>) {
-    let mut is_registered = false;
+    let mut registration = Registration {
+        era: None,
+        due_at: app.clock.now(),
+    };
     loop {
-        if !is_registered && !app.is_shutting_down() {
-            is_registered = register(&app).await;
-        }
+        registration.renew(&app).await;
         for address in heartbeat_targets(&app) {
             tokio::spawn(send_heartbeat(app.clone(), address));
         }
@@ -60,7 +92,7 @@
         }
         Ok(Some(object)) => {
             app.store
-                .replace(store::Kind::Entries, name, object.revision, &state)
+                .replace(store::Kind::Entries, name, object.position, &state)
                 .await
         }
         Ok(None) => app.store.create(store::Kind::Entries, name, &state).await,
@@ -79,7 +111,7 @@
     let removed = match app.store.get(store::Kind::Entries, name).await {
         Ok(Some(object)) => {
             app.store
-                .remove(store::Kind::Entries, name, object.revision)
+                .remove(store::Kind::Entries, name, object.position)
                 .await
         }
         Ok(None) => Ok(()),
--- a/crates/entry/src/direct/upstream_limits.rs
+++ b/crates/entry/src/direct/upstream_limits.rs
@@ -9,7 +9,6 @@
 use arc_swap::ArcSwap;
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::upstream_limit::{belief, fleet, rate};
-use pimentohook_platform::store;
 use pimentohook_wire::direct;
 
 use super::{app, limited_upstream::LimitedUpstream};
@@ -117,8 +116,7 @@
     let now = app.clock.now();
     let peers = app.peers.load();
     let heard: IndexSet<String> = peers.keys().cloned().collect();
-    let registrations = app.cached(store::Kind::Entries).collection();
-    let mut registered: IndexSet<String> = registrations.objects().keys().cloned().collect();
+    let mut registered = app.registered_entries();
     registered.shift_remove(&app.settings.entry);
     let limits = &app.upstream_limits;
     let mut fleet = limits
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -2,7 +2,7 @@
 //! upstreams.
 
 use indexmap::IndexMap;
-use pimentohook_core::{collection, engine, id, size, upstream_limit::rate};
+use pimentohook_core::{collection, engine, id, position, size, upstream_limit::rate};
 use serde::{Deserialize, Serialize};
 
 /// The path at which agents accept a [`SlotRequest`].
@@ -79,8 +79,10 @@
 pub struct FollowRequest {
     /// The kind of objects.
     pub kind: String,
-    /// The revision that the sender has; 0 if it has none.
-    pub revision: u64,
+    /// The position that the sender has; the start if it has none.
+    pub position: position::Position,
+    /// The newest era of the platform's store that the sender knows.
+    pub era: id::StoreEra,
     /// The maximum time to wait for a change, in milliseconds.
     pub wait_ms: u32,
 }
@@ -88,7 +90,8 @@
 /// The reply to a [`FollowRequest`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct FollowReply {
-    /// The changes since the revision in the request; empty if nothing changed in time.
+    /// The changes since the position in the request; empty if nothing changed in time, or if the
+    /// sender of the reply has only an earlier position.
     pub delta: collection::Delta,
     /// The time since the platform's store confirmed this state, in milliseconds; `None` if it has
     /// not done so yet.
