--- a/crates/core/src/collection.rs
+++ b/crates/core/src/collection.rs
@@ -59,6 +59,8 @@
     pub removed: Vec<String>,
     /// The created and changed objects.
     pub objects: Vec<Object>,
+    /// Whether objects may have been created and removed in between that the delta does not name.
+    pub has_gap: bool,
 }
 
 impl Delta {
@@ -82,6 +84,21 @@
     name: String,
 }
 
+/// Positions between two lists, at which objects may have existed that neither list has.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    after: Position,
+    before: Position,
+}
+
+impl Gap {
+    fn contains(self, position: Position) -> bool {
+        self.after < position && position < self.before
+    }
+}
+
+/// The number of recorded gaps; copies from before a dropped one get a full snapshot.
+const GAPS_MAX: usize = 16;
 /// The number of recorded removals. A copy that is older than these gets a full snapshot.
 const REMOVALS_MAX: usize = 512;
 
@@ -92,8 +109,9 @@
     objects: IndexMap<String, Object>,
     /// Removals of the era of `position`.
     removals: VecDeque<Removal>,
-    /// All removals after this position are recorded.
+    /// All removals after this position are recorded, unless they are in a gap.
     removals_since: Position,
+    gaps: VecDeque<Gap>,
 }
 
 impl Collection {
@@ -110,7 +128,7 @@
     }
 
     /// Returns the changes since `position`: a full snapshot if that is the start, of an earlier
-    /// era or older than the recorded removals, and none if it is later than the copy.
+    /// era, in a gap or older than the recorded removals, and none if it is later than the copy.
     #[must_use]
     pub fn since(&self, position: Position) -> Delta {
         if position > self.position {
@@ -119,8 +137,9 @@
                 ..Delta::default()
             };
         }
-        let is_behind = position.is_start() || position.era < self.position.era;
-        let is_whole = position < self.removals_since || (is_behind && !self.position.is_start());
+        let is_in_gap = self.gaps.iter().any(|gap| gap.contains(position));
+        let is_unknown = position < self.removals_since || is_in_gap;
+        let is_whole = is_unknown || (position.is_start() && !self.position.is_start());
         let is_newer = |object: &&Object| is_whole || object.position > position;
         let is_missing = |removal: &&Removal| {
             // A removal may be recorded at a later position, at which the object exists again.
@@ -132,6 +151,7 @@
             is_whole,
             removed: removed.map(|removal| removal.name.clone()).collect(),
             objects: self.objects.values().filter(is_newer).cloned().collect(),
+            has_gap: self.gaps.iter().any(|gap| position < gap.before),
         }
     }
 
@@ -149,8 +169,10 @@
         let is_changed = listed != self.objects || is_first;
         if position.era == self.position.era {
             self.record_missing(position, &listed);
+            self.record_gap(position);
         } else {
             self.removals.clear();
+            self.gaps.clear();
             self.removals_since = position;
         }
         self.objects = listed;
@@ -189,6 +211,9 @@
             return false;
         }
         let is_changed = !delta.is_empty();
+        if delta.has_gap {
+            self.record_gap(delta.position);
+        }
         for name in delta.removed {
             self.objects.shift_remove(&name);
             self.record_removal(delta.position, name);
@@ -208,6 +233,18 @@
         }
     }
 
+    fn record_gap(&mut self, before: Position) {
+        let after = self.position;
+        if after < before {
+            self.gaps.push_back(Gap { after, before });
+        }
+        while self.gaps.len() > GAPS_MAX {
+            if let Some(dropped) = self.gaps.pop_front() {
+                self.removals_since = self.removals_since.max(dropped.before);
+            }
+        }
+    }
+
     fn record_removal(&mut self, position: Position, name: String) {
         self.removals.push_back(Removal { position, name });
         while self.removals.len() > REMOVALS_MAX {
--- a/crates/core/tests/collection.rs
+++ b/crates/core/tests/collection.rs
@@ -132,7 +132,11 @@
     assert_eq!(copy.position(), at(90));
     let mut relay = Collection::default();
     relay.replace(restored_at(94), Vec::new());
-    relay.apply(restored_at(95), vec![change("a", 95, false)]);
+    let created = Change {
+        object: restored(object("a", 95)),
+        removed: false,
+    };
+    relay.apply(restored_at(95), vec![created]);
     assert!(
         !copy.merge(relay.since(restored_at(94))),
         "only differences"
@@ -174,6 +178,34 @@
     assert_eq!(names(&follower), [("a", 20)]);
 }
 
+/// A relay that lists the store again does not see objects that were created and removed between
+/// its lists. Their removal never reached a follower that had them from another relay.
+#[test]
+fn removals_between_two_lists_reach_a_follower_that_had_the_object() {
+    let mut relay = Collection::default();
+    relay.replace(at(30), vec![object("a", 20)]);
+    let mut follower = relay.clone();
+    follower.apply(at(35), vec![change("short-lived", 35, false)]);
+    relay.replace(at(40), vec![object("a", 20)]);
+    follower.merge(relay.since(follower.position()));
+    assert_eq!(names(&follower), [("a", 20)]);
+    assert!(!relay.since(at(30)).is_whole, "nothing is unknown there");
+}
+
+/// The removal is unknown to the relay, and so it is to an entry that follows the relay.
+#[test]
+fn removals_between_two_lists_reach_a_follower_of_a_follower() {
+    let mut relay = Collection::default();
+    relay.replace(at(30), vec![object("a", 20)]);
+    let mut fallback = relay.clone();
+    let mut follower = relay.clone();
+    follower.apply(at(35), vec![change("short-lived", 35, false)]);
+    relay.replace(at(40), vec![object("a", 20)]);
+    fallback.merge(relay.since(fallback.position()));
+    follower.merge(fallback.since(follower.position()));
+    assert_eq!(names(&follower), [("a", 20)]);
+}
+
 proptest! {
     /// A follower that merges deltas of either of two relays at any time, some of them outdated,
     /// converges to the objects of the store.
@@ -209,4 +241,116 @@
         }
         prop_assert_eq!(names(&follower), names(&store));
     }
+
+    /// Answers of two eras arrive in any order: lists and changes of the store, and deltas of relays
+    /// of either era. A copy never goes back, never mixes two histories, and reaches the objects of
+    /// the store once it hears it again.
+    #[test]
+    fn copies_never_mix_two_eras(
+        steps in prop::collection::vec((0_u8..6, any::<bool>(), 0_u8..6), 1..80),
+        backup_step in 0_usize..20,
+        restore_step in 20_usize..60,
+        reorder in any::<u64>(),
+    ) {
+        let history = History::new(&steps, backup_step, restore_step);
+        let mut random = reorder;
+        let mut copies: [Collection; 3] = Default::default();
+        for _ in 0..120 {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let drawn = usize::try_from(random >> 33).expect("31 bits");
+            let (target, action, skip) = (drawn % 3, drawn / 3 % 3, drawn / 9 % 2);
+            let state = &history.states[drawn / 18 % history.states.len()];
+            let position = copies[target].position();
+            match action {
+                0 => {
+                    let listed = state.objects().values().cloned().collect();
+                    copies[target].replace(state.position(), listed);
+                }
+                1 if state.position() > position || state.position().era != position.era => {
+                    // The answer to a watch, which may have been sent in another era.
+                    let changes = history.changes_between(position, state.position());
+                    let is_applied = copies[target].apply(state.position(), changes);
+                    prop_assert_eq!(is_applied, state.position().era == position.era);
+                }
+                1 => {}
+                _ => {
+                    let delta = copies[(target + 1 + skip) % 3].since(position);
+                    copies[target].merge(delta);
+                }
+            }
+            prop_assert!(copies[target].position() >= position);
+            check_is_a_state(&copies[target], &history.states)?;
+        }
+        let last = history.states.last().expect("a state");
+        for copy in &mut copies {
+            copy.replace(last.position(), last.objects().values().cloned().collect());
+            prop_assert_eq!(names(copy), names(last));
+        }
+    }
+}
+
+/// The history of a store that is restored from a copy.
+struct History {
+    states: Vec<Collection>,
+    changes: Vec<Change>,
+}
+
+impl History {
+    fn new(steps: &[(u8, bool, u8)], backup_step: usize, restore_step: usize) -> Self {
+        let mut store = Collection::default();
+        store.replace(at(1), Vec::new());
+        let mut backup = store.clone();
+        let mut states = vec![store.clone()];
+        let mut changes = Vec::new();
+        for (step, (name, removed, _)) in steps.iter().enumerate() {
+            if step == backup_step {
+                backup = store.clone();
+            }
+            if step == restore_step {
+                let objects = backup.objects().values().cloned().map(restored).collect();
+                store = Collection::default();
+                store.replace(restored_at(backup.position().revision), objects);
+                states.push(store.clone());
+            }
+            let era = store.position().era;
+            let position = Position::new(era, store.position().revision + 1);
+            let object = Object {
+                name: format!("object-{name}"),
+                position,
+                content: format!("{name} at {position}"),
+            };
+            let removed = *removed;
+            let change = Change { object, removed };
+            store.apply(position, vec![change.clone()]);
+            states.push(store.clone());
+            changes.push(change);
+        }
+        Self { states, changes }
+    }
+
+    /// Returns the answer to a watch from `after` in the era of `until`.
+    fn changes_between(&self, after: Position, until: Position) -> Vec<Change> {
+        let is_between = |change: &&Change| {
+            let position = change.object.position;
+            position.era == until.era && position.revision > after.revision && position <= until
+        };
+        self.changes.iter().filter(is_between).cloned().collect()
+    }
+}
+
+/// Checks that a copy has the objects that the store had at the position of the copy.
+fn check_is_a_state(copy: &Collection, states: &[Collection]) -> Result<(), TestCaseError> {
+    let position = copy.position();
+    if position.is_start() {
+        return Ok(());
+    }
+    let state = states.iter().find(|state| state.position() == position);
+    let state = state.expect("the position of a state");
+    let sorted = |collection: &Collection| {
+        let mut objects: Vec<_> = collection.objects().values().cloned().collect();
+        objects.sort_by(|left, right| left.name.cmp(&right.name));
+        objects
+    };
+    prop_assert_eq!(sorted(copy), sorted(state));
+    Ok(())
 }
