--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -14,7 +14,7 @@
 use pimentohook_wire::direct;
 use tokio::sync::Notify;
 
-use super::settings;
+use super::{ledger_recovery, settings};
 use crate::{app::lock, transfer};
 
 const STALL_MAX: time::Duration = time::Duration::from_millis(700);
@@ -119,6 +119,8 @@
     pub peer_statuses: sync::Mutex<IndexMap<id::VmId, PeerStatus>>,
     /// The recorded grants for the newest version.
     pub ledger: ArcSwapOption<ledger::Ledger>,
+    /// What this agent knows of the ledger besides what the store has.
+    pub recovery: sync::Mutex<ledger_recovery::Recovery>,
     /// The times of the grants that this agent made.
     pub grant_times: sync::Mutex<ledger::GrantTimes>,
     /// Wakes the task that notifies entries of the engine's state.
@@ -189,6 +191,7 @@
             is_fetching_manifest: atomic::AtomicBool::new(false),
             peer_statuses: sync::Mutex::new(IndexMap::new()),
             ledger: ArcSwapOption::empty(),
+            recovery: sync::Mutex::default(),
             grant_times: sync::Mutex::default(),
             engine_state_changed: Notify::new(),
             own_vm: vm_id_of(settings.engine.ip()),
--- a/crates/agent/src/direct/gossip.rs
+++ b/crates/agent/src/direct/gossip.rs
@@ -75,6 +75,13 @@
     }
 }
 
+/// Starts a call to every peer, which then reports its progress and the grants that it received.
+pub fn call_all(app: &sync::Arc<app::App>, target: &sync::Arc<app::TargetVersion>) {
+    for (vm, peer) in app.peers.load().iter() {
+        spawn_call(app, target, vm, peer.address);
+    }
+}
+
 /// Spawns a call to a peer unless one is in flight, so that a saturated link gets no further calls.
 fn spawn_call(
     app: &sync::Arc<app::App>,
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -12,7 +12,7 @@
 };
 use pimentohook_platform::store;
 
-use super::app;
+use super::{app, ledger_recovery};
 use crate::app::lock;
 
 /// When a granted chunk that no agent holds is granted again, and how many grants may be
@@ -75,7 +75,8 @@
 }
 
 /// Returns whether this agent is the grantor: the first live one by rank.
-fn is_grantor(app: &app::App, target: &app::TargetVersion) -> bool {
+#[must_use]
+pub fn is_grantor(app: &app::App, target: &app::TargetVersion) -> bool {
     let now = app.clock.now();
     let rank = app.rank(target);
     if rank == 0 {
@@ -112,7 +113,12 @@
     if availability.participant_count() < participants_min && age < FIRST_GRANT_DELAY_MAX {
         return Ok(());
     }
-    if let Some(cached) = app.ledger.load_full() {
+    let era = app.store.era();
+    if !lock(&app.recovery).is_ready(era, now, silence_max(app)) {
+        return Ok(());
+    }
+    let is_complete = lock(&app.recovery).is_complete(manifest.digest(), era);
+    if let Some(cached) = app.ledger.load_full().filter(|_| is_complete) {
         let mut trial = ledger::Ledger::clone(&cached);
         if trial.extend(now, &availability, &mut grant_times, GRANT_LIMITS) == 0 {
             *lock(&app.grant_times) = grant_times;
@@ -120,14 +126,23 @@
             return Ok(());
         }
     }
-    let name = format!("{}-{}", target.model, target.version);
+    let name = ledger_name(target);
     let stored = app.store.get(store::Kind::Grants, &name).await?;
     let mut ledger = stored
         .as_ref()
         .and_then(decode_ledger)
         .unwrap_or_else(|| ledger::Ledger::new(chunk_count, app.settings.policy));
+    if app.store.era() != era {
+        return Ok(());
+    }
+    let recovered_count = if is_complete {
+        0
+    } else {
+        ledger_recovery::recover(app, manifest.digest(), &mut ledger, &availability)
+    };
     let mut grant_times = lock(&app.grant_times).clone();
-    if ledger.extend(now, &availability, &mut grant_times, GRANT_LIMITS) > 0 {
+    let granted_count = ledger.extend(now, &availability, &mut grant_times, GRANT_LIMITS);
+    if recovered_count + granted_count > 0 {
         match &stored {
             Some(object) => {
                 let position = object.position;
@@ -147,12 +162,23 @@
             availability.participant_count()
         );
     }
+    // What was written may be lost, and is not handed out.
+    if app.store.era() != era {
+        return Ok(());
+    }
     *lock(&app.grant_times) = grant_times;
+    lock(&app.recovery).record(manifest.digest(), era, &ledger);
     record_own_grants(app, manifest.digest(), &ledger);
     app.ledger.store(Some(sync::Arc::new(ledger)));
     Ok(())
 }
 
+/// Returns the name of the object with the ledger of a version.
+#[must_use]
+pub fn ledger_name(target: &app::TargetVersion) -> String {
+    format!("{}-{}", target.model, target.version)
+}
+
 fn decode_ledger(object: &collection::Object) -> Option<ledger::Ledger> {
     match serde_json::from_str(&object.content) {
         Ok(ledger) => Some(ledger),
--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -7,6 +7,7 @@
 //! * [`feed`]: configuration, announced weights, peers and entries.
 //! * [`gossip`] and [`swarm`]: exchange of progress with peers, and download of weights.
 //! * [`grants`]: permission to download chunks from the origin, which bounds what it sends.
+//! * [`ledger_recovery`]: the record of grants after the store was restored from a copy.
 //! * [`loader`]: staging of chunks, load orders, and the engine's report.
 //! * [`place`]: admission: entries request a slot at the engine before they send a request to it.
 
@@ -14,6 +15,7 @@
 pub mod feed;
 pub mod gossip;
 pub mod grants;
+pub mod ledger_recovery;
 pub mod loader;
 pub mod place;
 pub mod settings;
@@ -69,6 +71,7 @@
     );
     tokio::spawn(server::serve(listener, router(&app), stop.clone()));
     feed::start(&app);
+    tokio::spawn(ledger_recovery::run(app.clone()));
     tokio::spawn(swarm::run(app.clone(), stop.clone()));
     tokio::spawn(loader::run(app.clone(), stop.clone()));
     tokio::spawn(loader::notify_entries(app.clone(), stop.clone()));
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -313,6 +313,7 @@
             given_count: self.uploader.uploaded_count(),
             starved: self.downloader.is_starved(),
             failed_grants: self.downloader.failed_grants().to_vec(),
+            grants: self.downloader.grants().collect(),
         }
     }
 }
--- a/crates/core/src/burst/downloader.rs
+++ b/crates/core/src/burst/downloader.rs
@@ -160,6 +160,11 @@
         self.held.is_full()
     }
 
+    /// Returns all grants that were recorded, also those that were used.
+    pub fn grants(&self) -> impl Iterator<Item = GrantId> + '_ {
+        self.used_grants.iter().copied()
+    }
+
     /// Returns the grants whose download from the origin failed.
     #[must_use]
     pub fn failed_grants(&self) -> &[GrantId] {
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -26,11 +26,22 @@
     pub vm: id::VmId,
     /// The incarnation of its agent; a restarted agent has lost what it downloaded.
     pub incarnation: id::Incarnation,
-    /// How many grants of this chunk were recorded before.
+    /// Distinguishes the grants of a chunk; each later one has a higher number.
     pub serial: u32,
 }
 
 impl Grant {
+    /// Creates the record of a grant that an agent received.
+    #[must_use]
+    pub const fn new(id: GrantId, vm: id::VmId, incarnation: id::Incarnation) -> Self {
+        Self {
+            chunk: id.chunk,
+            vm,
+            incarnation,
+            serial: id.serial,
+        }
+    }
+
     const fn id(&self) -> GrantId {
         GrantId {
             chunk: self.chunk,
@@ -157,6 +168,31 @@
         self.percent_of_chunks(percent)
     }
 
+    /// Adds grants that were recorded before the store was restored from a copy; returns how many
+    /// were added.
+    ///
+    /// `known` are those that a grantor remembers and that agents received. For each chunk that a
+    /// participant has although no grant is known, one is added, as it came from the origin.
+    pub fn recover(&mut self, known: &[Grant], availability: &ChunkAvailability) -> usize {
+        let before = self.grants.len();
+        for grant in known {
+            if grant.chunk < self.chunk_count && !self.grants.contains(grant) {
+                self.grants.push(grant.clone());
+            }
+        }
+        let grant_counts = self.grant_counts();
+        for (chunk, count) in (0..self.chunk_count).zip(grant_counts) {
+            let mut participants = availability.participants.iter();
+            let holder = participants.find(|participant| participant.held.contains(chunk));
+            if let Some(holder) = holder.filter(|_| count == 0) {
+                let id = GrantId { chunk, serial: 0 };
+                let grant = Grant::new(id, holder.vm.clone(), holder.incarnation);
+                self.grants.push(grant);
+            }
+        }
+        self.grants.len() - before
+    }
+
     /// Adds the grants that are due; returns how many were added.
     ///
     /// A chunk is granted if no participant has it; the further grants that the policy plans for it
@@ -242,7 +278,9 @@
         times: &mut GrantTimes,
     ) {
         let chunk_grants = self.grants.iter().filter(|grant| grant.chunk == chunk);
-        let serial = u32::try_from(chunk_grants.count()).unwrap_or(u32::MAX);
+        // Some serial numbers may be missing after the store was restored.
+        let last_serial = chunk_grants.map(|grant| grant.serial).max();
+        let serial = last_serial.map_or(0, |last| last.saturating_add(1));
         times.granted_at.insert(chunk, now);
         self.grants.push(Grant {
             chunk,
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -32,6 +32,9 @@
     pub starved: bool,
     /// The grants whose download from the origin failed.
     pub failed_grants: Vec<GrantId>,
+    /// All grants that the agent received, also those that were used.
+    #[serde(default)]
+    pub grants: Vec<GrantId>,
 }
 
 /// Identifies a grant within the ledger of one manifest.
