--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -4,17 +4,17 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use pimentohook_core::{
-    carryover, clock, id, limits, refusal_rate, routes, routing::score, shutdown, upstreams,
+    clock, id, limits, refusal_rate, routes, routing::score, shutdown, upstreams,
 };
-use pimentohook_platform::{decode, store};
+use pimentohook_platform::store;
 use pimentohook_runtime::{body, client, metrics};
 use pimentohook_wire::direct;
 
 use strum::IntoEnumIterator as _;
 
-use super::{cache, settings, upstream_limits};
+use super::{cache, restored, settings, upstream_limits};
 
 /// State of an upstream that the entry tracks itself, in addition to the listed data.
 #[derive(Debug, Default)]
@@ -99,10 +99,8 @@
     /// The limits that upstreams have named.
     pub upstream_limits: upstream_limits::UpstreamLimits,
     cached: IndexMap<store::Kind, cache::CachedCollection>,
-    /// The upstreams that a restored store has lost.
-    lost_upstreams: sync::Mutex<carryover::Carryover<upstreams::Upstream>>,
-    /// The registrations of entries that a restored store has lost.
-    lost_entries: sync::Mutex<carryover::Carryover<()>>,
+    /// What a restored store has lost.
+    pub lost: restored::LostObjects,
     /// The newest version of the configuration that another entry reported in force.
     peer_configuration: atomic::AtomicU64,
     /// The client that records metrics.
@@ -131,10 +129,6 @@
 /// An entry that has run for this long has discovered the others of its region.
 const SETTLING_TIME: time::Duration = time::Duration::from_secs(2);
 
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
 impl App {
     /// Creates the state of an entry that has not fetched anything yet.
     #[must_use]
@@ -158,8 +152,7 @@
             cached: store::Kind::iter()
                 .map(|kind| (kind, cache::CachedCollection::default()))
                 .collect(),
-            lost_upstreams: sync::Mutex::default(),
-            lost_entries: sync::Mutex::default(),
+            lost: restored::LostObjects::default(),
             peer_configuration: atomic::AtomicU64::new(0),
             longest_timeouts_ms: ArcSwap::default(),
             refusal_rates: ArcSwap::default(),
@@ -369,40 +362,8 @@
         refusal_rates.get(service).cloned().unwrap_or_default()
     }
 
-    /// Replaces the upstreams that may be selected by the listed ones and those that a restored
-    /// store has lost.
-    pub fn set_listed_upstreams(&self) {
-        let mut lost_upstreams = lock(&self.lost_upstreams);
-        let collection = self.cached(store::Kind::Upstreams).collection();
-        let combined = upstreams::with_lost(
-            &mut lost_upstreams,
-            collection.position().era,
-            decode::upstreams(collection.objects()),
-            self.clock.now(),
-        );
-        self.set_upstreams(combined);
-    }
-
-    /// Returns until when upstreams that a restored store has lost are kept, if there are any.
-    #[must_use]
-    pub fn lost_upstreams_expire_at(&self) -> Option<time::Instant> {
-        lock(&self.lost_upstreams).expires_at()
-    }
-
-    /// Returns the names of the registered entries, including those that a restored store has lost.
-    #[must_use]
-    pub fn registered_entries(&self) -> IndexSet<String> {
-        let collection = self.cached(store::Kind::Entries).collection();
-        let names = collection.objects().keys();
-        let listed = names.map(|name| (name.clone(), ())).collect();
-        let now = self.clock.now();
-        let era = collection.position().era;
-        let combined = lock(&self.lost_entries).combine(era, listed, now, |(), ()| ());
-        combined.into_keys().collect()
-    }
-
     /// Replaces the upstreams that may be selected, keeping the tracked state of those that remain.
-    fn set_upstreams(&self, listed: Vec<upstreams::Upstream>) {
+    pub fn set_upstreams(&self, listed: Vec<upstreams::Upstream>) {
         let previous_candidates = self.candidates.load();
         let state_of = |upstream: &upstreams::Upstream| {
             let is_same = |candidate: &&Candidate| candidate.upstream.instance == upstream.instance;
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -399,7 +399,7 @@
     let objects = collection.objects();
     match kind {
         store::Kind::Configuration => apply_configuration(app, objects),
-        store::Kind::Upstreams => app.set_listed_upstreams(),
+        store::Kind::Upstreams => restored::set_listed_upstreams(app),
         store::Kind::Weights => apply_weights(app, objects),
         store::Kind::Entries | store::Kind::Grants => {}
     }
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -50,8 +50,8 @@
                 );
         }
         let is_due = self.era.is_none() && now >= self.due_at;
-        if is_due && !app.is_shutting_down() && register(app).await {
-            self.era = Some(era);
+        if is_due && !app.is_shutting_down() {
+            self.era = register(app).await;
         }
     }
 }
@@ -82,11 +82,14 @@
     futures_util::future::join_all(calls).await;
 }
 
-/// Registers this entry in the store; returns false if that has to be retried.
-async fn register(app: &app::App) -> bool {
+/// Registers this entry in the store; returns the era in which it is registered, or `None` if that
+/// has to be retried.
+async fn register(app: &app::App) -> Option<id::StoreEra> {
     let state = app.peer_state();
     let name = &app.settings.entry;
-    let written = match app.store.get(store::Kind::Entries, name).await {
+    let registered = app.store.get(store::Kind::Entries, name).await;
+    let era = app.store.era();
+    let written = match registered {
         Ok(Some(object)) if serde_json::from_str(&object.content).ok().as_ref() == Some(&state) => {
             Ok(())
         }
@@ -102,7 +105,7 @@
         Ok(()) => log::info!("peers: event=registered name={name}"),
         Err(error) => log::warn!("peers: event=register_failed name={name} error={error:?}"),
     }
-    written.is_ok()
+    written.is_ok().then_some(era)
 }
 
 /// Removes this entry from the store; if that fails, other entries notice its missing heartbeats.
--- a/crates/entry/src/direct/restored.rs
+++ b/crates/entry/src/direct/restored.rs
@@ -5,12 +5,22 @@
 
 use std::{fmt::Write as _, sync};
 
-use pimentohook_core::id;
+use indexmap::IndexSet;
+use pimentohook_core::{carryover, id, upstreams};
+use pimentohook_platform::{decode, store};
 use pimentohook_runtime::metrics;
 use tokio::time as tokio_time;
 
 use super::{app, feed};
 
+/// What a restored store has lost and may still be written again.
+#[derive(Debug, Default)]
+pub struct LostObjects {
+    upstreams: sync::Mutex<carryover::Carryover<upstreams::Upstream>>,
+    /// The registrations of entries.
+    entries: sync::Mutex<carryover::Carryover<()>>,
+}
+
 /// Reports each era of the store, until the process exits.
 pub async fn run(app: sync::Arc<app::App>) {
     let mut era = id::StoreEra::default();
@@ -47,14 +57,40 @@
     text
 }
 
+/// Replaces the upstreams that may be selected by the listed ones and those that a restored store
+/// has lost.
+pub fn set_listed_upstreams(app: &app::App) {
+    let mut lost = lock(&app.lost.upstreams);
+    let collection = app.cached(store::Kind::Upstreams).collection();
+    let era = collection.position().era;
+    let listed = decode::upstreams(collection.objects());
+    let combined = upstreams::with_lost(&mut lost, era, listed, app.clock.now());
+    app.set_upstreams(combined);
+}
+
 /// Drops the upstreams that a restored store has lost when their time is over.
 pub fn expire_lost_upstreams(app: &sync::Arc<app::App>) {
-    let Some(expires_at) = app.lost_upstreams_expire_at() else {
+    let Some(expires_at) = lock(&app.lost.upstreams).expires_at() else {
         return;
     };
     let app = app.clone();
     tokio::spawn(async move {
         tokio_time::sleep_until(expires_at.into()).await;
-        app.set_listed_upstreams();
+        set_listed_upstreams(&app);
     });
 }
+
+/// Returns the names of the registered entries, including those that a restored store has lost.
+pub fn registered_entries(app: &app::App) -> IndexSet<String> {
+    let collection = app.cached(store::Kind::Entries).collection();
+    let names = collection.objects().keys();
+    let listed = names.map(|name| (name.clone(), ())).collect();
+    let era = collection.position().era;
+    let now = app.clock.now();
+    let combined = lock(&app.lost.entries).combine(era, listed, now, |(), ()| ());
+    combined.into_keys().collect()
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- a/crates/entry/src/direct/upstream_limits.rs
+++ b/crates/entry/src/direct/upstream_limits.rs
@@ -11,7 +11,7 @@
 use pimentohook_core::upstream_limit::{belief, fleet, rate};
 use pimentohook_wire::direct;
 
-use super::{app, limited_upstream::LimitedUpstream};
+use super::{app, limited_upstream::LimitedUpstream, restored};
 
 /// The upstreams that have named a limit, by instance.
 #[derive(Debug, Default)]
@@ -116,7 +116,7 @@
     let now = app.clock.now();
     let peers = app.peers.load();
     let heard: IndexSet<String> = peers.keys().cloned().collect();
-    let mut registered = app.registered_entries();
+    let mut registered = restored::registered_entries(app);
     registered.shift_remove(&app.settings.entry);
     let limits = &app.upstream_limits;
     let mut fleet = limits
