--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -14,7 +14,7 @@
 
 use strum::IntoEnumIterator as _;
 
-use super::{cache, settings, upstream_limits, upstream_notices};
+use super::{cache, restored, settings, upstream_limits, upstream_notices};
 
 /// State of an upstream that the entry tracks itself, in addition to the listed data.
 #[derive(Debug, Default)]
@@ -92,6 +92,8 @@
     /// What upstreams have said of leaving and of back-offs.
     pub upstream_notices: upstream_notices::UpstreamNotices,
     cached: IndexMap<store::Kind, cache::CachedCollection>,
+    /// What a restored store has lost.
+    pub lost: restored::LostObjects,
     /// The newest version of the configuration that another entry reported in force.
     peer_configuration: atomic::AtomicU64,
     /// The client that records metrics.
@@ -144,6 +146,7 @@
             cached: store::Kind::iter()
                 .map(|kind| (kind, cache::CachedCollection::default()))
                 .collect(),
+            lost: restored::LostObjects::default(),
             peer_configuration: atomic::AtomicU64::new(0),
             longest_timeouts_ms: ArcSwap::default(),
             refusal_rates: ArcSwap::default(),
