--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -4,13 +4,15 @@
 use pimentohook_core::{
     admission,
     burst::activation::{Activation, OrderError, Stage, Task, WeightsId},
-    burst::manifest,
+    burst::{chunks, manifest},
     id,
 };
 use proptest::prelude::*;
 use rstest::rstest;
 
 const VERSIONS: usize = 3;
+const CHUNKS: u32 = 3;
+const CHUNK_BYTES: u32 = 8;
 
 #[derive(Clone, Debug)]
 enum Op {
@@ -30,8 +32,14 @@
     RestartAgent,
     /// The engine crashes and restarts with some weights, or none.
     RestartEngine { version: Option<usize> },
-    /// The last chunk of a version is verified.
-    Complete { version: usize },
+    /// A chunk of a version arrives, whole or with a flipped bit.
+    Arrive {
+        version: usize,
+        chunk: u32,
+        corrupt: bool,
+    },
+    /// Every chunk of a version arrives whole.
+    ArriveAll { version: usize },
 }
 
 fn op() -> impl Strategy<Value = Op> {
@@ -46,14 +54,70 @@
         3 => Just(Op::Finish),
         1 => Just(Op::RestartAgent),
         1 => prop::option::of(version.clone()).prop_map(|version| Op::RestartEngine { version }),
-        2 => version.prop_map(|version| Op::Complete { version }),
+        3 => (version.clone(), 0..CHUNKS, any::<bool>())
+            .prop_map(|(version, chunk, corrupt)| Op::Arrive { version, chunk, corrupt }),
+        2 => version.prop_map(|version| Op::ArriveAll { version }),
     ]
 }
 
+fn content(version: usize) -> Vec<u8> {
+    (0..CHUNKS)
+        .flat_map(|chunk| format!("v{version} part{chunk}").into_bytes())
+        .collect()
+}
+
+fn chunk_of(version: usize, chunk: u32) -> Vec<u8> {
+    let start = (chunk * CHUNK_BYTES) as usize;
+    content(version)[start..start + CHUNK_BYTES as usize].to_vec()
+}
+
+fn manifest_of(version: usize) -> manifest::Manifest {
+    let name = format!("v{version}").parse().expect("a valid name");
+    manifest::Manifest::of(name, &content(version), CHUNK_BYTES)
+}
+
 fn weights(version: usize) -> WeightsId {
+    let manifest = manifest_of(version);
     WeightsId {
-        manifest: id::Digest::of(format!("manifest {version}").as_bytes()),
-        content: id::Digest::of(format!("content {version}").as_bytes()),
+        manifest: manifest.digest(),
+        content: manifest.content,
+    }
+}
+
+/// What the agent has of a version.
+struct Download {
+    held: chunks::ChunkSet,
+    bytes: Vec<Option<Vec<u8>>>,
+}
+
+impl Download {
+    fn new() -> Self {
+        Self {
+            held: chunks::ChunkSet::new(CHUNKS),
+            bytes: vec![None; CHUNKS as usize],
+        }
+    }
+
+    fn whole(version: usize) -> Self {
+        let mut download = Self::new();
+        for chunk in 0..CHUNKS {
+            download.record(version, chunk, chunk_of(version, chunk));
+        }
+        download
+    }
+
+    /// Keeps a chunk that the manifest verifies, as the agent does.
+    fn record(&mut self, version: usize, chunk: u32, bytes: Vec<u8>) {
+        if manifest_of(version).verifies(chunk, &bytes) {
+            self.held.insert(chunk);
+            self.bytes[chunk as usize] = Some(bytes);
+        }
+    }
+
+    /// Returns the digest of the bytes that an engine would load.
+    fn digest(&self) -> id::Digest {
+        let bytes: Vec<u8> = self.bytes.iter().flatten().flatten().copied().collect();
+        id::Digest::of(&bytes)
     }
 }
 
@@ -66,10 +130,15 @@
 
 struct Model {
     activation: Activation,
-    complete: [bool; VERSIONS],
-    ever_verified: [bool; VERSIONS],
+    /// What this run of the agent has of each version.
+    downloads: [Download; VERSIONS],
+    /// The contents whose bytes were all there when the engine loaded them.
+    loaded_whole: Vec<id::Digest>,
+    /// The contents that the engine had when it started, which no agent loaded.
+    started_with: Vec<id::Digest>,
     engine: Option<id::Digest>,
-    loading: Option<WeightsId>,
+    /// What the engine will serve once its load has completed.
+    loading: Option<id::Digest>,
     requests: Vec<Request>,
     highest_accepted: u64,
     current_fencing: u64,
@@ -81,8 +150,9 @@
         activation.record_fencing(id::FencingNumber::new(0));
         Self {
             activation,
-            complete: [true, false, false],
-            ever_verified: [true, false, false],
+            downloads: [Download::whole(0), Download::new(), Download::new()],
+            loaded_whole: Vec::new(),
+            started_with: vec![weights(0).content],
             engine: Some(weights(0).content),
             loading: None,
             requests: Vec::new(),
@@ -113,21 +183,28 @@
                 // It reads the current fencing number before it accepts an order.
                 self.activation
                     .record_fencing(id::FencingNumber::new(self.current_fencing));
-                self.complete = [false; VERSIONS];
+                self.downloads = std::array::from_fn(|_| Download::new());
                 self.requests.clear();
                 self.loading = None;
             }
             Op::RestartEngine { version } => {
                 self.engine = version.map(|version| weights(version).content);
+                self.started_with.extend(self.engine);
                 self.loading = None;
                 for request in &mut self.requests {
                     request.interrupted = true;
                 }
             }
-            Op::Complete { version } => {
-                self.complete[version] = true;
-                self.ever_verified[version] = true;
+            Op::Arrive {
+                version,
+                chunk,
+                corrupt,
+            } => {
+                let mut bytes = chunk_of(version, chunk);
+                bytes[0] ^= u8::from(corrupt);
+                self.downloads[version].record(version, chunk, bytes);
             }
+            Op::ArriveAll { version } => self.downloads[version] = Download::whole(version),
         }
         Ok(())
     }
@@ -135,9 +212,8 @@
     fn order(&mut self, version: usize, fencing: u64) -> Result<(), TestCaseError> {
         self.current_fencing = self.current_fencing.max(fencing);
         let number = id::FencingNumber::new(fencing);
-        let accepted = self
-            .activation
-            .order(number, weights(version), self.complete[version]);
+        let is_complete = self.downloads[version].held.is_full();
+        let accepted = self.activation.order(number, weights(version), is_complete);
         if accepted.is_ok() {
             prop_assert!(
                 fencing >= self.highest_accepted,
@@ -166,18 +242,33 @@
                 prop_assert_eq!(running, 0, "a load was ordered while requests were running");
                 self.activation.record_load_ordered();
                 self.engine = None;
-                self.loading = Some(target);
+                self.loading = Some(self.bytes_to_load(target)?);
             }
         }
         Ok(())
     }
 
+    /// Returns the digest of the bytes that the agent sends to the engine, which have to be all
+    /// bytes of the target.
+    fn bytes_to_load(&mut self, target: WeightsId) -> Result<id::Digest, TestCaseError> {
+        let version = (0..VERSIONS).find(|version| weights(*version) == target);
+        prop_assert!(version.is_some(), "unknown weights are loaded");
+        let digest = self.downloads[version.unwrap_or(0)].digest();
+        prop_assert_eq!(
+            digest,
+            target.content,
+            "weights are loaded that were not verified whole"
+        );
+        self.loaded_whole.push(digest);
+        Ok(digest)
+    }
+
     fn end_load(&mut self, completed: bool) {
-        let Some(target) = self.loading.take() else {
+        let Some(content) = self.loading.take() else {
             return;
         };
         if completed {
-            self.engine = Some(target.content);
+            self.engine = Some(content);
         } else {
             self.activation.record_load_failed();
         }
@@ -206,6 +297,9 @@
                 .iter()
                 .all(|stamp| *stamp == Some(request.weights));
             prop_assert!(is_consistent, "a response came from mixed weights");
+            let is_known = self.loaded_whole.contains(&request.weights)
+                || self.started_with.contains(&request.weights);
+            prop_assert!(is_known, "a response came from weights that nobody loaded");
         }
         if let Stage::Serving(serving) = self.activation.stage() {
             let version = (0..VERSIONS).find(|version| weights(*version) == serving);
