--- a/crates/standin/src/bin/pimentohook-demo/main.rs
+++ b/crates/standin/src/bin/pimentohook-demo/main.rs
@@ -2,10 +2,11 @@
 
 mod load;
 mod summary;
+mod timeline;
 
 use std::{net, process, time};
 
-use pimentohook_core::{burst, intent, size};
+use pimentohook_core::{burst, id, intent, size};
 use pimentohook_runtime::client;
 use pimentohook_standin::fleet;
 
@@ -103,11 +104,12 @@
     print_progress("serving version 1; sending requests");
     let load = load::RequestLoad::start(&fleet, usize::try_from(number("requests"))?, options.seed);
     tokio::time::sleep(ROLLOUT_DELAY).await;
-    confirm_rollout(&fleet).await?;
+    let version_before = confirm_rollout(&fleet).await?;
     print_progress("version 2 confirmed");
     load.set_rolling_out(true);
     let confirmed_at = time::Instant::now();
-    let is_live = wait_until_live(&fleet, json).await;
+    let mut timeline = timeline::Timeline::new(confirmed_at, version_before);
+    let is_live = wait_until_live(&fleet, &mut timeline, json).await;
     let time_to_live = confirmed_at.elapsed();
     load.set_rolling_out(false);
     print_progress("waiting for the last responses");
@@ -117,6 +119,7 @@
     summary.policy = policy;
     summary.time_to_live_ms = if is_live { millis(time_to_live) } else { 0 };
     summary.lower_bound_ms = millis(lower_bound);
+    summary.stages = timeline.stages();
     Ok(summary)
 }
 
@@ -131,7 +134,10 @@
     }
 }
 
-async fn confirm_rollout(fleet: &fleet::Fleet) -> Result<(), Box<dyn std::error::Error>> {
+/// Confirms the rollout of version 2; returns the version of the configuration that was in force.
+async fn confirm_rollout(
+    fleet: &fleet::Fleet,
+) -> Result<id::ConfigVersion, Box<dyn std::error::Error>> {
     let client = client::Client::new(net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED));
     let entry = fleet.entry_addresses[0];
     let intent = intent::Intent::RollOut {
@@ -149,15 +155,20 @@
     if status != hyper::StatusCode::OK {
         return Err(String::from_utf8_lossy(&body).into());
     }
-    Ok(())
+    Ok(plan.base)
 }
 
-async fn wait_until_live(fleet: &fleet::Fleet, json: bool) -> bool {
+async fn wait_until_live(
+    fleet: &fleet::Fleet,
+    timeline: &mut timeline::Timeline,
+    json: bool,
+) -> bool {
     let deadline = time::Instant::now() + ROLLOUT_TIMEOUT;
     let started_at = time::Instant::now();
     let client = client::Client::new(net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED));
     let mut last_printed = (0, 0);
     while time::Instant::now() < deadline {
+        timeline.observe(fleet);
         let live = fleet.live_count();
         if !json {
             let held = held_count(&client, fleet).await;
--- a/crates/standin/src/bin/pimentohook-demo/summary.rs
+++ b/crates/standin/src/bin/pimentohook-demo/summary.rs
@@ -2,11 +2,12 @@
 
 use std::time;
 
+use indexmap::IndexMap;
 use pimentohook_core::burst;
 use pimentohook_standin::{caller, fleet};
 use serde::Serialize;
 
-use crate::load;
+use crate::{load, timeline};
 
 /// The result of the demonstration; its fields are the keys of the JSON output.
 #[derive(Debug, Default, Serialize)]
@@ -17,6 +18,8 @@
     pub policy: burst::Policy,
     /// The time from the confirmation until every replica serves version 2; 0 after a timeout.
     pub time_to_live_ms: u64,
+    /// Where the time went: for each stage, when the first and the last replica reached it.
+    pub stages: IndexMap<timeline::Stage, timeline::StageTimes>,
     /// The time in which one link carries one copy of version 2.
     pub lower_bound_ms: u64,
     /// The bytes of version 2 that the origin sent, in copies.
@@ -125,6 +128,10 @@
         "version 2 live on {} replicas after {} ms (one copy over one link: {} ms)",
         summary.replicas, summary.time_to_live_ms, summary.lower_bound_ms
     );
+    for (stage, times) in &summary.stages {
+        let (first_ms, last_ms) = (times.first_ms, times.last_ms);
+        println!("  {stage}: first after {first_ms} ms, last after {last_ms} ms");
+    }
     println!(
         "copies: {:.2} from the origin, {:.2} over the busiest link",
         summary.origin_copies, summary.max_link_copies
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -154,6 +154,8 @@
     pub entries: Vec<Option<entry::Running>>,
     /// The addresses of the entries.
     pub entry_addresses: Vec<net::SocketAddr>,
+    /// The digest of the manifest of version 2 of the weights.
+    pub v2_manifest: id::Digest,
     /// The content digest of version 2 of the weights.
     pub v2_content: id::Digest,
     /// The size of version 2 of the weights.
@@ -226,6 +228,7 @@
             plain_vms: Vec::new(),
             entries,
             entry_addresses,
+            v2_manifest: v2.digest(),
             v2_content: v2.content,
             v2_bytes: v2.total_bytes,
         };
