--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -20,6 +20,7 @@
 const GRANT_LIMITS: ledger::GrantLimits = ledger::GrantLimits {
     grant_timeout: time::Duration::from_millis(1_500),
     open_grants_max: 18,
+    vm_grants_max: 18,
 };
 /// The first grants wait for at most this many agents to take part.
 const FIRST_GRANT_PARTICIPANTS_MAX: usize = 6;
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -5,6 +5,8 @@
 //! grantor dies. A grant counts as used from the moment that it is recorded, whether its download
 //! succeeds or not.
 
+mod starved;
+
 use std::time;
 
 use indexmap::IndexMap;
@@ -103,6 +105,9 @@
     /// How many granted chunks may be outstanding. The origin has to send this many within
     /// `grant_timeout`.
     pub open_grants_max: u32,
+    /// How many of them one VM may have. If the first VM to report were granted all chunks, the
+    /// credit for its uploads would not suffice to pass them on.
+    pub vm_grants_max: u32,
 }
 
 impl GrantLimits {
@@ -112,6 +117,16 @@
         Self {
             grant_timeout,
             open_grants_max: policy.open_grants_max(),
+            vm_grants_max: policy.open_grants_max(),
+        }
+    }
+
+    /// Limits the grants of one VM to its share among `vm_count` VMs.
+    #[must_use]
+    pub fn shared_by(self, vm_count: u32) -> Self {
+        Self {
+            vm_grants_max: self.open_grants_max.div_ceil(vm_count.max(1)),
+            ..self
         }
     }
 }
@@ -175,11 +190,15 @@
         let before = self.grants.len();
         let grant_counts = self.grant_counts();
         let mut outstanding =
-            self.outstanding_count(now, availability, times, &grant_counts, grant_timeout);
+            self.outstanding_counts(now, availability, times, &grant_counts, grant_timeout);
         for chunk in 0..self.chunk_count {
-            if outstanding >= limits.open_grants_max {
+            if outstanding.values().sum::<u32>() >= limits.open_grants_max {
                 break;
             }
+            let has_room = |vm: &id::VmId| {
+                let count = outstanding.get(vm).copied().unwrap_or(0);
+                count < limits.vm_grants_max
+            };
             if self.needs_grant(
                 now,
                 chunk,
@@ -188,10 +207,10 @@
                 &grant_counts,
                 grant_timeout,
             ) && self.may_grant(chunk, availability, &grant_counts)
-                && let Some(participant) = self.choose_participant(chunk, availability)
+                && let Some(participant) = self.choose_participant(chunk, availability, has_room)
             {
                 self.push(now, chunk, participant, times);
-                outstanding += 1;
+                *outstanding.entry(participant.vm.clone()).or_insert(0) += 1;
             }
         }
         let all_granted = grant_counts.iter().all(|count| *count > 0);
@@ -304,32 +323,43 @@
         !chunk_grants.any(is_active)
     }
 
-    fn outstanding_count(
+    /// Returns how many granted chunks are outstanding, by the VM that was granted them last.
+    fn outstanding_counts(
         &self,
         now: time::Instant,
         availability: &ChunkAvailability,
         times: &mut GrantTimes,
         grant_counts: &[u32],
         grant_timeout: time::Duration,
-    ) -> u32 {
-        let is_outstanding = |chunk: &u32| {
-            let index = *chunk as usize;
+    ) -> IndexMap<id::VmId, u32> {
+        let mut latest: IndexMap<u32, &id::VmId> = IndexMap::new();
+        for grant in &self.grants {
+            latest.insert(grant.chunk, &grant.vm);
+        }
+        let mut outstanding = IndexMap::new();
+        for (chunk, vm) in latest {
+            let index = chunk as usize;
             let grant_count = grant_counts.get(index).copied().unwrap_or(0);
             let holder_count = availability.holder_counts.get(index).copied().unwrap_or(0);
-            let at = *times.granted_at.entry(*chunk).or_insert(now);
-            grant_count > holder_count && now.duration_since(at) <= grant_timeout
-        };
-        let count = (0..self.chunk_count).filter(is_outstanding).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
+            let at = *times.granted_at.entry(chunk).or_insert(now);
+            if grant_count > holder_count && now.duration_since(at) <= grant_timeout {
+                *outstanding.entry(vm.clone()).or_insert(0) += 1;
+            }
+        }
+        outstanding
     }
 
-    /// Selects the participant with the fewest grants, which balances them; ties are broken by
-    /// rendezvous hashing.
-    fn choose_participant<'a>(
+    /// Selects the participant with the fewest grants that has room for one more, which balances
+    /// them; ties are broken by rendezvous hashing.
+    fn choose_participant<'a, F>(
         &self,
         chunk: u32,
         availability: &'a ChunkAvailability,
-    ) -> Option<&'a Participant> {
+        has_room: F,
+    ) -> Option<&'a Participant>
+    where
+        F: Fn(&id::VmId) -> bool,
+    {
         let key = format!("origin-{chunk}");
         let mut grant_counts: IndexMap<&id::VmId, u32> = IndexMap::new();
         let mut chunk_grantees: Vec<&id::VmId> = Vec::new();
@@ -340,7 +370,9 @@
             }
         }
         let lacks_chunk = |participant: &&Participant| {
-            !participant.held.contains(chunk) && !chunk_grantees.contains(&&participant.vm)
+            !participant.held.contains(chunk)
+                && !chunk_grantees.contains(&&participant.vm)
+                && has_room(&participant.vm)
         };
         let candidates = availability.participants.iter().filter(lacks_chunk);
         candidates.min_by_key(|participant| {
@@ -349,52 +381,4 @@
             (count, std::cmp::Reverse(score))
         })
     }
-
-    /// Grants one missing chunk to each starved VM, within the limit.
-    fn grant_to_starved(
-        &mut self,
-        now: time::Instant,
-        availability: &ChunkAvailability,
-        times: &mut GrantTimes,
-        grant_timeout: time::Duration,
-    ) {
-        // Without a grant for a full timeout, the policy's limit is used up and the starved VMs
-        // would wait for each other forever. The hard limit still applies.
-        let latest = times.granted_at.values().max();
-        let is_stalled = latest.is_some_and(|at| now.duration_since(*at) > grant_timeout);
-        let max = if is_stalled {
-            self.percent_of_chunks(ORIGIN_LIMIT_PERCENT)
-        } else {
-            self.grant_max()
-        };
-        for participant in availability
-            .participants
-            .iter()
-            .filter(|participant| participant.starved)
-        {
-            if self.grants.len() >= max {
-                return;
-            }
-            let granted_recently = |chunk: u32| {
-                let at = times.granted_at.get(&chunk);
-                let recently = at.is_some_and(|at| now.duration_since(*at) <= grant_timeout);
-                let latest_first = self.grants.iter().rev();
-                recently
-                    && latest_first
-                        .clone()
-                        .any(|grant| grant.chunk == chunk && grant.vm == participant.vm)
-            };
-            let full = super::chunks::ChunkSet::full(self.chunk_count);
-            let missing: Vec<u32> = full.difference(&participant.held).collect();
-            if missing.iter().any(|chunk| granted_recently(*chunk)) {
-                continue;
-            }
-            let has_holder =
-                |chunk: &&u32| availability.holder_counts.get(**chunk as usize) > Some(&0);
-            let next = missing.iter().find(has_holder).copied();
-            if let Some(chunk) = next {
-                self.push(now, chunk, participant, times);
-            }
-        }
-    }
 }
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -477,3 +477,26 @@
         .collect();
     assert_eq!(failed, [3]);
 }
+
+/// The first VM to report was granted every chunk. The credit for its uploads did not suffice to pass
+/// them on to five others, which then waited for one grant each at a time.
+#[test]
+fn the_first_vm_to_report_is_not_granted_every_chunk() {
+    let limits = ledger::GrantLimits::new(Policy::OriginFirst, Duration::from_secs(2))
+        .shared_by(u32::try_from(PARTICIPANTS).expect("few VMs"));
+    let start = Instant::now();
+    let participants = participants_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut times = ledger::GrantTimes::default();
+    ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+    ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+    let own_share = 16_usize.div_ceil(PARTICIPANTS);
+    assert_eq!(ledger.grants().len(), own_share);
+    let soon = start + Duration::from_millis(100);
+    ledger.extend(soon, &availability(&participants), &mut times, limits);
+    assert_eq!(ledger.grants().len(), 16);
+    for participant in &participants {
+        let granted = ledger.grants_of(&participant.vm, participant.incarnation);
+        assert!(granted.count() <= own_share, "{}", participant.vm);
+    }
+}
--- a/crates/entry/src/origin.rs
+++ b/crates/entry/src/origin.rs
@@ -26,18 +26,11 @@
             let Some(weights) = &service_config.weights else {
                 continue;
             };
-            let chunk_availability = chunk_availability(&view, service, weights.manifest);
-            let Some(chunk_count) = chunk_availability.1 else {
+            let Some(burst) = Burst::of(&view, service, weights.manifest) else {
                 continue;
             };
             let result = self
-                .extend_ledger(
-                    app,
-                    service_config,
-                    weights,
-                    &chunk_availability.0,
-                    chunk_count,
-                )
+                .extend_ledger(app, service_config, weights, &burst)
                 .await;
             if let Err(error) = result {
                 log::debug!("origin: extending a ledger failed: {error}.");
@@ -52,8 +45,7 @@
         app: &app::App,
         service_config: &intent::ServiceConfig,
         weights: &intent::WeightsRef,
-        availability: &ledger::ChunkAvailability,
-        chunk_count: u32,
+        burst: &Burst,
     ) -> Result<(), objects::ObjectError> {
         let name = object_name(weights.manifest);
         if !self.ledger_versions.contains_key(&weights.manifest) {
@@ -61,11 +53,13 @@
         }
         let published = app.ledgers.load().get(&weights.manifest).cloned();
         let policy = service_config.policy;
-        let mut ledger = published.unwrap_or_else(|| ledger::Ledger::new(chunk_count, policy));
+        let mut ledger =
+            published.unwrap_or_else(|| ledger::Ledger::new(burst.chunk_count, policy));
         let times = self.grant_times.entry(weights.manifest).or_default();
-        let limits = ledger::GrantLimits::new(policy, app.settings.grant_timeout);
+        let limits = ledger::GrantLimits::new(policy, app.settings.grant_timeout)
+            .shared_by(burst.replica_count);
         let now = app.clock.now();
-        if ledger.extend(now, availability, times, limits) == 0 {
+        if ledger.extend(now, &burst.availability, times, limits) == 0 {
             return Ok(());
         }
         let if_version = self
@@ -110,32 +104,47 @@
     });
 }
 
-/// Returns the chunks of a manifest that the agents of a service hold, and its number of chunks if
-/// any agent knows it.
-fn chunk_availability(
-    view: &membership::View,
-    service: &id::ServiceName,
-    manifest: id::Digest,
-) -> (ledger::ChunkAvailability, Option<u32>) {
-    let mut availability = ledger::ChunkAvailability::default();
-    let mut chunk_count = None;
-    for member in view.members_of(service) {
-        let progress = member.report.burst.as_ref();
-        let Some(progress) = progress.filter(|progress| progress.manifest == manifest) else {
-            continue;
-        };
-        if member.departed_at.is_some() {
-            continue;
+/// What an entry knows of the burst of one manifest.
+struct Burst {
+    availability: ledger::ChunkAvailability,
+    chunk_count: u32,
+    /// The number of agents of the service, also of those that don't take part yet.
+    replica_count: u32,
+}
+
+impl Burst {
+    /// Returns what the agents of a service report; `None` if none of them knows the manifest.
+    fn of(
+        view: &membership::View,
+        service: &id::ServiceName,
+        manifest: id::Digest,
+    ) -> Option<Self> {
+        let mut availability = ledger::ChunkAvailability::default();
+        let mut chunk_count = None;
+        let mut replica_count = 0;
+        for member in view.members_of(service) {
+            if member.departed_at.is_some() {
+                continue;
+            }
+            replica_count += 1;
+            let progress = member.report.burst.as_ref();
+            let Some(progress) = progress.filter(|progress| progress.manifest == manifest) else {
+                continue;
+            };
+            chunk_count = Some(progress.held.range());
+            availability.add(ledger::Participant {
+                vm: member.report.vm.clone(),
+                incarnation: member.report.incarnation,
+                starved: progress.starved,
+                failed_grants: progress.failed_grants.clone(),
+                leaving: false,
+                held: progress.held.clone(),
+            });
         }
-        chunk_count = Some(progress.held.range());
-        availability.add(ledger::Participant {
-            vm: member.report.vm.clone(),
-            incarnation: member.report.incarnation,
-            starved: progress.starved,
-            failed_grants: progress.failed_grants.clone(),
-            leaving: false,
-            held: progress.held.clone(),
-        });
+        Some(Self {
+            availability,
+            chunk_count: chunk_count?,
+            replica_count,
+        })
     }
-    (availability, chunk_count)
 }
