--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -135,6 +135,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct GrantTimes {
     granted_at: IndexMap<u32, time::Instant>,
+    vm_granted_at: IndexMap<(u32, id::VmId), time::Instant>,
 }
 
 impl Ledger {
@@ -263,6 +264,9 @@
         let chunk_grants = self.grants.iter().filter(|grant| grant.chunk == chunk);
         let serial = u32::try_from(chunk_grants.count()).unwrap_or(u32::MAX);
         times.granted_at.insert(chunk, now);
+        times
+            .vm_granted_at
+            .insert((chunk, participant.vm.clone()), now);
         self.grants.push(Grant {
             chunk,
             vm: participant.vm.clone(),
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -500,3 +500,49 @@
         assert!(granted.count() <= own_share, "{}", participant.vm);
     }
 }
+
+/// Five starved VMs were all granted the same chunk, so that the origin sent each chunk five times and
+/// none of them had anything for the others.
+#[test]
+fn starved_vms_are_granted_different_chunks() {
+    let grant_timeout = Duration::from_secs(2);
+    let limits = ledger::GrantLimits::new(Policy::OriginFirst, grant_timeout);
+    let start = Instant::now();
+    let mut participants = participants_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut times = ledger::GrantTimes::default();
+    ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+    participants[0].held = chunks::ChunkSet::full(CHUNKS);
+    ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+    for chunk in 0..CHUNKS {
+        let is_granted = ledger.grants().iter().any(|grant| grant.chunk == chunk);
+        if !is_granted {
+            participants[0].held.remove(chunk);
+            ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+            participants[0].held.insert(chunk);
+        }
+    }
+    for participant in &mut participants[1..] {
+        participant.held = chunks::ChunkSet::full(CHUNKS);
+        for missing in 3..10 {
+            participant.held.remove(missing);
+        }
+        participant.starved = true;
+    }
+    // The policy's limit is used up first; the hard limit applies once nothing was granted for long.
+    let later = start + grant_timeout * 2;
+    ledger.extend(later, &availability(&participants), &mut times, limits);
+    let granted_before = ledger.grants().len();
+    assert_eq!(granted_before, ledger.grant_max());
+    let much_later = start + grant_timeout * 4;
+    ledger.extend(much_later, &availability(&participants), &mut times, limits);
+    let mut granted: Vec<u32> = ledger.grants()[granted_before..]
+        .iter()
+        .map(|grant| grant.chunk)
+        .collect();
+    let count = granted.len();
+    granted.sort_unstable();
+    granted.dedup();
+    assert_eq!(count, PARTICIPANTS - 1, "{granted:?}");
+    assert_eq!(granted.len(), count, "{granted:?}");
+}
