--- a/crates/agent/src/transfer/download.rs
+++ b/crates/agent/src/transfer/download.rs
@@ -84,6 +84,9 @@
                 if let Some(slot) = set.chunks.get_mut(self.fetch.chunk as usize) {
                     *slot = Some(bytes);
                 }
+                if self.fetch.source == downloader::Source::Origin {
+                    set.uploader.record_introduced(self.fetch.chunk);
+                }
                 set.downloader.record_verified(&self.fetch);
                 set.last_chunk_at = Some(transfers.link.clock.now());
                 if set.downloader.is_complete() {
--- a/crates/core/benches/rounds/mod.rs
+++ b/crates/core/benches/rounds/mod.rs
@@ -342,7 +342,12 @@
             }
             let replica = &mut self.replicas[transfer.downloader];
             match transfer.failure {
-                None => replica.downloader.record_verified(&transfer.fetch),
+                None => {
+                    if transfer.fetch.source == downloader::Source::Origin {
+                        replica.uploader.record_introduced(transfer.fetch.chunk);
+                    }
+                    replica.downloader.record_verified(&transfer.fetch);
+                }
                 Some(failure) => replica
                     .downloader
                     .record_failure(now, &transfer.fetch, failure),
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -546,3 +546,65 @@
     assert_eq!(count, PARTICIPANTS - 1, "{granted:?}");
     assert_eq!(granted.len(), count, "{granted:?}");
 }
+
+/// A VM that alone had every chunk used up its credit on chunks that peers had taken already, and the
+/// others stayed with it.
+#[test]
+fn a_vm_passes_on_each_chunk_from_the_origin_before_its_credit_is_used_up() {
+    let mut uploader = Uploader::new(CHUNKS, 200, 3, REFILL);
+    let held = chunks::ChunkSet::full(CHUNKS);
+    let now = Instant::now();
+    for chunk in 0..CHUNKS {
+        uploader.record_downloaded();
+        uploader.record_introduced(chunk);
+    }
+    let mut passed_on = chunks::ChunkSet::new(CHUNKS);
+    // Each chunk is requested three times before the next one.
+    for chunk in (0..CHUNKS).flat_map(|chunk| [chunk; 3]) {
+        if uploader.try_start(now, &held, chunk, false).is_ok() {
+            uploader.release_slot();
+            passed_on.insert(chunk);
+        }
+    }
+    assert!(passed_on.is_full(), "{passed_on:?}");
+    assert_eq!(uploader.uploaded_count(), CHUNKS);
+    let next = uploader.try_start(now, &held, 0, false);
+    assert_eq!(next, Err(UploadDenial::Spent));
+}
+
+#[test]
+fn credit_is_kept_only_for_chunks_that_were_not_passed_on() {
+    let mut uploader = Uploader::new(CHUNKS, 200, 3, REFILL);
+    let held = chunks::ChunkSet::full(CHUNKS);
+    let now = Instant::now();
+    uploader.record_introduced(1);
+    uploader.record_introduced(2);
+    let mut start = |chunk| {
+        let started = uploader.try_start(now, &held, chunk, false);
+        if started.is_ok() {
+            uploader.release_slot();
+        }
+        started
+    };
+    for upload in 1..CHUNKS {
+        assert_eq!(start(1), Ok(()), "upload {upload}");
+    }
+    assert_eq!(start(1), Err(UploadDenial::Busy));
+    assert_eq!(start(2), Ok(()));
+    assert_eq!(start(1), Err(UploadDenial::Spent));
+}
+
+/// Credit that is kept for chunks that nobody requests would keep the last VMs waiting for ever.
+#[test]
+fn credit_is_not_kept_for_chunks_that_peers_have_from_elsewhere() {
+    let mut uploader = Uploader::new(CHUNKS, 200, 3, REFILL);
+    let held = chunks::ChunkSet::full(CHUNKS);
+    let now = Instant::now();
+    (0..CHUNKS).for_each(|chunk| uploader.record_introduced(chunk));
+    assert_eq!(uploader.try_start(now, &held, 0, false), Ok(()));
+    uploader.release_slot();
+    let again = uploader.try_start(now, &held, 0, false);
+    assert_eq!(again, Err(UploadDenial::Busy));
+    let later = now + Duration::from_secs(2);
+    assert_eq!(uploader.try_start(later, &held, 0, false), Ok(()));
+}
