--- a/crates/core/src/intent/rollout.rs
+++ b/crates/core/src/intent/rollout.rs
@@ -66,7 +66,7 @@
 ///
 /// Orders go to replicas that have downloaded the weights completely and don't serve them yet. A
 /// replica that admits no new work may always be ordered, since this does not reduce the number of
-/// serving replicas.
+/// serving replicas. Those that run the fewest requests come first, since they are drained soonest.
 #[must_use]
 pub fn orders(
     config: &Config,
@@ -82,7 +82,9 @@
     let serving_min = min_serving_count(service_config, status.replica_count);
     let mut spare = status.open_count.saturating_sub(serving_min);
     let mut orders = Vec::new();
-    for member in view.members_of(service) {
+    let mut members: Vec<_> = view.members_of(service).collect();
+    members.sort_by_key(|member| member.report.running_count);
+    for member in members {
         let is_leaving = member.report.openness == admission::AdmissionState::Leaving;
         let is_live = member.report.weights == Some(target.content);
         let is_draining = config.draining.contains(&member.report.vm);
