--- a/crates/agent/src/follow.rs
+++ b/crates/agent/src/follow.rs
@@ -23,10 +23,13 @@
     while !stop.is_set() {
         if let Some(target) = target(&app)
             && !app.transfers.set_target(target.manifest)
-            && !open_set(&app, &target).await
         {
-            stop.sleep(MANIFEST_RETRY_DELAY).await;
-            continue;
+            if !open_set(&app, &target).await {
+                stop.sleep(MANIFEST_RETRY_DELAY).await;
+                continue;
+            }
+            // The grantor grants chunks to agents that take part.
+            app.notify_entries();
         }
         app.transfers.poll_downloads(&stop).await;
     }
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -13,7 +13,7 @@
 use crate::app::{self, lock};
 
 const MESSAGE_MAX_BYTES: usize = 1 << 20;
-const PUBLISH_INTERVAL: time::Duration = time::Duration::from_millis(100);
+const PUBLISH_INTERVAL: time::Duration = time::Duration::from_millis(40);
 const PEER_SAMPLE_SIZE: usize = 24;
 
 /// Handles an agent's heartbeat.
@@ -33,15 +33,26 @@
     let stats = known_stats.unwrap_or_else(|| add_stats(app, &report.vm));
     stats.record_slot_count(report.slot_count);
     let mut view = lock(&app.current_view);
-    let is_changed = view.member(&report.vm).is_none_or(|member| {
-        member.report.openness != report.openness || member.report.weights != report.weights
-    });
+    let is_changed = view
+        .member(&report.vm)
+        .is_none_or(|member| needs_action(&member.report, &report));
     view.record(app.clock.now(), report);
     if is_changed {
         app.publish_view(&view);
+        app.duties_trigger.notify_one();
     }
 }
 
+/// Returns whether a report changes what requests or duties do next: where requests may go, who
+/// takes part in a burst, and who can be ordered to activate weights.
+fn needs_action(before: &membership::AgentReport, now: &membership::AgentReport) -> bool {
+    let burst = |report: &membership::AgentReport| {
+        let progress = report.burst.as_ref();
+        progress.map(|progress| (progress.manifest, progress.held.is_full()))
+    };
+    before.openness != now.openness || before.weights != now.weights || burst(before) != burst(now)
+}
+
 /// Records that an agent refused a request because it is leaving.
 pub fn record_leaving(app: &app::App, vm: &id::VmId, incarnation: id::Incarnation) {
     let mut view = lock(&app.current_view);
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -13,6 +13,7 @@
 };
 use pimentohook_platform::{objects, weights};
 use pimentohook_runtime::{client, metrics};
+use tokio::sync::Notify;
 
 use crate::settings;
 
@@ -58,6 +59,8 @@
     pub ledgers: ArcSwap<IndexMap<id::Digest, ledger::Ledger>>,
     /// VMs that the platform is going to remove.
     pub leaving_vms: ArcSwap<Vec<id::VmId>>,
+    /// Wakes the duties when a report calls for action.
+    pub duties_trigger: Notify,
     /// Other entries that respond and are not shutting down.
     pub ready_peers: ArcSwap<Vec<id::EntryId>>,
     /// The client that sends metrics.
@@ -114,6 +117,7 @@
             lease: sync::Mutex::new(lease),
             ledgers: ArcSwap::from_pointee(IndexMap::new()),
             leaving_vms: ArcSwap::from_pointee(Vec::new()),
+            duties_trigger: Notify::new(),
             ready_peers: ArcSwap::from_pointee(Vec::new()),
             metrics: metrics::start("pimentohook.entry", settings.metrics)?,
             address,
--- a/crates/entry/src/duties.rs
+++ b/crates/entry/src/duties.rs
@@ -19,6 +19,8 @@
 pub const LEASE_OBJECT: &str = "lease.duties";
 
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// The minimum interval between two rounds, however many reports come.
+const PACE_INTERVAL: time::Duration = time::Duration::from_millis(10);
 const LEASE_READ_INTERVAL: time::Duration = time::Duration::from_millis(500);
 const VMS_READ_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const ACTIVATION_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -28,7 +30,7 @@
     let mut lease_read_at: Option<time::Instant> = None;
     let mut vms_read_at: Option<time::Instant> = None;
     let mut grantor = origin::Grantor::default();
-    while stop.sleep(POLL_INTERVAL).await {
+    while wait_for_work(&app, &stop).await {
         if app.is_shutting_down() {
             continue;
         }
@@ -51,6 +53,18 @@
     }
 }
 
+/// Waits until a report calls for action, at most for the poll interval; returns false once the
+/// entry stops.
+async fn wait_for_work(app: &app::App, stop: &process::StopSignal) -> bool {
+    if !stop.sleep(PACE_INTERVAL).await {
+        return false;
+    }
+    tokio::select! {
+        is_running = stop.sleep(POLL_INTERVAL - PACE_INTERVAL) => is_running,
+        () = app.duties_trigger.notified() => true,
+    }
+}
+
 /// Releases the lease, so that another entry can acquire it immediately.
 pub async fn release(app: &app::App) {
     let update = lock(&app.lease).release(app.clock.now());
