--- a/crates/entry/src/duties.rs
+++ b/crates/entry/src/duties.rs
@@ -60,7 +60,7 @@
         return false;
     }
     tokio::select! {
-        is_running = stop.sleep(POLL_INTERVAL - PACE_INTERVAL) => is_running,
+        is_running = stop.sleep(POLL_INTERVAL.saturating_sub(PACE_INTERVAL)) => is_running,
         () = app.duties_trigger.notified() => true,
     }
 }
