--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -3,6 +3,8 @@
 //! Each VM has its own loopback address and a counting TCP proxy in front of its agent, so the
 //! bytes on each link are counted outside the system under test.
 
+mod settings;
+
 use std::{io, net, sync, time};
 
 use indexmap::IndexMap;
@@ -204,7 +206,7 @@
         let v1 = store.publish(&parse("v1")?, options.v1_bytes, chunk_bytes, options.seed);
         let v2_seed = options.seed + 1;
         let v2 = store.publish(&parse("v2")?, options.v2_bytes, chunk_bytes, v2_seed);
-        let config = initial_config(options, &v1)?;
+        let config = settings::initial_config(options, &v1)?;
         objects.set(
             "config",
             serde_json::to_value(&config).context(ConfigSnafu)?,
@@ -217,7 +219,7 @@
         let entry_addresses: Vec<_> = addresses.collect();
         let mut entries = Vec::new();
         for index in 0..options.entry_count {
-            let settings = entry_settings(options, index, &entry_addresses, api, origin)?;
+            let settings = settings::entry_settings(options, index, &entry_addresses, api, origin)?;
             let running = entry::start(settings).await.context(EntrySnafu)?;
             entries.push(Some(running));
         }
@@ -266,7 +268,7 @@
             proxy,
             agent: None,
         };
-        let settings = agent_settings(self, options, index, &vm, listen, origin)?;
+        let settings = settings::agent_settings(self, options, index, &vm, listen, origin)?;
         let running = agent::start(settings).await.context(AgentSnafu)?;
         vm.agent = Some(running);
         Ok(vm)
@@ -387,115 +389,3 @@
         .await
         .ok()
 }
-
-fn initial_config(
-    options: &FleetOptions,
-    v1: &burst::manifest::Manifest,
-) -> Result<intent::Config, FleetError> {
-    let model = model_service(v1, options.floor_percent, options.policy);
-    let plain = intent::ServiceConfig {
-        weights: None,
-        previous: Vec::new(),
-        idempotent: false,
-        floor_percent: options.floor_percent,
-        policy: options.policy,
-    };
-    let services = [
-        (parse(MODEL_SERVICE)?, model),
-        (parse(PLAIN_SERVICE)?, plain),
-    ];
-    Ok(intent::Config {
-        version: id::ConfigVersion::new(1),
-        services: services.into_iter().collect(),
-        ..intent::Config::default()
-    })
-}
-
-fn entry_settings(
-    options: &FleetOptions,
-    index: usize,
-    addresses: &[net::SocketAddr],
-    api: net::SocketAddr,
-    origin: net::SocketAddr,
-) -> Result<entry::settings::EntrySettings, FleetError> {
-    let mut entries = IndexMap::new();
-    for (index, address) in addresses.iter().enumerate() {
-        let endpoint = entry::settings::EntryLocation {
-            address: *address,
-            failure_domain: parse(FAILURE_DOMAINS[index % FAILURE_DOMAINS.len()])?,
-        };
-        entries.insert(parse(&format!("entry-{index}"))?, endpoint);
-    }
-    let token = entry::settings::Token::new(String::from(OPERATOR_TOKEN));
-    let objective = pimentohook_core::report::Objective {
-        availability_ppm: 999_000,
-        latency_ms: 470,
-        latency_ppm: 950_000,
-    };
-    let window_max = time::Duration::from_secs(30);
-    Ok(entry::settings::EntrySettings {
-        entry: parse(&format!("entry-{index}"))?,
-        listen: addresses[index],
-        entries,
-        object_api: api,
-        weight_store: origin,
-        operators: IndexMap::from([(parse("demo")?, token)]),
-        objectives: IndexMap::from([(parse(MODEL_SERVICE)?, objective)]),
-        directory_ttl: time::Duration::from_millis(500),
-        window: options.window,
-        silence_max: time::Duration::from_millis(1_500),
-        join_age: options.join_age,
-        chain_length: 3,
-        deadline_max: options.window.min(window_max),
-        decide_max: time::Duration::from_millis(800),
-        frame_silence_max: time::Duration::from_millis(800),
-        retry_percent: 9,
-        body_max: size::ByteCount::new(1 << 20),
-        lease_term: time::Duration::from_secs(1),
-        weights_rate: options.link_rate,
-        grant_timeout: time::Duration::from_secs(2),
-        metrics: None,
-        log_level: String::from("warn"),
-    })
-}
-
-fn agent_settings(
-    fleet: &Fleet,
-    options: &FleetOptions,
-    index: usize,
-    vm: &FleetVm,
-    listen: net::SocketAddr,
-    origin: net::SocketAddr,
-) -> Result<agent::settings::AgentSettings, FleetError> {
-    let plain = index >= options.replica_count;
-    let (service, kind) = if plain {
-        (PLAIN_SERVICE, agent::settings::UpstreamKind::Plain)
-    } else {
-        (MODEL_SERVICE, agent::settings::UpstreamKind::Engine)
-    };
-    Ok(agent::settings::AgentSettings {
-        vm: parse(&format!("vm-{index}"))?,
-        service: parse(service)?,
-        failure_domain: parse(FAILURE_DOMAINS[index % FAILURE_DOMAINS.len()])?,
-        listen,
-        advertise: Some(vm.proxy.address),
-        entries: fleet.entry_addresses.clone(),
-        kind,
-        upstream: vm.upstream.address,
-        weight_store: Some(origin),
-        slot_count: options.slot_count,
-        queue_max: options.queue_max,
-        window: options.window,
-        remembered_max: 100_000,
-        answers_max: size::ByteCount::new(16 << 20),
-        view_age_max: time::Duration::from_secs(3),
-        heartbeat_every: time::Duration::from_millis(200),
-        upstream_silence_max: time::Duration::from_secs(3),
-        orphan_max: time::Duration::from_secs(2),
-        weights_rate: options.link_rate,
-        stall_max: time::Duration::from_secs(2),
-        drain_max: time::Duration::from_secs(20),
-        metrics: None,
-        log_level: String::from("warn"),
-    })
-}
