--- a/crates/standin/src/bin/pimentohook-demo/main.rs
+++ b/crates/standin/src/bin/pimentohook-demo/main.rs
@@ -104,6 +104,7 @@
     print_progress("serving version 1; sending requests");
     let load = load::RequestLoad::start(&fleet, usize::try_from(number("requests"))?, options.seed);
     tokio::time::sleep(ROLLOUT_DELAY).await;
+    let link_bytes_before = fleet.link_bytes();
     let version_before = confirm_rollout(&fleet).await?;
     print_progress("version 2 confirmed");
     load.set_rolling_out(true);
@@ -120,6 +121,8 @@
     summary.time_to_live_ms = if is_live { millis(time_to_live) } else { 0 };
     summary.lower_bound_ms = millis(lower_bound);
     summary.stages = timeline.stages();
+    let link_copies = fleet.link_copies_since(&link_bytes_before);
+    summary.max_link_copies = link_copies.into_iter().fold(0.0, f64::max);
     Ok(summary)
 }
 
--- a/crates/standin/src/bin/pimentohook-demo/summary.rs
+++ b/crates/standin/src/bin/pimentohook-demo/summary.rs
@@ -24,7 +24,7 @@
     pub lower_bound_ms: u64,
     /// The bytes of version 2 that the origin sent, in copies.
     pub origin_copies: f64,
-    /// The bytes on the busiest link, in copies of version 2.
+    /// The bytes on the busiest link since the confirmation, in copies of version 2.
     pub max_link_copies: f64,
     /// The number of requests.
     pub requests_sent: usize,
@@ -98,7 +98,6 @@
         }
         let origin_bytes: u64 = fleet.origin_bytes().values().sum();
         summary.origin_copies = origin_bytes as f64 / fleet.v2_bytes.get() as f64;
-        summary.max_link_copies = fleet.link_copies().into_iter().fold(0.0, f64::max);
         let mixed_counts = fleet
             .engine_vms
             .iter()
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -304,14 +304,14 @@
             && open_count(PLAIN_SERVICE) == self.plain_vms.len()
     }
 
-    /// Returns the bytes sent and received by each engine VM, in copies of version 2.
+    /// Returns the bytes of weights that each engine VM has sent and received: of any version to and
+    /// from other agents, of version 2 from the origin.
     ///
     /// Bytes between agents include the overhead of their protocol.
     #[must_use]
-    #[expect(clippy::cast_precision_loss, reason = "a ratio for people to read")]
-    pub fn link_copies(&self) -> Vec<f64> {
+    pub fn link_bytes(&self) -> IndexMap<net::IpAddr, u64> {
         let vm_ips: Vec<net::IpAddr> = self.engine_vms.iter().map(|vm| vm.ip).collect();
-        let mut link_bytes: IndexMap<net::IpAddr, u64> = IndexMap::new();
+        let mut link_bytes = self.origin_bytes();
         for vm in &self.engine_vms {
             for (client_ip, bytes) in vm.proxy.bytes_by_client() {
                 if vm_ips.contains(&client_ip) {
@@ -320,14 +320,20 @@
                 }
             }
         }
-        for (client_ip, bytes) in self.origin_bytes() {
-            *link_bytes.entry(client_ip).or_insert(0) += bytes;
-        }
-        let copy_bytes = self.v2_bytes.get() as f64;
         link_bytes
-            .values()
-            .map(|bytes| *bytes as f64 / copy_bytes)
-            .collect()
+    }
+
+    /// Returns what each engine VM has sent and received since `before`, in copies of version 2.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "a ratio for people to read")]
+    pub fn link_copies_since(&self, before: &IndexMap<net::IpAddr, u64>) -> Vec<f64> {
+        let copy_bytes = self.v2_bytes.get() as f64;
+        let link_bytes = self.link_bytes();
+        let since = link_bytes.iter().map(|(vm, bytes)| {
+            let bytes_before = before.get(vm).copied().unwrap_or(0);
+            bytes.saturating_sub(bytes_before) as f64 / copy_bytes
+        });
+        since.collect()
     }
 
     /// Returns the number of bytes of version 2 that the origin sent to each VM.
