--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -477,3 +477,134 @@
         .collect();
     assert_eq!(failed, [3]);
 }
+
+/// The first VM to report was granted every chunk. The credit for its uploads did not suffice to pass
+/// them on to five others, which then waited for one grant each at a time.
+#[test]
+fn the_first_vm_to_report_is_not_granted_every_chunk() {
+    let limits = ledger::GrantLimits::new(Policy::OriginFirst, Duration::from_secs(2))
+        .shared_by(u32::try_from(PARTICIPANTS).expect("few VMs"));
+    let start = Instant::now();
+    let participants = participants_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut times = ledger::GrantTimes::default();
+    ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+    ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+    let own_share = 16_usize.div_ceil(PARTICIPANTS);
+    assert_eq!(ledger.grants().len(), own_share);
+    let soon = start + Duration::from_millis(100);
+    ledger.extend(soon, &availability(&participants), &mut times, limits);
+    assert_eq!(ledger.grants().len(), 16);
+    for participant in &participants {
+        let granted = ledger.grants_of(&participant.vm, participant.incarnation);
+        assert!(granted.count() <= own_share, "{}", participant.vm);
+    }
+}
+
+/// Five starved VMs were all granted the same chunk, so that the origin sent each chunk five times and
+/// none of them had anything for the others.
+#[test]
+fn starved_vms_are_granted_different_chunks() {
+    let grant_timeout = Duration::from_secs(2);
+    let limits = ledger::GrantLimits::new(Policy::OriginFirst, grant_timeout);
+    let start = Instant::now();
+    let mut participants = participants_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut times = ledger::GrantTimes::default();
+    ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+    participants[0].held = chunks::ChunkSet::full(CHUNKS);
+    ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+    for chunk in 0..CHUNKS {
+        let is_granted = ledger.grants().iter().any(|grant| grant.chunk == chunk);
+        if !is_granted {
+            participants[0].held.remove(chunk);
+            ledger.extend(start, &availability(&participants[..1]), &mut times, limits);
+            participants[0].held.insert(chunk);
+        }
+    }
+    for participant in &mut participants[1..] {
+        participant.held = chunks::ChunkSet::full(CHUNKS);
+        for missing in 3..10 {
+            participant.held.remove(missing);
+        }
+        participant.starved = true;
+    }
+    // The policy's limit is used up first; the hard limit applies once nothing was granted for long.
+    let later = start + grant_timeout * 2;
+    ledger.extend(later, &availability(&participants), &mut times, limits);
+    let granted_before = ledger.grants().len();
+    assert_eq!(granted_before, ledger.grant_max());
+    let much_later = start + grant_timeout * 4;
+    ledger.extend(much_later, &availability(&participants), &mut times, limits);
+    let mut granted: Vec<u32> = ledger.grants()[granted_before..]
+        .iter()
+        .map(|grant| grant.chunk)
+        .collect();
+    let count = granted.len();
+    granted.sort_unstable();
+    granted.dedup();
+    assert_eq!(count, PARTICIPANTS - 1, "{granted:?}");
+    assert_eq!(granted.len(), count, "{granted:?}");
+}
+
+/// A VM that alone had every chunk used up its credit on chunks that peers had taken already, and the
+/// others stayed with it.
+#[test]
+fn a_vm_passes_on_each_chunk_from_the_origin_before_its_credit_is_used_up() {
+    let mut uploader = Uploader::new(CHUNKS, 200, 3, REFILL);
+    let held = chunks::ChunkSet::full(CHUNKS);
+    let now = Instant::now();
+    for chunk in 0..CHUNKS {
+        uploader.record_downloaded();
+        uploader.record_introduced(chunk);
+    }
+    let mut passed_on = chunks::ChunkSet::new(CHUNKS);
+    // Each chunk is requested three times before the next one.
+    for chunk in (0..CHUNKS).flat_map(|chunk| [chunk; 3]) {
+        if uploader.try_start(now, &held, chunk, false).is_ok() {
+            uploader.release_slot();
+            passed_on.insert(chunk);
+        }
+    }
+    assert!(passed_on.is_full(), "{passed_on:?}");
+    assert_eq!(uploader.uploaded_count(), CHUNKS);
+    let next = uploader.try_start(now, &held, 0, false);
+    assert_eq!(next, Err(UploadDenial::Spent));
+}
+
+#[test]
+fn credit_is_kept_only_for_chunks_that_were_not_passed_on() {
+    let mut uploader = Uploader::new(CHUNKS, 200, 3, REFILL);
+    let held = chunks::ChunkSet::full(CHUNKS);
+    let now = Instant::now();
+    uploader.record_introduced(1);
+    uploader.record_introduced(2);
+    let mut start = |chunk| {
+        let started = uploader.try_start(now, &held, chunk, false);
+        if started.is_ok() {
+            uploader.release_slot();
+        }
+        started
+    };
+    for upload in 1..CHUNKS {
+        assert_eq!(start(1), Ok(()), "upload {upload}");
+    }
+    assert_eq!(start(1), Err(UploadDenial::Busy));
+    assert_eq!(start(2), Ok(()));
+    assert_eq!(start(1), Err(UploadDenial::Spent));
+}
+
+/// Credit that is kept for chunks that nobody requests would keep the last VMs waiting for ever.
+#[test]
+fn credit_is_not_kept_for_chunks_that_peers_have_from_elsewhere() {
+    let mut uploader = Uploader::new(CHUNKS, 200, 3, REFILL);
+    let held = chunks::ChunkSet::full(CHUNKS);
+    let now = Instant::now();
+    (0..CHUNKS).for_each(|chunk| uploader.record_introduced(chunk));
+    assert_eq!(uploader.try_start(now, &held, 0, false), Ok(()));
+    uploader.release_slot();
+    let again = uploader.try_start(now, &held, 0, false);
+    assert_eq!(again, Err(UploadDenial::Busy));
+    let later = now + Duration::from_secs(2);
+    assert_eq!(uploader.try_start(later, &held, 0, false), Ok(()));
+}
--- a/crates/core/tests/ledger_recovery.rs
+++ b/crates/core/tests/ledger_recovery.rs
@@ -17,6 +17,7 @@
 const LIMITS: GrantLimits = GrantLimits {
     grant_timeout: Duration::from_millis(1_500),
     open_grants_max: 8,
+    vm_grants_max: 8,
 };
 
 fn incarnation() -> id::Incarnation {
