--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -31,6 +31,8 @@
     pub delay_ms: u64,
     /// How many of the next writes take effect while their replies are lost.
     pub lost_reply_count: u32,
+    /// Whether the API is down from the next lost reply on.
+    pub down_after_lost_reply: bool,
 }
 
 /// The number of calls received; a long-polling read counts once.
@@ -128,15 +130,16 @@
 
     /// Waits for the injected delay and returns whether the API is down.
     async fn delay_and_check_down(&self) -> bool {
-        let delay_ms = lock(&self.faults).delay_ms;
-        tokio::time::sleep(time::Duration::from_millis(delay_ms)).await;
-        lock(&self.faults).down
+        let faults = *lock(&self.faults);
+        tokio::time::sleep(time::Duration::from_millis(faults.delay_ms)).await;
+        faults.down
     }
 
     /// Returns whether the reply to this write is lost, and decrements the injected count.
     fn take_lost_reply(&self) -> bool {
         let mut faults = lock(&self.faults);
         let is_lost = faults.lost_reply_count > 0;
+        faults.down |= is_lost && faults.down_after_lost_reply;
         faults.lost_reply_count = faults.lost_reply_count.saturating_sub(1);
         is_lost
     }
--- a/crates/standin/tests/faults.rs
+++ b/crates/standin/tests/faults.rs
@@ -320,21 +320,15 @@
 async fn confirmation_whose_fate_is_unknown_is_not_reported_as_without_effect() {
     let fleet = start(&FleetOptions::default()).await;
     let plan = create_rollout_plan(&fleet).await;
+    let version = || -> Option<u64> { fleet.objects.value("config")?["version"].as_u64() };
+    let version_before = version();
     fleet.objects.set_faults(objects::Faults {
         lost_reply_count: 1,
-        delay_ms: 300,
+        down_after_lost_reply: true,
         ..objects::Faults::default()
     });
-    let version = || -> Option<u64> { fleet.objects.value("config")?["version"].as_u64() };
-    let version_before = version();
-    let platform_fails = async {
-        wait_until("the write to take effect", || version() != version_before).await;
-        fleet.objects.set_faults(objects::Faults {
-            down: true,
-            ..objects::Faults::default()
-        });
-    };
-    let ((status, body), ()) = tokio::join!(confirm(&fleet, &plan), platform_fails);
+    let (status, body) = confirm(&fleet, &plan).await;
+    assert_ne!(version(), version_before);
     assert_eq!(status, 503, "{body}");
     assert!(body.contains("may be in force"), "{body}");
     assert!(!body.contains("stays in force"), "{body}");
