--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`engine`]: how long an engine takes to respond.
 //! * [`engine_admission`]: which requests an engine admits.
+//! * [`engine_contact`]: whether an engine whose agent does not respond is used.
 //! * [`event_stream`]: the events of a streamed response.
 //! * [`refusal_rate`]: when refused callers should retry.
 //! * [`shutdown`]: which requests a process accepts while it is shutting down.
@@ -46,6 +47,7 @@
 pub mod collection;
 pub mod engine;
 pub mod engine_admission;
+pub mod engine_contact;
 pub mod event_stream;
 pub mod id;
 pub mod intent;
--- a/crates/entry/src/direct/agents.rs
+++ b/crates/entry/src/direct/agents.rs
@@ -1,6 +1,6 @@
 //! Handles agents' messages: the state of an engine, and requests for a service's configuration.
 
-use std::{sync, sync::atomic};
+use std::sync;
 
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
@@ -8,7 +8,7 @@
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
-use super::app;
+use super::{app, engine_silence};
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 
@@ -32,10 +32,8 @@
                 .state
                 .engine_state
                 .store(Some(engine_state.clone()));
-            candidate
-                .state
-                .agent_silent_until_ms
-                .store(0, atomic::Ordering::Relaxed);
+            let change = candidate.state.contact.record_agent_reply(app.now_ms());
+            engine_silence::log_change(&app, &candidate.upstream.instance, change);
         }
     }
     server::respond_text(StatusCode::OK, "noted")
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,7 +6,7 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    clock, id, limits, refusal_rate, routes, routing::score, shutdown, upstreams,
+    clock, engine_contact, id, limits, refusal_rate, routes, routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{body, client, metrics};
@@ -25,8 +25,8 @@
     pub in_flight: atomic::AtomicU32,
     /// Whether a response showed that another instance now has the address.
     pub is_replaced: atomic::AtomicBool,
-    /// Until when its agent is treated as silent, in milliseconds since the entry started.
-    pub agent_silent_until_ms: atomic::AtomicU64,
+    /// Whether its agent and it itself respond.
+    pub contact: engine_contact::EngineContact,
     /// Until when its agent is assumed to refuse requests, in milliseconds since the entry started.
     pub refusing_until_ms: atomic::AtomicU64,
     /// The engine state last reported by its agent; newer than the listed data.
@@ -96,6 +96,8 @@
     pub announced: ArcSwap<IndexMap<String, Vec<AnnouncedVersion>>>,
     /// The other entries, by name.
     pub peers: ArcSwap<IndexMap<String, Peer>>,
+    /// Notified when an engine has become silent.
+    pub silence_changed: tokio::sync::Notify,
     /// The limits that upstreams have named.
     pub upstream_limits: upstream_limits::UpstreamLimits,
     cached: IndexMap<store::Kind, cache::CachedCollection>,
@@ -146,6 +148,7 @@
             candidates: ArcSwap::default(),
             announced: ArcSwap::default(),
             peers: ArcSwap::default(),
+            silence_changed: tokio::sync::Notify::new(),
             upstream_limits: upstream_limits::UpstreamLimits::default(),
             cached: store::Kind::iter()
                 .map(|kind| (kind, cache::CachedCollection::default()))
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to an upstream.
 
-use std::{net, sync, sync::atomic, time};
+use std::{net, sync::atomic, time};
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -10,13 +10,13 @@
 use pimentohook_platform::request;
 use pimentohook_runtime::{body, client, server};
 
-use super::{app, limited_upstream, placement, proxy, upstream_limits};
+use super::{app, engine_silence, limited_upstream, placement, proxy, upstream_limits};
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 const EVENT_STREAM: &str = "text/event-stream";
-/// If a request may be retried, an attempt times out after this multiple of the route's goal.
-const ATTEMPT_TIMEOUT_GOALS: u32 = 4;
-const ATTEMPT_TIMEOUT_MIN: time::Duration = time::Duration::from_millis(150);
+/// An attempt at a request that may be retried is slow after this multiple of the route's goal.
+const SLOW_AFTER_GOALS: u32 = 4;
+const SLOW_AFTER_MIN: time::Duration = time::Duration::from_millis(150);
 
 /// Why an attempt got no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -39,10 +39,8 @@
     pub events: event_stream::EventReader,
     /// Whether the body has ended.
     pub is_ended: bool,
-    /// The state of the upstream.
-    pub state: sync::Arc<app::UpstreamState>,
-    /// The upstream's instance.
-    pub instance: String,
+    /// The upstream.
+    pub candidate: app::Candidate,
     /// Counts the request as in flight at the upstream.
     pub in_flight: placement::InFlightGuard,
 }
@@ -70,7 +68,7 @@
 ) -> Outcome {
     let upstream = &placement.candidate.upstream;
     let state = &placement.candidate.state;
-    let in_flight = placement::InFlightGuard::new(state.clone());
+    let in_flight = placement::InFlightGuard::new(state.clone(), app.now_ms());
     let started_at = time::Instant::now();
     let upstream_request = match build(request, placement, last_event_id) {
         Ok(upstream_request) => upstream_request,
@@ -82,7 +80,7 @@
             return Outcome::Fault(Fault::NotRun);
         }
     };
-    let attempt_timeout = attempt_timeout(request);
+    let attempt_timeout = request.remaining();
     if let Some(limited) = app.upstream_limits.get(&upstream.instance) {
         limited.count_send(reason);
     }
@@ -94,6 +92,7 @@
         Ok(response) => response,
         Err(error) => return send_failed(app, state, &error),
     };
+    record_sign(app, &placement.candidate);
     let class = request::classify_response(
         response.status(),
         response.headers(),
@@ -126,19 +125,22 @@
     upstream_response.read(app, request, placement).await
 }
 
-/// Returns how long an attempt may take to get a complete response, or the first event of a stream.
-fn attempt_timeout(request: &proxy::ProxiedRequest) -> time::Duration {
+/// Records that something has come from an upstream.
+fn record_sign(app: &app::App, candidate: &app::Candidate) {
+    let change = candidate.state.contact.record_sign(app.now_ms());
+    engine_silence::log_change(app, &candidate.upstream.instance, change);
+}
+
+/// Returns after how long an attempt without a complete response, or without the first event of a
+/// stream, is given up if another upstream takes the request.
+pub fn slow_after(request: &proxy::ProxiedRequest) -> time::Duration {
     let remaining = request.remaining();
-    if !request.route.may_repeat() || request.route.attempts_max < 2 {
-        return remaining;
-    }
-    let attempt_timeout = (request.route.goal * ATTEMPT_TIMEOUT_GOALS).max(ATTEMPT_TIMEOUT_MIN);
-    // If less than another attempt timeout would remain for another upstream, the time is split in
-    // half.
-    if remaining > attempt_timeout * 2 {
-        attempt_timeout
+    let slow_after = (request.route.goal * SLOW_AFTER_GOALS).max(SLOW_AFTER_MIN);
+    // If less than this would remain for another upstream, the time is split in half.
+    if remaining > slow_after * 2 {
+        slow_after
     } else {
-        (remaining / 2).max(ATTEMPT_TIMEOUT_MIN).min(remaining)
+        (remaining / 2).max(SLOW_AFTER_MIN).min(remaining)
     }
 }
 
@@ -263,23 +265,22 @@
     }
 
     async fn read_stream(self, app: &app::App, placement: &placement::Placement) -> Outcome {
-        let state = placement.candidate.state.clone();
         let (head, body) = self.response.into_parts();
         let mut open = OpenStream {
             head,
             body,
             events: event_stream::EventReader::new(self.last_event_id),
             is_ended: false,
-            state,
-            instance: placement.candidate.upstream.instance.clone(),
+            candidate: placement.candidate.clone(),
             in_flight: self.in_flight,
         };
-        let first = tokio::time::timeout(self.timeout, open.fill()).await;
+        let first = tokio::time::timeout(self.timeout, open.fill(app)).await;
         if !matches!(first, Ok(true)) {
-            open.state.stats.record_failure(app.now_ms());
+            open.candidate.state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
         }
-        open.state.stats.record_success(self.started_at.elapsed());
+        let stats = &open.candidate.state.stats;
+        stats.record_success(self.started_at.elapsed());
         Outcome::Stream(Box::new(open))
     }
 }
@@ -296,17 +297,18 @@
 impl OpenStream {
     /// Reads until there are complete events or the body has ended; returns false if the body was
     /// cut off or is not valid.
-    pub async fn fill(&mut self) -> bool {
+    pub async fn fill(&mut self, app: &app::App) -> bool {
         while !self.events.has_events() {
             if let Some(violation) = self.events.violation() {
                 log::warn!(
                     "attempt: event=stream_not_valid instance={} reason={violation}",
-                    self.instance
+                    self.instance()
                 );
                 return false;
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
+                    record_sign(app, &self.candidate);
                     if let Ok(bytes) = frame.into_data() {
                         self.events.push(&bytes);
                     }
@@ -322,6 +324,12 @@
         true
     }
 
+    /// Returns the upstream's instance.
+    #[must_use]
+    pub fn instance(&self) -> &str {
+        &self.candidate.upstream.instance
+    }
+
     /// Removes the complete events and returns them.
     pub fn take_events(&mut self) -> Bytes {
         Bytes::from(self.events.take())
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -7,9 +7,10 @@
 //! * [`feed`] and [`cache`]: the configuration, the upstreams, the entries and the announced
 //!   weights, from the store or from other entries.
 //! * [`proxy`]: a caller's request, from its arrival to the final response.
-//! * [`placement`]: the selection of an upstream.
+//! * [`placement`] and [`slot`]: the selection of an upstream, and the slots that agents grant.
 //! * [`attempt`] and [`stream`]: one attempt to send a request to an upstream, and responses that
 //!   are event streams.
+//! * [`engine_silence`]: engines that stand still, and what happens to requests that wait there.
 //! * [`upstream_limits`], [`limited_upstream`], [`limit_gossip`] and [`permits`]: the limits that
 //!   upstreams name in their responses, and the permits with which all entries together keep them.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
@@ -22,6 +23,7 @@
 pub mod attempt;
 pub mod cache;
 pub mod directory;
+pub mod engine_silence;
 pub mod feed;
 pub mod limit_gossip;
 pub mod limited_upstream;
@@ -30,6 +32,7 @@
 pub mod placement;
 pub mod proxy;
 pub mod settings;
+pub mod slot;
 pub mod stream;
 pub mod upstream_limits;
 
@@ -135,6 +138,7 @@
     feed::start(&app);
     tokio::spawn(peers::run(app.clone()));
     tokio::spawn(limit_gossip::run(app.clone()));
+    tokio::spawn(engine_silence::run(app.clone()));
     Ok(Running {
         stop,
         app,
@@ -153,6 +157,9 @@
         route
             .post(direct::LIMITS_PATH)
             .to_new_handler(server::endpoint(app, limit_gossip::handle));
+        route
+            .post(direct::SILENCE_PATH)
+            .to_new_handler(server::endpoint(app, engine_silence::handle));
         route
             .post(direct::FOLLOW_PATH)
             .to_new_handler(server::endpoint(app, feed::handle_follow));
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -2,31 +2,26 @@
 //!
 //! Upstreams of a plain service are selected by their score. For an engine, the entry requests a
 //! slot from the agent beside it, because only the agent sees the load from all entries. While the
-//! agent doesn't respond, an entry limits itself to its share of the engine's slots.
+//! agent doesn't respond, an entry limits itself to its share of the engine's slots, if the engine
+//! itself responds.
 
 use std::{sync, sync::atomic, time};
 
 use pimentohook_core::{
-    engine, id, rolling_update,
+    engine,
+    engine_contact::Access,
+    id, rolling_update,
     routing::{choice, score},
     upstreams,
 };
-use pimentohook_wire::direct;
 use rand::RngExt as _;
 
-use super::{app, permits};
+use super::{app, permits, slot};
 
-const SLOT_REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(60);
-const AGENT_SILENCE_MS: u64 = 500;
-/// How long an engine that refused a slot is ranked after the others.
-const REFUSAL_BACKOFF_MS: u64 = 30;
 /// Maximum number of agents that are asked for a slot for one request, one after the other.
 const SLOT_REQUESTS_MAX: usize = 10;
 /// Like [`SLOT_REQUESTS_MAX`], for a request that has already missed its goal.
 const SLOT_REQUESTS_LATE_MAX: usize = 4;
-/// The share of the remaining time to the first token that the agent may plan with; the rest is a
-/// margin for what the engine profile doesn't cover.
-const FIRST_TOKEN_BUDGET_PERCENT: u32 = 85;
 /// How much likelier than others a limited upstream is to be tried first, so that it is used up to
 /// its limit.
 const LIMITED_PREFERENCE: usize = 2;
@@ -54,6 +49,9 @@
     pub first_token_max: time::Duration,
     /// Whether only spare capacity may be used, because the request has already missed its goal.
     pub spare_only: bool,
+    /// Whether it may be sent to an engine of which nothing is known, because it may be sent to
+    /// another one too.
+    pub may_probe: bool,
     /// Instances that have already failed this request.
     pub excluded: &'a [String],
 }
@@ -65,6 +63,18 @@
     pub candidate: app::Candidate,
     /// The version of the weights that the upstream must serve; `None` if any version will do.
     pub weights_version: Option<u64>,
+    /// The mark of a request that probes whether the upstream responds.
+    pub probe: Option<sync::Arc<ProbeGuard>>,
+}
+
+/// Marks that a request probes an upstream until the guard is dropped.
+#[derive(Debug)]
+pub struct ProbeGuard(sync::Arc<app::UpstreamState>);
+
+impl Drop for ProbeGuard {
+    fn drop(&mut self) {
+        self.0.contact.end_probe();
+    }
 }
 
 /// Why no upstream was selected.
@@ -89,7 +99,8 @@
 impl InFlightGuard {
     /// Counts a request at the upstream.
     #[must_use]
-    pub fn new(state: sync::Arc<app::UpstreamState>) -> Self {
+    pub fn new(state: sync::Arc<app::UpstreamState>, now_ms: u64) -> Self {
+        state.contact.record_send(now_ms);
         state.in_flight.fetch_add(1, atomic::Ordering::Relaxed);
         state.stats.record_start();
         Self(state)
@@ -98,6 +109,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        self.0.contact.record_end();
         self.0.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
         self.0.stats.record_end();
     }
@@ -108,7 +120,10 @@
 /// # Errors
 ///
 /// Returns a [`Denial`] if no upstream can take the request now.
-pub async fn choose(app: &app::App, request: &PlacementRequest<'_>) -> Result<Placement, Denial> {
+pub async fn choose(
+    app: &sync::Arc<app::App>,
+    request: &PlacementRequest<'_>,
+) -> Result<Placement, Denial> {
     let all = app.candidates.load_full();
     let Some(listed) = all.get(request.service) else {
         return Err(Denial::Nobody);
@@ -154,6 +169,7 @@
         .map(|candidate| Placement {
             candidate,
             weights_version: None,
+            probe: None,
         })
         .ok_or(denial)
 }
@@ -182,6 +198,7 @@
             return Ok(Placement {
                 candidate: app::Candidate::clone(candidate),
                 weights_version: None,
+                probe: None,
             });
         }
     }
@@ -248,7 +265,7 @@
 }
 
 async fn choose_engine(
-    app: &app::App,
+    app: &sync::Arc<app::App>,
     request: &PlacementRequest<'_>,
     profile: &engine::EngineProfile,
     model: &str,
@@ -263,20 +280,7 @@
     if serving.is_empty() {
         return Err(Denial::Nobody);
     }
-    let now_ms = app.now_ms();
-    let rank = |candidate: &&app::Candidate| {
-        let is_refusing = candidate
-            .state
-            .refusing_until_ms
-            .load(atomic::Ordering::Relaxed)
-            > now_ms;
-        let is_ejected = candidate.state.stats.is_ejected(now_ms);
-        let in_flight = candidate.state.in_flight.load(atomic::Ordering::Relaxed);
-        let is_cross_domain = candidate.upstream.failure_domain != app.settings.failure_domain;
-        let cost = in_flight + u32::from(is_cross_domain) * CROSS_DOMAIN_COST;
-        (is_ejected, is_refusing, cost, rand::rng().random::<u32>())
-    };
-    serving.sort_by_cached_key(rank);
+    rank(app, &mut serving);
     let slot_requests_max = if request.spare_only {
         SLOT_REQUESTS_LATE_MAX
     } else {
@@ -284,97 +288,106 @@
     };
     let mut denials = PermitDenials::default();
     let mut slot_requests = 0;
-    for candidate in serving {
+    for candidate in &serving {
         if slot_requests == slot_requests_max {
-            return Err(Denial::Full);
+            break;
+        }
+        match candidate.state.contact.access(app.now_ms(), false) {
+            Access::Closed => continue,
+            Access::Probe => {
+                if let Some(probe) = begin_probe(app, candidate, &mut denials).await {
+                    return Ok(engine_placement(candidate, model, allowed, Some(probe)));
+                }
+                continue;
+            }
+            Access::Agent | Access::Share => {}
         }
         if !denials.acquire(app, candidate).await {
             continue;
         }
         slot_requests += 1;
-        if request_slot(app, request, profile, model, allowed, candidate).await {
-            // The upstream checks this version, so that an engine that loads other weights in the
-            // meantime can't run the request on a version that is too old. Without an oldest
-            // version, any version that the engine serves will do.
-            let weights_version = allowed
-                .version_min
-                .and_then(|_| candidate.served_version(model));
-            return Ok(Placement {
-                candidate: candidate.clone(),
-                weights_version,
-            });
+        let version_min = allowed.version_min;
+        if slot::request(app, request, profile, model, version_min, candidate).await {
+            return Ok(engine_placement(candidate, model, allowed, None));
         }
         permits::give_back(app, &candidate.upstream.instance);
     }
+    // Only if nobody else takes the request, because it may wait there in vain.
+    for candidate in &serving {
+        let access = candidate
+            .state
+            .contact
+            .access(app.now_ms(), request.may_probe);
+        if access != Access::Probe {
+            continue;
+        }
+        if let Some(probe) = begin_probe(app, candidate, &mut denials).await {
+            return Ok(engine_placement(candidate, model, allowed, Some(probe)));
+        }
+    }
     match denials.denial() {
         Some(denial) if slot_requests == 0 => Err(denial),
         _ => Err(Denial::Full),
     }
 }
 
-/// Requests a slot from the agent beside an engine; returns whether the request may be sent there.
-async fn request_slot(
-    app: &app::App,
-    request: &PlacementRequest<'_>,
-    profile: &engine::EngineProfile,
-    model: &str,
-    allowed: AllowedVersions,
-    candidate: &app::Candidate,
-) -> bool {
-    let state = &candidate.state;
+/// Sorts engines by how well they suit a request, the best first.
+fn rank(app: &app::App, serving: &mut [&app::Candidate]) {
     let now_ms = app.now_ms();
-    if state.agent_silent_until_ms.load(atomic::Ordering::Relaxed) > now_ms {
-        return is_within_share(app, profile, state);
-    }
-    let max_ms = request.first_token_max.as_millis() * u128::from(FIRST_TOKEN_BUDGET_PERCENT) / 100;
-    let slot_request = direct::SlotRequest {
-        instance: candidate.upstream.instance.clone(),
-        model: String::from(model),
-        prompt_tokens: request.prompt_tokens,
-        answer_tokens: request.answer_tokens,
-        first_token_max_ms: u32::try_from(max_ms).unwrap_or(u32::MAX),
-        version_min: allowed.version_min,
-        spare_only: request.spare_only,
-    };
-    let agent = app.agent_address(&candidate.upstream);
-    let call = app.internal.call(
-        agent,
-        direct::SLOT_PATH,
-        &slot_request,
-        SLOT_REQUEST_TIMEOUT,
-    );
-    let reply: direct::SlotReply = match call.await {
-        Ok(reply) => reply,
-        Err(error) => {
-            log::warn!(
-                "placement: event=agent_silent instance={} error={error:?}",
-                candidate.upstream.instance
-            );
-            let until = now_ms + AGENT_SILENCE_MS;
-            state
-                .agent_silent_until_ms
-                .store(until, atomic::Ordering::Relaxed);
-            return is_within_share(app, profile, state);
-        }
-    };
-    if !reply.granted {
-        state
+    let rank = |candidate: &&app::Candidate| {
+        let may_stand_still = candidate.state.contact.may_stand_still();
+        let is_refusing = candidate
+            .state
             .refusing_until_ms
-            .store(now_ms + REFUSAL_BACKOFF_MS, atomic::Ordering::Relaxed);
+            .load(atomic::Ordering::Relaxed)
+            > now_ms;
+        let is_ejected = candidate.state.stats.is_ejected(now_ms);
+        let in_flight = candidate.state.in_flight.load(atomic::Ordering::Relaxed);
+        let is_cross_domain = candidate.upstream.failure_domain != app.settings.failure_domain;
+        let cost = in_flight + u32::from(is_cross_domain) * CROSS_DOMAIN_COST;
+        let random = rand::rng().random::<u32>();
+        (may_stand_still, is_ejected, is_refusing, cost, random)
+    };
+    serving.sort_by_cached_key(rank);
+}
+
+fn engine_placement(
+    candidate: &app::Candidate,
+    model: &str,
+    allowed: AllowedVersions,
+    probe: Option<ProbeGuard>,
+) -> Placement {
+    // The upstream checks this version, so that an engine that loads other weights in the
+    // meantime can't run the request on a version that is too old. Without an oldest version, any
+    // version that the engine serves will do.
+    let weights_version = allowed
+        .version_min
+        .and_then(|_| candidate.served_version(model));
+    Placement {
+        candidate: candidate.clone(),
+        weights_version,
+        probe: probe.map(sync::Arc::new),
     }
-    state.engine_state.store(Some(sync::Arc::new(reply.state)));
-    reply.granted
 }
 
-/// Returns whether this entry uses less than its share of an engine's slots.
-///
-/// Entries that are not heard may be cut off and use the engine too, so they keep their shares for a
-/// while.
-fn is_within_share(
+/// Lets a request probe an engine of which it is not known whether it responds, unless another one
+/// does so or there is no permit.
+async fn begin_probe(
     app: &app::App,
-    profile: &engine::EngineProfile,
-    state: &app::UpstreamState,
-) -> bool {
-    let share = app.upstream_limits.shares().of_slots(profile.slot_count);
-    state.in_flight.load(atomic::Ordering::Relaxed) < share
+    candidate: &app::Candidate,
+    denials: &mut PermitDenials,
+) -> Option<ProbeGuard> {
+    // A probe that a denied permit prevents does not count as one.
+    if !denials.acquire(app, candidate).await {
+        return None;
+    }
+    let instance = &candidate.upstream.instance;
+    if !candidate.state.contact.try_begin_probe(app.now_ms()) {
+        permits::give_back(app, instance);
+        return None;
+    }
+    let probe = ProbeGuard(candidate.state.clone());
+    log::info!("placement: event=probe instance={instance}");
+    app.count("probed");
+    Some(probe)
 }
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -14,7 +14,7 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    limited_upstream, permits, placement, stream,
+    engine_silence, limited_upstream, permits, placement, stream,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -270,15 +270,21 @@
 ) -> Response<Body> {
     let budget = app.retry_budget(&request.service);
     budget.deposit();
+    let mut next = None;
     loop {
-        let placement = match choose(app, request, &history.tried).await {
-            Ok(placement) => placement,
-            Err(denial) => return refuse(app, request, history, denial),
+        let placement = if let Some(placement) = next.take() {
+            placement
+        } else {
+            let placement = match choose(app, request, &history.tried).await {
+                Ok(placement) => placement,
+                Err(denial) => return refuse(app, request, history, denial),
+            };
+            if !history.tried.is_empty() && !budget.try_withdraw() {
+                permits::give_back(app, &placement.candidate.upstream.instance);
+                return fail(app, request, history, "the retry budget is spent");
+            }
+            placement
         };
-        if !history.tried.is_empty() && !budget.try_withdraw() {
-            permits::give_back(app, &placement.candidate.upstream.instance);
-            return fail(app, request, history, "the retry budget is spent");
-        }
         history
             .tried
             .push(placement.candidate.upstream.instance.clone());
@@ -288,7 +294,20 @@
         } else {
             limited_upstream::SendReason::First
         };
-        match attempt::run(app, request, &placement, reason, None).await {
+        let (tried, run_count) = (&history.tried, history.run_count);
+        let moved = engine_silence::next_placement(app, request, &placement, tried, run_count);
+        let outcome = tokio::select! {
+            biased;
+            outcome = attempt::run(app, request, &placement, reason, None) => outcome,
+            moved = moved => {
+                // The upstream that is left may still run the request.
+                next = Some(moved);
+                history.may_have_run = true;
+                history.run_count += 1;
+                continue;
+            }
+        };
+        match outcome {
             Outcome::Complete(response) => {
                 log_response(app, request, history, &instance, response.status());
                 return response;
@@ -324,20 +343,32 @@
     }
 }
 
-async fn choose(
-    app: &app::App,
+/// Selects an upstream that the request has not been sent to.
+///
+/// # Errors
+///
+/// Returns a [`placement::Denial`] if no upstream can take the request now.
+pub async fn choose(
+    app: &sync::Arc<app::App>,
     request: &ProxiedRequest,
     tried: &[String],
 ) -> Result<placement::Placement, placement::Denial> {
     let service = request.table.services.get(&request.service);
+    let goal_remaining = request.goal_remaining();
+    let is_late = goal_remaining.is_zero();
     let placement_request = placement::PlacementRequest {
         service: &request.service,
         profile: service.and_then(|service| service.engine.as_ref()),
         model: request.caller.model.as_deref(),
         prompt_tokens: request.caller.prompt_tokens,
         answer_tokens: request.caller.answer_tokens,
-        first_token_max: request.goal_remaining(),
-        spare_only: request.is_late_retry,
+        first_token_max: if is_late {
+            request.route.goal.min(request.remaining())
+        } else {
+            goal_remaining
+        },
+        spare_only: is_late || request.is_late_retry,
+        may_probe: tried.is_empty() && request.route.may_repeat() && request.route.attempts_max > 1,
         excluded: tried,
     };
     placement::choose(app, &placement_request).await
--- /dev/null
+++ b/crates/entry/src/direct/slot.rs
@@ -0,0 +1,93 @@
+//! Requests slots for requests from the agents beside engines.
+
+use std::{sync, sync::atomic};
+
+use pimentohook_core::{engine, engine_contact::Access};
+use pimentohook_runtime::client;
+use pimentohook_wire::direct;
+
+use super::{app, engine_silence, placement};
+
+/// How long an engine that refused a slot is ranked after the others.
+const REFUSAL_BACKOFF_MS: u64 = 30;
+/// The share of the remaining time to the first token that the agent may plan with; the rest is a
+/// margin for what the engine profile doesn't cover.
+const FIRST_TOKEN_BUDGET_PERCENT: u32 = 85;
+
+/// Requests a slot from the agent beside an engine; returns whether the request may be sent there.
+pub async fn request(
+    app: &sync::Arc<app::App>,
+    request: &placement::PlacementRequest<'_>,
+    profile: &engine::EngineProfile,
+    model: &str,
+    version_min: Option<u64>,
+    candidate: &app::Candidate,
+) -> bool {
+    let state = &candidate.state;
+    let now_ms = app.now_ms();
+    if state.contact.access(now_ms, false) != Access::Agent {
+        return is_within_share(app, profile, state);
+    }
+    let max_ms = request.first_token_max.as_millis() * u128::from(FIRST_TOKEN_BUDGET_PERCENT) / 100;
+    let slot_request = direct::SlotRequest {
+        instance: candidate.upstream.instance.clone(),
+        model: String::from(model),
+        prompt_tokens: request.prompt_tokens,
+        answer_tokens: request.answer_tokens,
+        first_token_max_ms: u32::try_from(max_ms).unwrap_or(u32::MAX),
+        version_min,
+        spare_only: request.spare_only,
+    };
+    let agent = app.agent_address(&candidate.upstream);
+    let call = app.internal.call(
+        agent,
+        direct::SLOT_PATH,
+        &slot_request,
+        engine_silence::AGENT_TIMEOUT,
+    );
+    let reply: direct::SlotReply = match call.await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log_agent_silence(app, candidate, &error);
+            engine_silence::record_agent_failure(app, candidate, now_ms, &error);
+            return is_within_share(app, profile, state);
+        }
+    };
+    if !reply.granted {
+        state
+            .refusing_until_ms
+            .store(now_ms + REFUSAL_BACKOFF_MS, atomic::Ordering::Relaxed);
+    }
+    let is_granted = reply.granted;
+    engine_silence::record_agent_reply(app, candidate, reply);
+    is_granted
+}
+
+/// Logs that an agent has stopped responding, once.
+fn log_agent_silence(app: &app::App, candidate: &app::Candidate, error: &client::ClientError) {
+    if !candidate.state.contact.responds() {
+        return;
+    }
+    app.count("agent_silent");
+    log::warn!(
+        "placement: event=agent_silent instance={} error={error:?}",
+        candidate.upstream.instance
+    );
+}
+
+/// Returns whether an engine whose agent doesn't respond responds itself, and this entry uses less
+/// than its share of the engine's slots.
+///
+/// Entries that are not heard may be cut off and use the engine too, so they keep their shares for a
+/// while.
+fn is_within_share(
+    app: &app::App,
+    profile: &engine::EngineProfile,
+    state: &app::UpstreamState,
+) -> bool {
+    if state.contact.access(app.now_ms(), false) != Access::Share {
+        return false;
+    }
+    let share = app.upstream_limits.shares().of_slots(profile.slot_count);
+    state.in_flight.load(atomic::Ordering::Relaxed) < share
+}
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,11 +12,16 @@
 use super::{
     app,
     attempt::{self, OpenStream, Outcome},
-    limited_upstream, placement, proxy,
+    engine_silence, limited_upstream, permits, placement, proxy,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
 const EVENT_TIMEOUT: time::Duration = time::Duration::from_millis(1_600);
+/// Like [`EVENT_TIMEOUT`], for an upstream that stands still.
+const SILENT_EVENT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// How often a stream that pauses is looked at; less and less often while nobody else takes it.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+const CHECK_INTERVAL_MAX: time::Duration = time::Duration::from_millis(800);
 
 /// The stream can't be completed; its body ends without a terminator.
 #[derive(Debug, Snafu)]
@@ -59,6 +64,21 @@
     event_batches.map(|events| events.map(body::Frame::data).map_err(std::io::Error::other))
 }
 
+/// A pause of a stream.
+struct Silence {
+    since: tokio::time::Instant,
+    check_after: time::Duration,
+}
+
+impl Silence {
+    fn new() -> Self {
+        Self {
+            since: tokio::time::Instant::now(),
+            check_after: CHECK_INTERVAL,
+        }
+    }
+}
+
 struct ForwardedStream {
     app: sync::Arc<app::App>,
     request: sync::Arc<proxy::ProxiedRequest>,
@@ -83,7 +103,7 @@
                 "stream: event=broken request={} route={} instance={} last_event={:?} after_ms={}",
                 self.request.id(),
                 self.request.route.name,
-                self.open.instance,
+                self.open.instance(),
                 self.open.events.last_id(),
                 self.request.arrived_at.elapsed().as_millis()
             );
@@ -92,33 +112,56 @@
     }
 
     async fn next_events(&mut self) -> Option<Result<Bytes, InterruptedStream>> {
+        let mut silence = Silence::new();
         loop {
-            let filled = tokio::time::timeout(EVENT_TIMEOUT, self.open.fill()).await;
-            if !matches!(filled, Ok(true)) {
-                if self.resume().await {
-                    continue;
+            match tokio::time::timeout(silence.check_after, self.open.fill(&self.app)).await {
+                Ok(true) => {
+                    let events = self.open.take_events();
+                    return (!events.is_empty()).then_some(Ok(events));
+                }
+                Ok(false) => {
+                    let stats = &self.open.candidate.state.stats;
+                    stats.record_failure(self.app.now_ms());
+                    if !self.resume(false).await {
+                        return Some(Err(InterruptedStream));
+                    }
+                    silence = Silence::new();
+                }
+                // Without another upstream, this one may still go on.
+                Err(_) => {
+                    if self.is_to_be_left(&mut silence) && self.resume(true).await {
+                        silence = Silence::new();
+                    }
                 }
-                return Some(Err(InterruptedStream));
-            }
-            let events = self.open.take_events();
-            if events.is_empty() {
-                return None;
             }
-            return Some(Ok(events));
         }
     }
 
+    /// Returns whether another upstream should go on with a stream that has paused.
+    fn is_to_be_left(&self, silence: &mut Silence) -> bool {
+        let paused = silence.since.elapsed();
+        let candidate = &self.open.candidate;
+        let is_silent = engine_silence::is_silent(&self.app, candidate);
+        if paused < EVENT_TIMEOUT && !(is_silent && paused >= SILENT_EVENT_TIMEOUT) {
+            return false;
+        }
+        if silence.check_after == CHECK_INTERVAL && !is_silent {
+            candidate.state.stats.record_failure(self.app.now_ms());
+        }
+        silence.check_after = (silence.check_after * 2).min(CHECK_INTERVAL_MAX);
+        true
+    }
+
     /// Resumes the stream at another upstream after the last event that was forwarded; returns
     /// false if that is impossible.
-    async fn resume(&mut self) -> bool {
-        self.open.state.stats.record_failure(self.app.now_ms());
+    ///
+    /// If the present upstream is still connected (`is_open`) and goes on first, it is kept.
+    async fn resume(&mut self, is_open: bool) -> bool {
         let route = &self.request.route;
-        let may_resume = route.resumable && self.run_count < route.attempts_max;
-        let budget = self.app.retry_budget(&self.request.service);
-        if !may_resume || !budget.try_withdraw() {
+        if !route.resumable || self.run_count >= route.attempts_max {
             return false;
         }
-        let excluded = [self.open.instance.clone()];
+        let excluded = [String::from(self.open.instance())];
         let service = self.request.table.services.get(&self.request.service);
         let placement_request = placement::PlacementRequest {
             service: &self.request.service,
@@ -128,15 +171,25 @@
             answer_tokens: self.request.caller.answer_tokens,
             first_token_max: route.goal,
             spare_only: false,
+            may_probe: false,
             excluded: &excluded,
         };
         let Ok(placement) = placement::choose(&self.app, &placement_request).await else {
             return false;
         };
+        let budget = self.app.retry_budget(&self.request.service);
+        if !budget.try_withdraw() {
+            permits::give_back(&self.app, &placement.candidate.upstream.instance);
+            return false;
+        }
         self.run_count += 1;
         let last = self.open.events.last_id();
         let reason = limited_upstream::SendReason::Resume;
-        let outcome = attempt::run(&self.app, &self.request, &placement, reason, last).await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = attempt::run(&self.app, &self.request, &placement, reason, last) => outcome,
+            true = self.open.fill(&self.app), if is_open => return true,
+        };
         let Outcome::Stream(open) = outcome else {
             return false;
         };
@@ -144,8 +197,8 @@
         log::info!(
             "stream: event=resumed request={} from={} to={} last_event={last:?}",
             self.request.id(),
-            self.open.instance,
-            open.instance
+            self.open.instance(),
+            open.instance()
         );
         self.open = open;
         true
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -26,6 +26,9 @@
 /// The path at which entries accept a [`StatedLimits`] message.
 pub const LIMITS_PATH: &str = "/v1/direct/limits";
 
+/// The path at which entries accept a [`SilentEngines`] message.
+pub const SILENCE_PATH: &str = "/v1/direct/silence";
+
 /// The path at which agents accept a [`SwarmRequest`].
 pub const SWARM_PATH: &str = "/v1/direct/swarm";
 
@@ -216,6 +219,22 @@
     pub limits: Vec<StatedLimit>,
 }
 
+/// An engine that stands still together with its agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentEngine {
+    /// The engine's instance.
+    pub instance: String,
+    /// For how long the sender has found it silent, in milliseconds.
+    pub silent_ms: u64,
+}
+
+/// Entry to entry, as request and as reply: engines that the sender itself finds silent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentEngines {
+    /// Some of these engines.
+    pub engines: Vec<SilentEngine>,
+}
+
 /// Agent to agent: report the chunks that the sender holds of a version of the weights.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SwarmRequest {
