--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -295,7 +295,7 @@
         match candidate.state.contact.access(app.now_ms(), false) {
             Access::Closed => continue,
             Access::Probe => {
-                if let Some(probe) = begin_probe(app, candidate, &mut denials).await {
+                if let Some(probe) = begin_probe(app, candidate, false, &mut denials).await {
                     return Ok(engine_placement(candidate, model, allowed, Some(probe)));
                 }
                 continue;
@@ -310,6 +310,10 @@
         if slot::request(app, request, profile, model, version_min, candidate).await {
             return Ok(engine_placement(candidate, model, allowed, None));
         }
+        // Its agent may just have turned out to be gone, and a permit is held already.
+        if let Some(probe) = mark_probe(app, candidate, false) {
+            return Ok(engine_placement(candidate, model, allowed, Some(probe)));
+        }
         permits::give_back(app, &candidate.upstream.instance);
     }
     // Only if nobody else takes the request, because it may wait there in vain.
@@ -321,7 +325,7 @@
         if access != Access::Probe {
             continue;
         }
-        if let Some(probe) = begin_probe(app, candidate, &mut denials).await {
+        if let Some(probe) = begin_probe(app, candidate, request.may_probe, &mut denials).await {
             return Ok(engine_placement(candidate, model, allowed, Some(probe)));
         }
     }
@@ -375,19 +379,29 @@
 async fn begin_probe(
     app: &app::App,
     candidate: &app::Candidate,
+    may_probe: bool,
     denials: &mut PermitDenials,
 ) -> Option<ProbeGuard> {
     // A probe that a denied permit prevents does not count as one.
     if !denials.acquire(app, candidate).await {
         return None;
     }
-    let instance = &candidate.upstream.instance;
-    if !candidate.state.contact.try_begin_probe(app.now_ms()) {
-        permits::give_back(app, instance);
+    let probe = mark_probe(app, candidate, may_probe);
+    if probe.is_none() {
+        permits::give_back(app, &candidate.upstream.instance);
+    }
+    probe
+}
+
+/// Marks a request as the one that probes an engine; returns `None` if none is due.
+fn mark_probe(app: &app::App, candidate: &app::Candidate, may_probe: bool) -> Option<ProbeGuard> {
+    let (contact, now_ms) = (&candidate.state.contact, app.now_ms());
+    let is_due = contact.access(now_ms, may_probe) == Access::Probe;
+    if !is_due || !contact.try_begin_probe(now_ms) {
         return None;
     }
-    let probe = ProbeGuard(candidate.state.clone());
+    let instance = &candidate.upstream.instance;
     log::info!("placement: event=probe instance={instance}");
     app.count("probed");
-    Some(probe)
+    Some(ProbeGuard(candidate.state.clone()))
 }
