--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,7 +6,8 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    announcement, clock, id, limits, refusal_rate, routes, routing::score, shutdown, upstreams,
+    announcement, clock, engine_contact, id, limits, refusal_rate, routes, routing::score,
+    shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{body, client, metrics};
@@ -25,8 +26,8 @@
     pub in_flight: atomic::AtomicU32,
     /// Whether a response showed that another instance now has the address.
     pub is_replaced: atomic::AtomicBool,
-    /// Until when its agent is treated as silent, in milliseconds since the entry started.
-    pub agent_silent_until_ms: atomic::AtomicU64,
+    /// Whether its agent and it itself respond.
+    pub contact: engine_contact::EngineContact,
     /// Until when its agent is assumed to refuse requests, in milliseconds since the entry started.
     pub refusing_until_ms: atomic::AtomicU64,
     /// The engine state last reported by its agent; newer than the listed data.
@@ -87,6 +88,8 @@
     pub announced: ArcSwap<announcement::Announcements>,
     /// The other entries, by name.
     pub peers: ArcSwap<IndexMap<String, Peer>>,
+    /// Notified when an engine has become silent.
+    pub silence_changed: tokio::sync::Notify,
     /// The limits that upstreams have named.
     pub upstream_limits: upstream_limits::UpstreamLimits,
     /// What upstreams have said of leaving and of back-offs.
@@ -141,6 +144,7 @@
             candidates: ArcSwap::default(),
             announced: ArcSwap::default(),
             peers: ArcSwap::default(),
+            silence_changed: tokio::sync::Notify::new(),
             upstream_limits: upstream_limits::UpstreamLimits::default(),
             upstream_notices: upstream_notices::UpstreamNotices::default(),
             cached: store::Kind::iter()
