--- a/crates/core/src/announcement.rs
+++ b/crates/core/src/announcement.rs
@@ -410,18 +410,36 @@
     }
 
     /// Ends the span when the watch responds, after `transfer` from the first byte to the last.
-    ///
-    /// What was received while the VM was suspended may have been sent any time before.
     #[must_use]
     pub fn end(self, clock: &dyn clock::Clock, transfer: time::Duration) -> Read {
-        let now = clock.boot_now();
-        let elapsed = clock.now().duration_since(self.started_at);
-        let boot_elapsed = now.saturating_duration_since(self.started_boot_at);
-        let is_suspended = boot_elapsed.saturating_sub(elapsed) > SUSPENSION_MIN;
-        if self.is_continued && !is_suspended {
-            Read::Pushed(now.saturating_sub(transfer))
+        if self.is_continued && !self.is_suspended(clock) {
+            Read::Pushed(clock.boot_now().saturating_sub(transfer))
         } else {
             Read::Fetched(self.started_boot_at)
         }
     }
+
+    /// Returns an instant at or after which the response was made.
+    ///
+    /// What was received while the VM was suspended may have been sent any time before.
+    #[must_use]
+    pub fn responded_at(
+        self,
+        clock: &dyn clock::Clock,
+        transfer: time::Duration,
+    ) -> clock::BootInstant {
+        if self.is_suspended(clock) {
+            self.started_boot_at
+        } else {
+            clock.boot_now().saturating_sub(transfer)
+        }
+    }
+
+    fn is_suspended(self, clock: &dyn clock::Clock) -> bool {
+        let elapsed = clock.now().duration_since(self.started_at);
+        let boot_elapsed = clock
+            .boot_now()
+            .saturating_duration_since(self.started_boot_at);
+        boot_elapsed.saturating_sub(elapsed) > SUSPENSION_MIN
+    }
 }
--- a/crates/core/tests/announcement.rs
+++ b/crates/core/tests/announcement.rs
@@ -114,6 +114,13 @@
     clock.suspend(suspended_ms);
     let read = span.end(&clock, time::Duration::ZERO);
     assert_eq!(read, expected);
+    let responded_at = span.responded_at(&clock, time::Duration::ZERO);
+    let made_at = if suspended_ms == 0 {
+        at(gap_ms + wait_ms)
+    } else {
+        at(gap_ms)
+    };
+    assert_eq!(responded_at, made_at);
 }
 
 #[test]
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -211,7 +211,7 @@
     #[must_use]
     pub fn configuration_age(&self) -> Option<time::Duration> {
         self.cached(store::Kind::Configuration)
-            .age(self.clock.now())
+            .age(self.clock.boot_now())
     }
 
     /// Returns whether the configuration may be older than the one in force.
--- a/crates/entry/src/direct/cache.rs
+++ b/crates/entry/src/direct/cache.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use pimentohook_core::{collection, id, position};
+use pimentohook_core::{clock, collection, id, position};
 use tokio::{sync::watch, time as tokio_time};
 
 /// The cached objects of one kind.
@@ -11,7 +11,7 @@
 pub struct CachedCollection {
     collection: ArcSwap<collection::Collection>,
     /// The latest instant at which the cached state was the state of the store.
-    confirmed_at: ArcSwapOption<time::Instant>,
+    confirmed_at: ArcSwapOption<clock::BootInstant>,
     changed: watch::Sender<()>,
 }
 
@@ -34,14 +34,14 @@
 
     /// Returns the time since the store last confirmed the cached state; `None` if it never did.
     #[must_use]
-    pub fn age(&self, now: time::Instant) -> Option<time::Duration> {
+    pub fn age(&self, now: clock::BootInstant) -> Option<time::Duration> {
         let confirmed_at = self.confirmed_at.load();
         let confirmed_at = confirmed_at.as_ref()?;
         Some(now.saturating_duration_since(**confirmed_at))
     }
 
     /// Records that the cached state is at least as new as the state of the store at `at`.
-    pub fn confirm(&self, at: time::Instant) {
+    pub fn confirm(&self, at: clock::BootInstant) {
         self.confirmed_at.rcu(|confirmed_at| match confirmed_at {
             Some(confirmed_at) if **confirmed_at >= at => Some(confirmed_at.clone()),
             _ => Some(sync::Arc::new(at)),
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -229,7 +229,7 @@
 }
 
 fn age_ms(app: &app::App, kind: store::Kind) -> Option<u64> {
-    let age = app.cached(kind).age(app.clock.now())?;
+    let age = app.cached(kind).age(app.clock.boot_now())?;
     Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
 }
 
@@ -249,8 +249,8 @@
 }
 
 async fn list(app: &app::App, kind: store::Kind) -> Result<bool, FeedError> {
-    let requested_at = app.clock.now();
-    let read = announcement::Read::Fetched(app.clock.boot_now());
+    let requested_at = app.clock.boot_now();
+    let read = announcement::Read::Fetched(requested_at);
     let response = app.store.list(kind, store::Freshness::Current).await;
     let listing = response.context(StoreSnafu)?;
     log::info!(
@@ -282,7 +282,7 @@
         }
         result => result.context(StoreSnafu)?,
     };
-    let responded_at = app.clock.now().checked_sub(changes.cost.transfer);
+    let responded_at = span.responded_at(&*app.clock, changes.cost.transfer);
     app.count_read("store", kind, changes.cost.body_bytes);
     let is_changed = !changes.changes.is_empty();
     if is_changed {
@@ -295,9 +295,7 @@
         );
     }
     cache.update(|collection| collection.apply(changes.position, changes.changes) && is_changed);
-    if let Some(responded_at) = responded_at {
-        cache.confirm(responded_at);
-    }
+    cache.confirm(responded_at);
     apply(
         app,
         kind,
@@ -320,7 +318,7 @@
 /// confirm it.
 fn watch_wait(app: &app::App, kind: store::Kind) -> time::Duration {
     let wait = timing(app, kind).watch_wait;
-    let age = app.cached(kind).age(app.clock.now());
+    let age = app.cached(kind).age(app.clock.boot_now());
     if age.is_some_and(|age| age <= wait / 2) {
         wait
     } else {
@@ -360,7 +358,7 @@
     let age = reply.age_ms.map(time::Duration::from_millis);
     let is_changed = merge_delta(app, kind, name, reply.delta, age);
     let age = age.filter(|age| *age <= timing.age_max);
-    let confirmed_at = age.and_then(|age| app.clock.now().checked_sub(age));
+    let confirmed_at = age.map(|age| app.clock.boot_now().saturating_sub(age));
     let age_ms = reply.age_ms;
     cache.confirm(confirmed_at.context(OldSnafu { name, age_ms })?);
     Ok(is_changed)
