--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -7,7 +7,8 @@
 //! * [`feed`] and [`cache`]: the configuration, the upstreams, the entries and the announced
 //!   weights, from the store or from other entries.
 //! * [`proxy`]: a caller's request, from its arrival to the final response.
-//! * [`placement`] and [`slot`]: the selection of an upstream, and the slots that agents grant.
+//! * [`placement`], [`engine_placement`] and [`slot`]: the selection of an upstream, of an engine, and
+//!   the slots that agents grant.
 //! * [`weights_versions`]: the versions of weights that a request may run on.
 //! * [`attempt`] and [`stream`]: one attempt to send a request to an upstream, and responses that
 //!   are event streams.
@@ -27,6 +28,7 @@
 pub mod attempt;
 pub mod cache;
 pub mod directory;
+pub mod engine_placement;
 pub mod engine_silence;
 pub mod feed;
 pub mod limit_gossip;
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -8,29 +8,20 @@
 use std::{fmt, sync, sync::atomic, time};
 
 use pimentohook_core::{
-    engine,
-    engine_contact::Access,
-    id,
+    engine, id,
     routing::{choice, score},
     upstream_notice, upstreams,
 };
 use rand::RngExt as _;
 
-use super::{app, permits, slot, weights_versions};
+use super::{app, engine_placement, permits, weights_versions};
 
-/// Maximum number of agents that are asked for a slot for one request, one after the other.
-const SLOT_REQUESTS_MAX: usize = 10;
-/// Like [`SLOT_REQUESTS_MAX`], for a request that has already missed its goal.
-const SLOT_REQUESTS_LATE_MAX: usize = 4;
 /// How much likelier than others a limited upstream is to be tried first, so that it is used up to
 /// its limit.
 const LIMITED_PREFERENCE: usize = 2;
 /// Maximum number of coordinators that deny a permit for one request, one after the other. After
 /// that, limited upstreams are passed over.
 const PERMIT_DENIALS_MAX: usize = 3;
-/// The number of requests in flight that an engine of another failure domain is charged in the
-/// ranking, because links between failure domains are expensive and low-bandwidth.
-const CROSS_DOMAIN_COST: u32 = 2;
 
 /// What a request requires of an upstream.
 #[derive(Clone, Debug)]
@@ -104,6 +95,13 @@
 #[derive(Debug)]
 pub struct ProbeGuard(sync::Arc<app::UpstreamState>);
 
+impl ProbeGuard {
+    /// Marks a request as the one that probes the upstream.
+    pub(super) const fn new(state: sync::Arc<app::UpstreamState>) -> Self {
+        Self(state)
+    }
+}
+
 impl Drop for ProbeGuard {
     fn drop(&mut self) {
         self.0.contact.end_probe();
@@ -169,7 +167,9 @@
     let usable = |candidate: &&app::Candidate| is_usable(app, candidate, request);
     let usable: Vec<&app::Candidate> = listed.iter().filter(usable).collect();
     let chosen = match (request.profile, request.model) {
-        (Some(profile), Some(model)) => choose_engine(app, request, profile, model, &usable).await,
+        (Some(profile), Some(model)) => {
+            engine_placement::choose(app, request, profile, model, &usable).await
+        }
         _ => choose_plain(app, &usable).await,
     };
     chosen.map_err(|denial| match back_off_end(app, request, listed) {
@@ -178,7 +178,11 @@
     })
 }
 
-fn is_usable(app: &app::App, candidate: &app::Candidate, request: &PlacementRequest<'_>) -> bool {
+pub(super) fn is_usable(
+    app: &app::App,
+    candidate: &app::Candidate,
+    request: &PlacementRequest<'_>,
+) -> bool {
     is_staying(candidate)
         && !request.excluded.contains(&candidate.upstream.instance)
         && app
@@ -246,7 +250,11 @@
 }
 
 /// Returns whether an upstream is listed as ready now, after it was selected.
-fn is_still_ready(app: &app::App, service: &id::ServiceName, selected: &app::Candidate) -> bool {
+pub(super) fn is_still_ready(
+    app: &app::App,
+    service: &id::ServiceName,
+    selected: &app::Candidate,
+) -> bool {
     let all = app.candidates.load();
     let listed = all.get(service).into_iter().flatten();
     let mut same = listed.filter(|listed| listed.upstream.instance == selected.upstream.instance);
@@ -319,7 +327,7 @@
 
 /// The permits that were denied for one request.
 #[derive(Debug, Default)]
-struct PermitDenials {
+pub(super) struct PermitDenials {
     /// The number of coordinators that were asked.
     asked_count: usize,
     /// When there may be a permit; `None` if none was denied.
@@ -328,7 +336,7 @@
 
 impl PermitDenials {
     /// Acquires a permit for an upstream; returns false if it is denied.
-    async fn acquire(&mut self, app: &app::App, candidate: &app::Candidate) -> bool {
+    pub(super) async fn acquire(&mut self, app: &app::App, candidate: &app::Candidate) -> bool {
         let instance = &candidate.upstream.instance;
         let is_limited = app.upstream_limits.limited(instance).is_some();
         if is_limited && self.asked_count == PERMIT_DENIALS_MAX {
@@ -343,205 +351,10 @@
         false
     }
 
-    const fn denial(&self) -> Option<Denial> {
+    pub(super) const fn denial(&self) -> Option<Denial> {
         match self.retry_after {
             Some(retry_after) => Some(Denial::Limited { retry_after }),
             None => None,
         }
     }
 }
-
-async fn choose_engine(
-    app: &sync::Arc<app::App>,
-    request: &PlacementRequest<'_>,
-    profile: &engine::EngineProfile,
-    model: &str,
-    usable: &[&app::Candidate],
-) -> Result<Placement, Denial> {
-    let allowed = weights_versions::allowed(app, model);
-    let serving = usable
-        .iter()
-        .filter(|candidate| allowed.allows(candidate.served_version(model)));
-    let mut serving: Vec<&app::Candidate> = serving.copied().collect();
-    if serving.is_empty() {
-        return Err(Denial::Nobody);
-    }
-    rank(app, &mut serving);
-    let slot_requests_max = if request.spare_only {
-        SLOT_REQUESTS_LATE_MAX
-    } else {
-        SLOT_REQUESTS_MAX
-    };
-    let mut denials = PermitDenials::default();
-    let mut slot_requests = 0;
-    for candidate in &serving {
-        if slot_requests == slot_requests_max {
-            break;
-        }
-        match candidate.state.contact.access(app.now_ms(), false) {
-            Access::Closed => continue,
-            Access::Probe => {
-                if let Some(placement) =
-                    probe(app, request, candidate, model, false, &mut denials).await
-                {
-                    return Ok(placement);
-                }
-                continue;
-            }
-            Access::Agent | Access::Share => {}
-        }
-        if !denials.acquire(app, candidate).await {
-            continue;
-        }
-        slot_requests += 1;
-        let slot_request = slot::Request {
-            placement: request,
-            profile,
-            model,
-            version_min: allowed.version_min,
-            start_within: allowed.start_within(app, model, candidate.served_version(model)),
-        };
-        if slot::request(app, &slot_request, candidate).await {
-            if let Some(placement) = engine_placement(app, request, candidate, model, None) {
-                return Ok(placement);
-            }
-        } else if may_wait_unwatched(app, candidate, model)
-            // Its agent may just have turned out to be gone, and a permit is held already.
-            && let Some(probe) = mark_probe(app, candidate, false)
-            && let Some(placement) = engine_placement(app, request, candidate, model, Some(probe))
-        {
-            return Ok(placement);
-        }
-        permits::give_back(app, &candidate.upstream.instance);
-    }
-    // Only if nobody else takes the request, because it may wait there in vain.
-    for candidate in &serving {
-        let may_probe = request.may_probe;
-        let access = candidate.state.contact.access(app.now_ms(), may_probe);
-        if access != Access::Probe {
-            continue;
-        }
-        if let Some(placement) =
-            probe(app, request, candidate, model, may_probe, &mut denials).await
-        {
-            return Ok(placement);
-        }
-    }
-    match denials.denial() {
-        Some(denial) if slot_requests == 0 => Err(denial),
-        _ => Err(Denial::Full),
-    }
-}
-
-/// Sorts engines by how well they suit a request, the best first.
-fn rank(app: &app::App, serving: &mut [&app::Candidate]) {
-    let now = app.clock.now();
-    let now_ms = app.now_ms();
-    let rank = |candidate: &&app::Candidate| {
-        let may_stand_still = candidate.state.contact.may_stand_still();
-        let standing = app.upstream_notices.standing(&candidate.upstream, now);
-        let is_hinted = standing == upstream_notice::Standing::HintedLeaving;
-        let is_refusing = candidate
-            .state
-            .refusing_until_ms
-            .load(atomic::Ordering::Relaxed)
-            > now_ms;
-        let is_ejected = candidate.state.stats.is_ejected(now_ms);
-        let in_flight = candidate.state.in_flight.load(atomic::Ordering::Relaxed);
-        let is_cross_domain = candidate.upstream.failure_domain != app.settings.failure_domain;
-        let cost = in_flight + u32::from(is_cross_domain) * CROSS_DOMAIN_COST;
-        let random = rand::rng().random::<u32>();
-        (
-            may_stand_still,
-            is_ejected,
-            is_hinted,
-            is_refusing,
-            cost,
-            random,
-        )
-    };
-    serving.sort_by_cached_key(rank);
-}
-
-/// Returns the placement of a request at an engine, unless what was waited for took so long that the
-/// engine may not take it any more.
-fn engine_placement(
-    app: &app::App,
-    request: &PlacementRequest<'_>,
-    candidate: &app::Candidate,
-    model: &str,
-    probe: Option<ProbeGuard>,
-) -> Option<Placement> {
-    let served = candidate.served_version(model);
-    let allowed = weights_versions::allowed(app, model);
-    let weights = weights_versions::SelectedWeights::new(app, model, served, allowed);
-    let placement = Placement {
-        candidate: candidate.clone(),
-        weights: Some(weights),
-        probe: probe.map(sync::Arc::new),
-    };
-    let is_allowed = !placement.is_withdrawn()
-        && is_usable(app, candidate, request)
-        && is_still_ready(app, request.service, candidate);
-    is_allowed.then_some(placement)
-}
-
-/// Returns whether a request may wait in the queue of an engine that nobody watches, and still
-/// starts before the time of the engine's weights is over.
-fn may_wait_unwatched(app: &app::App, candidate: &app::Candidate, model: &str) -> bool {
-    let allowed = weights_versions::allowed(app, model);
-    let start_within = allowed.start_within(app, model, candidate.served_version(model));
-    slot::may_wait_unwatched(start_within)
-}
-
-/// Lets a request probe an engine and returns its placement there; `None` if it may not.
-async fn probe(
-    app: &app::App,
-    request: &PlacementRequest<'_>,
-    candidate: &app::Candidate,
-    model: &str,
-    may_probe: bool,
-    denials: &mut PermitDenials,
-) -> Option<Placement> {
-    if !may_wait_unwatched(app, candidate, model) {
-        return None;
-    }
-    let probe = begin_probe(app, candidate, may_probe, denials).await?;
-    let placement = engine_placement(app, request, candidate, model, Some(probe));
-    if placement.is_none() {
-        permits::give_back(app, &candidate.upstream.instance);
-    }
-    placement
-}
-
-/// Lets a request probe an engine of which it is not known whether it responds, unless another one
-/// does so or there is no permit.
-async fn begin_probe(
-    app: &app::App,
-    candidate: &app::Candidate,
-    may_probe: bool,
-    denials: &mut PermitDenials,
-) -> Option<ProbeGuard> {
-    // A probe that a denied permit prevents does not count as one.
-    if !denials.acquire(app, candidate).await {
-        return None;
-    }
-    let probe = mark_probe(app, candidate, may_probe);
-    if probe.is_none() {
-        permits::give_back(app, &candidate.upstream.instance);
-    }
-    probe
-}
-
-/// Marks a request as the one that probes an engine; returns `None` if none is due.
-fn mark_probe(app: &app::App, candidate: &app::Candidate, may_probe: bool) -> Option<ProbeGuard> {
-    let (contact, now_ms) = (&candidate.state.contact, app.now_ms());
-    let is_due = contact.access(now_ms, may_probe) == Access::Probe;
-    if !is_due || !contact.try_begin_probe(now_ms) {
-        return None;
-    }
-    let instance = &candidate.upstream.instance;
-    log::info!("placement: event=probe instance={instance}");
-    app.count("probed");
-    Some(ProbeGuard(candidate.state.clone()))
-}
