--- a/crates/core/src/announcement/mod.rs
+++ b/crates/core/src/announcement/mod.rs
@@ -79,6 +79,12 @@
 }
 
 impl Announcement {
+    /// Returns whether a process observed the announcement.
+    #[must_use]
+    pub const fn is_observed(&self) -> bool {
+        matches!(self.moment, Moment::Observed(_))
+    }
+
     /// Returns whether a span of time has passed since the announcement.
     #[must_use]
     pub fn is_older_than(&self, span: time::Duration, now: clock::BootInstant) -> bool {
@@ -289,9 +295,8 @@
     /// certain. A bound that counts as over may still be replaced by a later moment.
     pub fn prune(&mut self, now: clock::BootInstant, grace: time::Duration) {
         for of_model in self.models.values_mut() {
-            let is_over = |known: &Announcement| {
-                matches!(known.moment, Moment::Observed(_)) && known.is_older_than(grace, now)
-            };
+            let is_over =
+                |known: &Announcement| known.is_observed() && known.is_older_than(grace, now);
             let newest_over = of_model.versions.iter().rposition(is_over).unwrap_or(0);
             of_model.versions.drain(..newest_over);
         }
@@ -313,9 +318,7 @@
         now: clock::BootInstant,
         lifetime: time::Duration,
     ) -> Option<u64> {
-        let mut newest_first = self.of_model(model).iter().rev();
-        let required = newest_first.find(|known| known.is_older_than(lifetime, now));
-        let required = required.map(|known| known.version);
+        let required = self.newest(model, |known| known.is_older_than(lifetime, now));
         required.max(self.forgotten(model))
     }
 
@@ -327,11 +330,18 @@
         now: clock::BootInstant,
         lifetime: time::Duration,
     ) -> Option<u64> {
+        self.newest(model, |known| {
+            known.is_observed() && known.is_older_than(lifetime, now)
+        })
+    }
+
+    fn newest<F>(&self, model: &str, is_wanted: F) -> Option<u64>
+    where
+        F: Fn(&Announcement) -> bool,
+    {
         let mut newest_first = self.of_model(model).iter().rev();
-        let required = newest_first.find(|known| {
-            matches!(known.moment, Moment::Observed(_)) && known.is_older_than(lifetime, now)
-        });
-        required.map(|known| known.version)
+        let newest = newest_first.find(|known| is_wanted(known));
+        newest.map(|known| known.version)
     }
 
     /// Returns what to tell other processes.
@@ -355,7 +365,7 @@
                     model: model.clone(),
                     version: known.version,
                     age_ms: age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
-                    is_observed: matches!(known.moment, Moment::Observed(_)),
+                    is_observed: known.is_observed(),
                 }
             })
         });
