Log how a request without a complete response ended

A request that gets neither an answer nor a refusal left no line that says why: a stream that was given up had no reason, a connection that ended under a request had no line at all, and neither did the task of a connection that panics.

Change: 'stream: event=broken' says why and after how many runs; 'proxy: event=unfinished' is written where a request is dropped before its response is complete; both, and 'event=timeout', name the timeout used and the configurations known at arrival and at the end. The server writes why a connection failed.

--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -28,6 +28,7 @@
 pub mod attempt;
 pub mod cache;
 pub mod directory;
+pub mod ending;
 pub mod engine_placement;
 pub mod engine_silence;
 pub mod feed;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -14,7 +14,7 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    engine_silence, limited_upstream, permits, placement, stream,
+    ending, engine_silence, limited_upstream, permits, placement, stream,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -257,9 +257,12 @@
 
 async fn serve(app: &sync::Arc<app::App>, request: ProxiedRequest) -> Response<Body> {
     let request = sync::Arc::new(request);
+    let phase = ending::Phase::Waiting;
+    let mut unfinished = ending::UnfinishedGuard::new(app.clone(), request.clone(), phase);
     let deadline = tokio::time::Instant::from_std(request.deadline) - RESPONSE_MARGIN;
     let mut history = AttemptHistory::default();
     let result = tokio::time::timeout_at(deadline, run_attempts(app, &request, &mut history)).await;
+    unfinished.finish();
     result.unwrap_or_else(|_| time_out(app, &request, &history))
 }
 
@@ -485,12 +488,12 @@
     };
     app.count("timed_out");
     log::warn!(
-        "proxy: event=timeout request={} route={} status={} tried={:?} after_ms={}",
+        "proxy: event=timeout request={} route={} status={} tried={:?} {}",
         request.id(),
         request.route.name,
         status.as_u16(),
         history.tried,
-        request.arrived_at.elapsed().as_millis()
+        ending::Timing::new(app, request)
     );
     error_response(status, None, "the time for this request is over")
 }
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,7 +12,7 @@
 use super::{
     app,
     attempt::{self, OpenStream, Outcome},
-    engine_silence, limited_upstream, permits, placement, proxy,
+    ending, engine_silence, limited_upstream, permits, placement, proxy,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -23,10 +23,24 @@
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 const CHECK_INTERVAL_MAX: time::Duration = time::Duration::from_millis(800);
 
-/// The stream can't be completed; its body ends without a terminator.
-#[derive(Debug, Snafu)]
-#[snafu(display("the stream broke off"))]
-struct InterruptedStream;
+/// Why a stream can't go on; if it can't be completed, its body ends without a terminator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+enum Interruption {
+    #[snafu(display("deadline"))]
+    Deadline,
+    #[snafu(display("not_resumable"))]
+    NotResumable,
+    #[snafu(display("attempts_spent"))]
+    AttemptsSpent,
+    #[snafu(display("retry_budget_spent"))]
+    RetryBudgetSpent,
+    /// No other upstream can take it.
+    #[snafu(display("upstreams_{denial}"))]
+    NoUpstream { denial: placement::Denial },
+    /// The other upstream did not go on with it.
+    #[snafu(display("attempt_{fault}"))]
+    AttemptFailed { fault: attempt::Fault },
+}
 
 /// Builds the response for a stream that has started.
 ///
@@ -39,12 +53,15 @@
     run_count: u32,
 ) -> Response<Body> {
     let head = open.head.clone();
+    let unfinished =
+        ending::UnfinishedGuard::new(app.clone(), request.clone(), ending::Phase::Stream);
     let forwarded = ForwardedStream {
         app,
         request,
         open,
         run_count: run_count + 1,
         is_failed: false,
+        unfinished,
     };
     let event_batches = stream::unfold(forwarded, |mut forwarded| async move {
         let events = forwarded.next().await?;
@@ -58,7 +75,7 @@
     event_batches: S,
 ) -> impl stream::Stream<Item = Result<body::Frame<Bytes>, std::io::Error>>
 where
-    S: stream::Stream<Item = Result<Bytes, InterruptedStream>>,
+    S: stream::Stream<Item = Result<Bytes, Interruption>>,
 {
     use futures_util::StreamExt as _;
     event_batches.map(|events| events.map(body::Frame::data).map_err(std::io::Error::other))
@@ -85,33 +102,43 @@
     open: Box<OpenStream>,
     run_count: u32,
     is_failed: bool,
+    unfinished: ending::UnfinishedGuard,
 }
 
 impl ForwardedStream {
     /// Returns the next complete events; `None` at the regular end of the stream.
-    async fn next(&mut self) -> Option<Result<Bytes, InterruptedStream>> {
+    async fn next(&mut self) -> Option<Result<Bytes, Interruption>> {
         if self.is_failed {
             return None;
         }
         let deadline = tokio::time::Instant::from_std(self.request.deadline);
         let next = tokio::time::timeout_at(deadline, self.next_events()).await;
-        let next = next.unwrap_or(Some(Err(InterruptedStream)));
-        if let Some(Err(_)) = &next {
-            self.is_failed = true;
-            self.app.count("broken_off");
-            log::warn!(
-                "stream: event=broken request={} route={} instance={} last_event={:?} after_ms={}",
-                self.request.id(),
-                self.request.route.name,
-                self.open.instance(),
-                self.open.events.last_id(),
-                self.request.arrived_at.elapsed().as_millis()
-            );
+        let next = next.unwrap_or(Some(Err(Interruption::Deadline)));
+        match &next {
+            None => self.unfinished.finish(),
+            Some(Ok(_)) => {}
+            Some(Err(interruption)) => self.record_interruption(*interruption),
         }
         next
     }
 
-    async fn next_events(&mut self) -> Option<Result<Bytes, InterruptedStream>> {
+    fn record_interruption(&mut self, interruption: Interruption) {
+        self.is_failed = true;
+        self.unfinished.finish();
+        self.app.count("broken_off");
+        log::warn!(
+            "stream: event=broken request={} route={} instance={} last_event={:?} why={interruption} \
+             runs={} {}",
+            self.request.id(),
+            self.request.route.name,
+            self.open.instance(),
+            self.open.events.last_id(),
+            self.run_count,
+            ending::Timing::new(&self.app, &self.request)
+        );
+    }
+
+    async fn next_events(&mut self) -> Option<Result<Bytes, Interruption>> {
         let mut silence = Silence::new();
         loop {
             match tokio::time::timeout(silence.check_after, self.open.fill(&self.app)).await {
@@ -122,14 +149,14 @@
                 Ok(false) => {
                     let stats = &self.open.candidate.state.stats;
                     stats.record_failure(self.app.now_ms());
-                    if !self.resume(false).await {
-                        return Some(Err(InterruptedStream));
+                    if let Err(interruption) = self.resume(false).await {
+                        return Some(Err(interruption));
                     }
                     silence = Silence::new();
                 }
                 // Without another upstream, this one may still go on.
                 Err(_) => {
-                    if self.is_to_be_left(&mut silence) && self.resume(true).await {
+                    if self.is_to_be_left(&mut silence) && self.resume(true).await.is_ok() {
                         silence = Silence::new();
                     }
                 }
@@ -152,15 +179,13 @@
         true
     }
 
-    /// Resumes the stream at another upstream after the last event that was forwarded; returns
-    /// false if that is impossible.
+    /// Resumes the stream at another upstream after the last event that was forwarded.
     ///
     /// If the present upstream is still connected (`is_open`) and goes on first, it is kept.
-    async fn resume(&mut self, is_open: bool) -> bool {
+    async fn resume(&mut self, is_open: bool) -> Result<(), Interruption> {
         let route = &self.request.route;
-        if !route.resumable || self.run_count >= route.attempts_max {
-            return false;
-        }
+        snafu::ensure!(route.resumable, NotResumableSnafu);
+        snafu::ensure!(self.run_count < route.attempts_max, AttemptsSpentSnafu);
         let excluded = [String::from(self.open.instance())];
         let service = self.request.table.services.get(&self.request.service);
         let placement_request = placement::PlacementRequest {
@@ -174,13 +199,13 @@
             may_probe: false,
             excluded: &excluded,
         };
-        let Ok(placement) = placement::choose(&self.app, &placement_request).await else {
-            return false;
-        };
+        let placement = placement::choose(&self.app, &placement_request)
+            .await
+            .map_err(|denial| Interruption::NoUpstream { denial })?;
         let budget = self.app.retry_budget(&self.request.service);
         if !budget.try_withdraw() {
             permits::give_back(&self.app, &placement.candidate.upstream.instance);
-            return false;
+            return RetryBudgetSpentSnafu.fail();
         }
         self.run_count += 1;
         let last = self.open.events.last_id();
@@ -188,10 +213,15 @@
         let outcome = tokio::select! {
             biased;
             outcome = attempt::run(&self.app, &self.request, &placement, reason, last) => outcome,
-            true = self.open.fill(&self.app), if is_open => return true,
+            true = self.open.fill(&self.app), if is_open => return Ok(()),
         };
-        let Outcome::Stream(open) = outcome else {
-            return false;
+        let open = match outcome {
+            Outcome::Stream(open) => open,
+            Outcome::Fault(fault) => return AttemptFailedSnafu { fault }.fail(),
+            Outcome::Complete(_) | Outcome::ServerError(_) => {
+                let fault = attempt::Fault::MayHaveRun;
+                return AttemptFailedSnafu { fault }.fail();
+            }
         };
         self.app.count("resumed");
         log::info!(
@@ -201,6 +231,6 @@
             open.instance()
         );
         self.open = open;
-        true
+        Ok(())
     }
 }
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -130,11 +130,33 @@
                     drop(permit);
                 });
             }
-            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            Some(result) = connections.join_next(), if !connections.is_empty() => {
+                log_panic(&result);
+            }
         }
     }
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    while let Some(result) = connections.join_next().await {
+        log_panic(&result);
+    }
+}
+
+/// Writes a line if the task of a connection has panicked, which ends the connection.
+fn log_panic(result: &Result<(), tokio::task::JoinError>) {
+    if let Err(error) = result {
+        log::error!("server: event=connection_task_failed error={error}");
+    }
+}
+
+/// Writes a line if a connection has ended in any other way than by being closed.
+fn log_end(peer: net::SocketAddr, result: Result<(), hyper::Error>) {
+    match result {
+        Ok(()) => {}
+        Err(error) if error.is_timeout() => {
+            log::debug!("server: event=connection_idle peer={peer}");
+        }
+        Err(error) => log::info!("server: event=connection_failed peer={peer} error={error:?}"),
+    }
 }
 
 async fn serve_connection<H>(
@@ -159,11 +181,11 @@
         .serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
-        _ = connection.as_mut() => return,
+        result = connection.as_mut() => return log_end(peer, result),
         () = stop.wait() => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    log_end(peer, connection.await);
 }
 
 /// The parameter of a path such as `/v1/services/:name`.
