Let a stream last as long as a configuration that it met allows

What callers saw: a stream whose route's timeout an operator had raised ended with its connection, without a terminator, while the caller still waited.

An entry that gets a configuration late, or a request that arrives just before it, kept the older timeout.

Evidence: a_stream_does_not_end_at_a_timeout_that_has_been_raised failed before ('is_complete: false', event 1 of 10, at 1.5 s of 4 s). That this is what the users saw is not shown.

Change: the timeout of a stream under way grows with that of its route (request_timeout.rs); it never shrinks. A request without a response yet is still answered at the timeout of its arrival: that is an answer, and in time for either configuration. An upstream that was told the older time may stop at it; its stream is then resumed elsewhere with the time that is left now.

--- a/crates/entry/src/direct/ending.rs
+++ b/crates/entry/src/direct/ending.rs
@@ -80,7 +80,7 @@
     pub fn new(app: &app::App, request: &proxy::ProxiedRequest) -> Self {
         Self {
             after: request.arrived_at.elapsed(),
-            timeout: request.deadline.duration_since(request.arrived_at),
+            timeout: request.timeout.get(),
             configuration: request.table.version,
             configuration_now: app.configuration_version(),
         }
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -38,6 +38,7 @@
 pub mod permits;
 pub mod placement;
 pub mod proxy;
+pub mod request_timeout;
 pub mod restored;
 pub mod settings;
 pub mod slot;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -14,7 +14,7 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    ending, engine_silence, limited_upstream, permits, placement, stream,
+    ending, engine_silence, limited_upstream, permits, placement, request_timeout, stream,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -28,7 +28,7 @@
 const RETRY_AFTER_REMAINING_DIVISOR: u32 = 3;
 
 /// A caller's request with its complete body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct ProxiedRequest {
     /// The values of the caller's headers.
     pub caller: request::CallerHeaders,
@@ -36,6 +36,8 @@
     pub method: Method,
     /// The request target.
     pub uri: Uri,
+    /// The host that selects the route.
+    pub host: String,
     /// The headers as received from the caller.
     pub headers: HeaderMap,
     /// The body.
@@ -52,8 +54,8 @@
     pub is_late_retry: bool,
     /// When the request arrived.
     pub arrived_at: time::Instant,
-    /// When the caller or the route gives up on the request.
-    pub deadline: time::Instant,
+    /// The time after which the caller or the route gives up on the request.
+    pub timeout: request_timeout::RequestTimeout,
 }
 
 impl ProxiedRequest {
@@ -63,10 +65,16 @@
         self.caller.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Returns when the caller or the route gives up on the request.
+    #[must_use]
+    pub fn deadline(&self) -> time::Instant {
+        self.arrived_at + self.timeout.get()
+    }
+
     /// Returns the time until the deadline.
     #[must_use]
     pub fn remaining(&self) -> time::Duration {
-        self.deadline
+        self.deadline()
             .saturating_duration_since(time::Instant::now())
     }
 
@@ -154,13 +162,14 @@
     let Some(table) = app.table.load_full() else {
         return Err(with_id(unavailable("no configuration is known yet")));
     };
-    let route = select(app, &table, &call).map_err(with_id)?;
+    let host = host(&call);
+    let route = select(app, &table, &host, call.uri.path()).map_err(with_id)?;
     let organisation = authenticate(app, &table, &route, &caller).map_err(with_id)?;
     let Some(service) = route.target(rand::rng().random()).cloned() else {
         return Err(with_id(unavailable("the route names no service")));
     };
-    let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let deadline = arrived_at + timeout;
+    let timeout = request_timeout::RequestTimeout::new(caller.timeout, route.timeout);
+    let deadline = arrived_at + timeout.get();
     let is_late_retry = is_late_retry(app, &route, &caller);
     if !app.accepts(deadline) {
         return Err(with_id(Rejection {
@@ -178,6 +187,7 @@
         caller,
         method,
         uri,
+        host,
         headers,
         body,
         route: sync::Arc::new(route),
@@ -186,7 +196,7 @@
         organisation,
         is_late_retry,
         arrived_at,
-        deadline,
+        timeout,
     })
 }
 
@@ -202,17 +212,23 @@
     longest_timeout.saturating_sub(timeout) > route.goal
 }
 
-fn select(
-    app: &app::App,
-    table: &routes::RouteTable,
-    call: &server::Call,
-) -> Result<routes::Route, Rejection> {
+/// Returns the host of a request, without a port.
+fn host(call: &server::Call) -> String {
     let host = call
         .header("host")
         .or_else(|| call.uri.host())
         .unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    let selected = table.select(&host.to_ascii_lowercase(), call.uri.path());
+    host.to_ascii_lowercase()
+}
+
+fn select(
+    app: &app::App,
+    table: &routes::RouteTable,
+    host: &str,
+    path: &str,
+) -> Result<routes::Route, Rejection> {
+    let selected = table.select(host, path);
     // A route that is missing in a stale configuration may exist in the one in force.
     selected.cloned().ok_or_else(|| {
         if app.is_stale() {
@@ -259,7 +275,7 @@
     let request = sync::Arc::new(request);
     let phase = ending::Phase::Waiting;
     let mut unfinished = ending::UnfinishedGuard::new(app.clone(), request.clone(), phase);
-    let deadline = tokio::time::Instant::from_std(request.deadline) - RESPONSE_MARGIN;
+    let deadline = tokio::time::Instant::from_std(request.deadline()) - RESPONSE_MARGIN;
     let mut history = AttemptHistory::default();
     let result = tokio::time::timeout_at(deadline, run_attempts(app, &request, &mut history)).await;
     unfinished.finish();
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,7 +12,7 @@
 use super::{
     app,
     attempt::{self, OpenStream, Outcome},
-    ending, engine_silence, limited_upstream, permits, placement, proxy,
+    ending, engine_silence, limited_upstream, permits, placement, proxy, request_timeout,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -111,9 +111,7 @@
         if self.is_failed {
             return None;
         }
-        let deadline = tokio::time::Instant::from_std(self.request.deadline);
-        let next = tokio::time::timeout_at(deadline, self.next_events()).await;
-        let next = next.unwrap_or(Some(Err(Interruption::Deadline)));
+        let next = self.next_events_in_time().await;
         match &next {
             None => self.unfinished.finish(),
             Some(Ok(_)) => {}
@@ -122,6 +120,25 @@
         next
     }
 
+    /// Returns the next events, or that the deadline has passed.
+    ///
+    /// The deadline is later if a change of the configuration has raised the route's timeout.
+    async fn next_events_in_time(&mut self) -> Option<Result<Bytes, Interruption>> {
+        let (app, request) = (self.app.clone(), self.request.clone());
+        let mut next = std::pin::pin!(self.next_events());
+        request_timeout::follow_configuration(&app, &request);
+        loop {
+            let deadline = tokio::time::Instant::from_std(request.deadline());
+            if let Ok(next) = tokio::time::timeout_at(deadline, next.as_mut()).await {
+                return next;
+            }
+            request_timeout::follow_configuration(&app, &request);
+            if request.remaining().is_zero() {
+                return Some(Err(Interruption::Deadline));
+            }
+        }
+    }
+
     fn record_interruption(&mut self, interruption: Interruption) {
         self.is_failed = true;
         self.unfinished.finish();
