Resume a broken stream at any upstream that takes it

What callers saw: a stream ended with its connection although an upstream could have gone on with it.

Causes: after its upstream had broken, a stream was tried at one other upstream only; if that one turned it away, without running it, the stream was given up. And each such refusal counted as a run, also one that came while the upstream only paused, so that nothing was left of the route's maximum of attempts when it broke later.

Evidence: a_stream_goes_on_at_a_third_upstream_if_the_second_refuses_it and a_refusal_during_a_pause_uses_up_no_attempt failed before ('is_complete: false' after event 3 of 5, each).

Change: upstreams are tried one after the other until one goes on, as for a request without a response; a refusal is no run. The maximum of runs, the retry budget and the deadline bound it as before. A line 'event=resume_failed' for each.

--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -166,15 +166,18 @@
                 Ok(false) => {
                     let stats = &self.open.candidate.state.stats;
                     stats.record_failure(self.app.now_ms());
-                    if let Err(interruption) = self.resume(false).await {
+                    if let Err(interruption) = self.replace_upstream().await {
                         return Some(Err(interruption));
                     }
                     silence = Silence::new();
                 }
                 // Without another upstream, this one may still go on.
                 Err(_) => {
-                    if self.is_to_be_left(&mut silence) && self.resume(true).await.is_ok() {
-                        silence = Silence::new();
+                    if self.is_to_be_left(&mut silence) {
+                        let mut excluded = vec![String::from(self.open.instance())];
+                        if self.resume(true, &mut excluded).await.is_ok() {
+                            silence = Silence::new();
+                        }
                     }
                 }
             }
@@ -196,14 +199,33 @@
         true
     }
 
-    /// Resumes the stream at another upstream after the last event that was forwarded.
+    /// Resumes a stream whose upstream has failed at the first other upstream that goes on with it.
+    async fn replace_upstream(&mut self) -> Result<(), Interruption> {
+        let mut excluded = vec![String::from(self.open.instance())];
+        loop {
+            let result = self.resume(false, &mut excluded).await;
+            let Err(Interruption::AttemptFailed { fault }) = result else {
+                return result;
+            };
+            log::info!(
+                "stream: event=resume_failed request={} fault={fault} tried={excluded:?}",
+                self.request.id()
+            );
+        }
+    }
+
+    /// Resumes the stream at another upstream after the last event that was forwarded, and adds that
+    /// upstream to `excluded`.
     ///
     /// If the present upstream is still connected (`is_open`) and goes on first, it is kept.
-    async fn resume(&mut self, is_open: bool) -> Result<(), Interruption> {
+    async fn resume(
+        &mut self,
+        is_open: bool,
+        excluded: &mut Vec<String>,
+    ) -> Result<(), Interruption> {
         let route = &self.request.route;
         snafu::ensure!(route.resumable, NotResumableSnafu);
         snafu::ensure!(self.run_count < route.attempts_max, AttemptsSpentSnafu);
-        let excluded = [String::from(self.open.instance())];
         let service = self.request.table.services.get(&self.request.service);
         let placement_request = placement::PlacementRequest {
             service: &self.request.service,
@@ -214,7 +236,7 @@
             first_token_max: route.goal,
             spare_only: false,
             may_probe: false,
-            excluded: &excluded,
+            excluded,
         };
         let placement = placement::choose(&self.app, &placement_request)
             .await
@@ -224,6 +246,7 @@
             permits::give_back(&self.app, &placement.candidate.upstream.instance);
             return RetryBudgetSpentSnafu.fail();
         }
+        excluded.push(placement.candidate.upstream.instance.clone());
         self.run_count += 1;
         let last = self.open.events.last_id();
         let reason = limited_upstream::SendReason::Resume;
@@ -234,7 +257,11 @@
         };
         let open = match outcome {
             Outcome::Stream(open) => open,
-            Outcome::Fault(fault) => return AttemptFailedSnafu { fault }.fail(),
+            Outcome::Fault(fault) => {
+                // A refusal is no run.
+                self.run_count -= u32::from(fault == attempt::Fault::NotRun);
+                return AttemptFailedSnafu { fault }.fail();
+            }
             Outcome::Complete(_) | Outcome::ServerError(_) => {
                 let fault = attempt::Fault::MayHaveRun;
                 return AttemptFailedSnafu { fault }.fail();
