Read the body of a rejected request to its end

What callers saw: a request for a route or with a key that is not in force, beside a change of the configuration for example, could end with a reset of its connection: the caller still wrote its body and met a closed connection, and its answer could be lost with it.

Cause: a request that is rejected for its head is answered before its body has been read; the server then stops reading and closes the connection, and what still comes is answered with a reset.

Evidence: a_request_that_is_rejected_while_its_body_comes_gets_its_response failed before, both cases ('piece 1 met a closed connection'). The caller's side may still read the answer; whether the users' callers do is not known, and their bodies are short. So it is a way to a lost answer, not shown to be the one reported.

Change: the rest of the body is read and discarded in the background, within the limits for bodies, while the response is sent at once; the connection is kept. A body over the limit closes it as before.

--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -148,10 +148,31 @@
     response
 }
 
+/// Reads a request, which may be rejected before its body has come.
 async fn read_request(
     app: &app::App,
     call: server::Call,
 ) -> Result<ProxiedRequest, (String, Rejection)> {
+    let admitted = match admit(app, &call) {
+        Ok(admitted) => admitted,
+        Err(rejection) => {
+            let table = app.table.load();
+            let body_max = table.as_ref().and_then(|table| table.body_max_bytes);
+            call.discard_body(body_max.unwrap_or(BODY_MAX_BYTES));
+            return Err(rejection);
+        }
+    };
+    let body_max = admitted.table.body_max_bytes.unwrap_or(BODY_MAX_BYTES);
+    let body = call.read_body(body_max).await;
+    let body = body.map_err(|error| {
+        let id = String::from(admitted.id());
+        (id, rejection(error.status(), "the body can't be read"))
+    })?;
+    Ok(ProxiedRequest { body, ..admitted })
+}
+
+/// Returns a request, without its body, unless it is rejected for what its head says.
+fn admit(app: &app::App, call: &server::Call) -> Result<ProxiedRequest, (String, Rejection)> {
     let arrived_at = app.clock.now();
     let caller = request::CallerHeaders::from_headers(&call.headers);
     let id = caller
@@ -162,7 +183,7 @@
     let Some(table) = app.table.load_full() else {
         return Err(with_id(unavailable("no configuration is known yet")));
     };
-    let host = host(&call);
+    let host = host(call);
     let route = select(app, &table, &host, call.uri.path()).map_err(with_id)?;
     let organisation = authenticate(app, &table, &route, &caller).map_err(with_id)?;
     let Some(service) = route.target(rand::rng().random()).cloned() else {
@@ -178,18 +199,13 @@
         }));
     }
     let (method, uri, headers) = (call.method.clone(), call.uri.clone(), call.headers.clone());
-    let body_max = table.body_max_bytes.unwrap_or(BODY_MAX_BYTES);
-    let body = match call.read_body(body_max).await {
-        Ok(body) => body,
-        Err(error) => return Err(with_id(rejection(error.status(), "the body can't be read"))),
-    };
     Ok(ProxiedRequest {
         caller,
         method,
         uri,
         host,
         headers,
-        body,
+        body: Bytes::new(),
         route: sync::Arc::new(route),
         service,
         table,
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -243,6 +243,21 @@
         }
     }
 
+    /// Reads the body to its end in the background and discards it, so that the response can be sent
+    /// at once and the connection is kept.
+    ///
+    /// A connection that is closed while its peer still sends is reset, and the peer may lose the
+    /// response.
+    pub fn discard_body(self, max_bytes: usize) {
+        if hyper::body::Body::is_end_stream(&self.body) {
+            return;
+        }
+        let mut limited = http_body_util::Limited::new(self.body, max_bytes);
+        tokio::spawn(tokio_time::timeout(BODY_READ_TIMEOUT, async move {
+            while let Some(Ok(_)) = limited.frame().await {}
+        }));
+    }
+
     /// Returns the body without reading it.
     #[must_use]
     pub fn into_body(self) -> Body {
