Keep callers' connections for the idle limit of the configuration

What callers saw: nothing yet; the limit is 15 s in all configurations seen, which is the default of the setting.

Cause: 'table.idle_timeout' was decoded and never used; the server had the timeout of the settings, fixed for a connection when it was accepted.

Evidence: a_connection_is_kept_for_the_idle_limit failed before in all 3 cases (the response was 'None').

Change: the entry goes by the configuration in force, and after a lowering by the earlier limit until a connection that was used just before it has reached it (core::idle_limit); the server asks for the timeout when it is due (runtime::server::connection), counts a request as under way until its response has been sent, and looks at the socket before it closes it. The timeout for a request head is the same as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod engine_contact;
 pub mod event_stream;
 pub mod id;
+pub mod idle_limit;
 pub mod intent;
 pub mod lease;
 pub mod limits;
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -27,6 +27,7 @@
 pub mod app;
 pub mod attempt;
 pub mod cache;
+pub mod caller_connections;
 pub mod directory;
 pub mod ending;
 pub mod engine_placement;
@@ -139,7 +140,8 @@
     let readiness = server::endpoint(&app, directory::ready);
     tokio::spawn(server::serve(ready, readiness, process::StopSignal::new()));
     let proxy = server::endpoint(&app, proxy::handle);
-    let idle_timeout = app.settings.idle_timeout;
+    let idle_app = app.clone();
+    let idle_timeout = move || caller_connections::idle_timeout(&idle_app);
     let server_task = tokio::spawn(server::serve_with_idle_timeout(
         callers,
         proxy,
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -6,6 +6,8 @@
 //!
 //! [`Endpoint`] turns an async function of the application and a [`Call`] into a gotham handler.
 
+mod connection;
+
 use std::{io, net, panic, sync, time};
 
 use bytes::Bytes;
@@ -17,8 +19,7 @@
     state::State,
 };
 use http_body_util::{BodyExt as _, Full};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, header};
 use serde::{Deserialize, Serialize, de};
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpListener, sync::Semaphore, task::JoinSet, time as tokio_time};
@@ -28,9 +29,6 @@
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 const BODY_READ_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const CONNECTIONS_MAX: usize = 8_192;
-const HEADERS_MAX: usize = 64;
-/// The maximum size of a connection's read buffer, which also limits the size of a request head.
-const BUFFER_MAX_BYTES: usize = 64 << 10;
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
 /// An error from starting a server.
@@ -94,17 +92,19 @@
 where
     H: NewHandler + 'static,
 {
-    serve_with_idle_timeout(listener, handler, stop, IDLE_TIMEOUT).await;
+    serve_with_idle_timeout(listener, handler, stop, || IDLE_TIMEOUT).await;
 }
 
-/// Like [`serve`], but with a timeout for idle connections and for receiving a request head.
-pub async fn serve_with_idle_timeout<H>(
+/// Like [`serve`], but connections are closed after they have been idle, or have been sending a
+/// request head, for as long as `idle_timeout` then says.
+pub async fn serve_with_idle_timeout<H, I>(
     listener: TcpListener,
     handler: H,
     stop: process::StopSignal,
-    idle_timeout: time::Duration,
+    idle_timeout: I,
 ) where
     H: NewHandler + 'static,
+    I: Fn() -> time::Duration + Clone + Send + Sync + 'static,
 {
     let handler = sync::Arc::new(handler);
     let permits = sync::Arc::new(Semaphore::new(CONNECTIONS_MAX));
@@ -123,8 +123,13 @@
                     continue;
                 };
                 let _ = socket.set_nodelay(true);
-                let connection =
-                    serve_connection(socket, peer, handler.clone(), stop.clone(), idle_timeout);
+                let connection = connection::serve(
+                    socket,
+                    peer,
+                    handler.clone(),
+                    stop.clone(),
+                    idle_timeout.clone(),
+                );
                 connections.spawn(async move {
                     connection.await;
                     drop(permit);
@@ -148,46 +153,6 @@
     }
 }
 
-/// Writes a line if a connection has ended in any other way than by being closed.
-fn log_end(peer: net::SocketAddr, result: Result<(), hyper::Error>) {
-    match result {
-        Ok(()) => {}
-        Err(error) if error.is_timeout() => {
-            log::debug!("server: event=connection_idle peer={peer}");
-        }
-        Err(error) => log::info!("server: event=connection_failed peer={peer} error={error:?}"),
-    }
-}
-
-async fn serve_connection<H>(
-    socket: tokio::net::TcpStream,
-    peer: net::SocketAddr,
-    handler: sync::Arc<H>,
-    stop: process::StopSignal,
-    idle_timeout: time::Duration,
-) where
-    H: NewHandler + 'static,
-{
-    let service = hyper::service::service_fn(move |request: Request<Incoming>| {
-        let state = State::from_request(request, peer);
-        gotham::service::call_handler(handler.clone(), panic::AssertUnwindSafe(state))
-            .map(|result| result.map_err(io::Error::other))
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
-        .max_headers(HEADERS_MAX)
-        .max_buf_size(BUFFER_MAX_BYTES)
-        .serve_connection(TokioIo::new(socket), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        result = connection.as_mut() => return log_end(peer, result),
-        () = stop.wait() => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    log_end(peer, connection.await);
-}
-
 /// The parameter of a path such as `/v1/services/:name`.
 #[derive(Debug, Deserialize, StateData, StaticResponseExtender)]
 pub struct NamePath {
