Let earlier, longer timeouts hold for streams that arrive just after a change

What callers saw: a stream ended with its connection at a timeout that had been lowered just before its request arrived, though the configuration before it may still be used then; in a series of changes, at whichever timeout happened to be known at that moment.

Change: timeouts that a configuration lowers are kept for a minute (core::lowered_timeouts, bounded); a stream that reaches its deadline may last as long as the longest one that was replaced since half the grace period before its arrival. Half, because the change was acknowledged before the entry heard of it. A request without a response is answered at the timeout of its arrival as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod intent;
 pub mod lease;
 pub mod limits;
+pub mod lowered_timeouts;
 pub mod membership;
 pub mod position;
 pub mod refusal_rate;
--- /dev/null
+++ b/crates/core/src/lowered_timeouts.rs
@@ -0,0 +1,74 @@
+//! Timeouts of routes that configurations have lowered.
+//!
+//! For a while after a change either configuration may be used, and a request that is under way meets
+//! several of them in a series of changes. So what ends a stream is the longest timeout that its route
+//! had in the meantime; this is where the ones that are no longer in force are kept.
+
+use std::time;
+
+use crate::routes;
+
+/// How long a lowered timeout is kept; no request lasts longer.
+const RETENTION: time::Duration = time::Duration::from_mins(1);
+/// The maximum number of timeouts that are kept.
+const TIMEOUTS_MAX: usize = 8_192;
+
+/// A timeout that a route had until a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct LoweredTimeout {
+    host: String,
+    path_prefix: String,
+    timeout: time::Duration,
+    replaced_at: time::Instant,
+}
+
+/// The timeouts that have been lowered lately, oldest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LoweredTimeouts {
+    timeouts: Vec<LoweredTimeout>,
+}
+
+impl LoweredTimeouts {
+    /// Records the routes whose timeouts are lower in the configuration that comes into force.
+    pub fn record(
+        &mut self,
+        now: time::Instant,
+        before: &routes::RouteTable,
+        after: &routes::RouteTable,
+    ) {
+        self.timeouts
+            .retain(|lowered| now < lowered.replaced_at + RETENTION);
+        for (host, routes) in &before.hosts {
+            let lowered = routes.iter().filter(|route| is_lowered(host, route, after));
+            self.timeouts.extend(lowered.map(|route| LoweredTimeout {
+                host: host.clone(),
+                path_prefix: route.path_prefix.clone(),
+                timeout: route.timeout,
+                replaced_at: now,
+            }));
+        }
+        let excess = self.timeouts.len().saturating_sub(TIMEOUTS_MAX);
+        self.timeouts.drain(..excess);
+    }
+
+    /// Returns the longest timeout that was replaced after `since` for a host and a path.
+    #[must_use]
+    pub fn longest_since(
+        &self,
+        since: time::Instant,
+        host: &str,
+        path: &str,
+    ) -> Option<time::Duration> {
+        let matching = self.timeouts.iter().filter(|lowered| {
+            lowered.replaced_at > since
+                && lowered.host == host
+                && path.starts_with(&lowered.path_prefix)
+        });
+        matching.map(|lowered| lowered.timeout).max()
+    }
+}
+
+fn is_lowered(host: &str, route: &routes::Route, after: &routes::RouteTable) -> bool {
+    let now = after.select(host, &route.path_prefix);
+    now.is_some_and(|now| now.timeout < route.timeout)
+}
--- /dev/null
+++ b/crates/core/tests/lowered_timeouts.rs
@@ -0,0 +1,51 @@
+//! Tests of the timeouts that configurations have lowered.
+
+use std::time;
+
+use pimentohook_core::{lowered_timeouts, routes};
+
+const HOST: &str = "drafts.example";
+
+fn table(timeout_s: u64) -> routes::RouteTable {
+    let mut table = routes::RouteTable::default();
+    let timeout = time::Duration::from_secs(timeout_s);
+    let route = routes::Route {
+        name: String::from("drafts"),
+        path_prefix: String::from("/notes/"),
+        repeat: routes::RepeatPolicy::AtMostOnce,
+        streaming: true,
+        resumable: true,
+        timeout,
+        goal: timeout,
+        targets: Vec::new(),
+        attempts_max: 1,
+        public: true,
+    };
+    table.insert(String::from(HOST), route);
+    table
+}
+
+#[test]
+fn the_longest_timeout_since_the_arrival_is_found_in_a_series_of_changes() {
+    let mut lowered = lowered_timeouts::LoweredTimeouts::default();
+    let start = time::Instant::now();
+    let second = time::Duration::from_secs(1);
+    let timeouts_s = [6, 3, 5, 2];
+    for (number, pair) in (1..).zip(timeouts_s.windows(2)) {
+        lowered.record(start + second * number, &table(pair[0]), &table(pair[1]));
+    }
+    let longest = |since| lowered.longest_since(since, HOST, "/notes/1");
+    assert_eq!(longest(start), Some(second * 6));
+    assert_eq!(longest(start + second), Some(second * 5));
+    assert_eq!(longest(start + second * 3), None, "a raise is not recorded");
+    assert_eq!(lowered.longest_since(start, HOST, "/other/"), None);
+}
+
+#[test]
+fn a_lowered_timeout_is_forgotten_after_a_while() {
+    let mut lowered = lowered_timeouts::LoweredTimeouts::default();
+    let start = time::Instant::now();
+    lowered.record(start + time::Duration::from_secs(1), &table(6), &table(3));
+    lowered.record(start + time::Duration::from_mins(2), &table(3), &table(3));
+    assert_eq!(lowered.longest_since(start, HOST, "/notes/1"), None);
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,8 +6,8 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    announcement, clock, engine_contact, id, idle_limit, limits, refusal_rate, routes,
-    routing::score, shutdown, upstreams,
+    announcement, clock, engine_contact, id, idle_limit, limits, lowered_timeouts, refusal_rate,
+    routes, routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{body, client, metrics};
@@ -107,6 +107,8 @@
     longest_timeouts_ms: ArcSwap<IndexMap<String, sync::Arc<atomic::AtomicU64>>>,
     refusal_rates: ArcSwap<IndexMap<id::ServiceName, sync::Arc<refusal_rate::RefusalRate>>>,
     retry_budgets: ArcSwap<IndexMap<id::ServiceName, sync::Arc<limits::RetryBudget>>>,
+    /// The timeouts of routes that were longer before.
+    pub lowered_timeouts: ArcSwap<lowered_timeouts::LoweredTimeouts>,
     /// How long callers' idle connections are kept.
     pub idle_limit: ArcSwap<idle_limit::IdleLimit>,
     shutdown: ArcSwapOption<shutdown::Shutdown>,
@@ -157,6 +159,7 @@
             longest_timeouts_ms: ArcSwap::default(),
             refusal_rates: ArcSwap::default(),
             retry_budgets: ArcSwap::default(),
+            lowered_timeouts: ArcSwap::default(),
             idle_limit: ArcSwap::from_pointee(idle_limit::IdleLimit::new(settings.idle_timeout)),
             shutdown: ArcSwapOption::empty(),
             started_at: clock.now(),
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -15,7 +15,7 @@
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use tokio::time as tokio_time;
 
-use super::{app, caller_connections, restored, weights_versions};
+use super::{app, caller_connections, request_timeout, restored, weights_versions};
 
 /// The delay after a change, so that changes close together are fetched together.
 const COALESCE_DELAY: time::Duration = time::Duration::from_millis(100);
@@ -459,6 +459,7 @@
         if let Some(idle_timeout) = table.idle_timeout {
             caller_connections::set_idle_timeout(app, idle_timeout);
         }
+        request_timeout::record_lowered(app, &table);
         app.table.store(Some(sync::Arc::new(table)));
     }
 }
--- a/crates/entry/src/direct/request_timeout.rs
+++ b/crates/entry/src/direct/request_timeout.rs
@@ -2,13 +2,19 @@
 //! whichever is less.
 //!
 //! A route's timeout can change while a request is under way. A stream that has begun may last as
-//! long as any of the configurations that it has met allows, because the timeout that ends it has to
-//! be one that operators want.
+//! long as any of the configurations allows that were in force meanwhile or may still be used when it
+//! arrived.
 
 use std::{sync::atomic, time};
 
+use pimentohook_core::{lowered_timeouts, routes};
+
 use super::{app, proxy};
 
+/// Divisor of the grace period of a configuration. An earlier configuration holds for requests that
+/// arrive within the quotient: the change was acknowledged before this entry heard of it.
+const GRACE_DIVISOR: u32 = 2;
+
 /// The time that a request may take from its arrival.
 #[derive(Debug)]
 pub struct RequestTimeout {
@@ -44,16 +50,33 @@
     }
 }
 
-/// Records the timeout that the route of a request has in the configuration in force.
+/// Extends the timeout of a request to the longest one of the configurations that hold for it.
 pub fn follow_configuration(app: &app::App, request: &proxy::ProxiedRequest) {
+    let (host, path) = (request.host.as_str(), request.uri.path());
     let table = app.table.load();
-    let Some(table) = table.as_deref() else {
+    let route = table.as_ref().and_then(|table| table.select(host, path));
+    if let Some(route) = route {
+        request.timeout.extend(route.timeout);
+    }
+    let grace = app.settings.configuration_grace / GRACE_DIVISOR;
+    let Some(since) = request.arrived_at.checked_sub(grace) else {
         return;
     };
-    if table.version == request.table.version {
-        return;
-    }
-    if let Some(route) = table.select(&request.host, request.uri.path()) {
-        request.timeout.extend(route.timeout);
+    let lowered = app.lowered_timeouts.load();
+    if let Some(timeout) = lowered.longest_since(since, host, path) {
+        request.timeout.extend(timeout);
     }
 }
+
+/// Records which timeouts a configuration lowers that comes into force.
+pub fn record_lowered(app: &app::App, after: &routes::RouteTable) {
+    let Some(before) = app.table.load_full() else {
+        return;
+    };
+    let now = app.clock.now();
+    app.lowered_timeouts.rcu(|lowered| {
+        let mut lowered = lowered_timeouts::LoweredTimeouts::clone(lowered);
+        lowered.record(now, &before, after);
+        lowered
+    });
+}
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -122,11 +122,10 @@
 
     /// Returns the next events, or that the deadline has passed.
     ///
-    /// The deadline is later if a change of the configuration has raised the route's timeout.
+    /// The deadline is later if another configuration that holds for the request has a longer timeout.
     async fn next_events_in_time(&mut self) -> Option<Result<Bytes, Interruption>> {
         let (app, request) = (self.app.clone(), self.request.clone());
         let mut next = std::pin::pin!(self.next_events());
-        request_timeout::follow_configuration(&app, &request);
         loop {
             let deadline = tokio::time::Instant::from_std(request.deadline());
             if let Ok(next) = tokio::time::timeout_at(deadline, next.as_mut()).await {
