--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -27,7 +27,9 @@
 pub mod app;
 pub mod attempt;
 pub mod cache;
+pub mod caller_connections;
 pub mod directory;
+pub mod ending;
 pub mod engine_placement;
 pub mod engine_silence;
 pub mod feed;
@@ -37,6 +39,7 @@
 pub mod permits;
 pub mod placement;
 pub mod proxy;
+pub mod request_timeout;
 pub mod restored;
 pub mod settings;
 pub mod slot;
@@ -137,7 +140,8 @@
     let readiness = server::endpoint(&app, directory::ready);
     tokio::spawn(server::serve(ready, readiness, process::StopSignal::new()));
     let proxy = server::endpoint(&app, proxy::handle);
-    let idle_timeout = app.settings.idle_timeout;
+    let idle_app = app.clone();
+    let idle_timeout = move || caller_connections::idle_timeout(&idle_app);
     let server_task = tokio::spawn(server::serve_with_idle_timeout(
         callers,
         proxy,
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -14,7 +14,7 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    engine_silence, limited_upstream, permits, placement, stream,
+    ending, engine_silence, limited_upstream, permits, placement, request_timeout, stream,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -28,7 +28,7 @@
 const RETRY_AFTER_REMAINING_DIVISOR: u32 = 3;
 
 /// A caller's request with its complete body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct ProxiedRequest {
     /// The values of the caller's headers.
     pub caller: request::CallerHeaders,
@@ -36,6 +36,8 @@
     pub method: Method,
     /// The request target.
     pub uri: Uri,
+    /// The host that selects the route.
+    pub host: String,
     /// The headers as received from the caller.
     pub headers: HeaderMap,
     /// The body.
@@ -52,8 +54,8 @@
     pub is_late_retry: bool,
     /// When the request arrived.
     pub arrived_at: time::Instant,
-    /// When the caller or the route gives up on the request.
-    pub deadline: time::Instant,
+    /// The time after which the caller or the route gives up on the request.
+    pub timeout: request_timeout::RequestTimeout,
 }
 
 impl ProxiedRequest {
@@ -63,10 +65,16 @@
         self.caller.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Returns when the caller or the route gives up on the request.
+    #[must_use]
+    pub fn deadline(&self) -> time::Instant {
+        self.arrived_at + self.timeout.get()
+    }
+
     /// Returns the time until the deadline.
     #[must_use]
     pub fn remaining(&self) -> time::Duration {
-        self.deadline
+        self.deadline()
             .saturating_duration_since(time::Instant::now())
     }
 
@@ -140,10 +148,31 @@
     response
 }
 
+/// Reads a request, which may be rejected before its body has come.
 async fn read_request(
     app: &app::App,
     call: server::Call,
 ) -> Result<ProxiedRequest, (String, Rejection)> {
+    let admitted = match admit(app, &call) {
+        Ok(admitted) => admitted,
+        Err(rejection) => {
+            let table = app.table.load();
+            let body_max = table.as_ref().and_then(|table| table.body_max_bytes);
+            call.discard_body(body_max.unwrap_or(BODY_MAX_BYTES));
+            return Err(rejection);
+        }
+    };
+    let body_max = admitted.table.body_max_bytes.unwrap_or(BODY_MAX_BYTES);
+    let body = call.read_body(body_max).await;
+    let body = body.map_err(|error| {
+        let id = String::from(admitted.id());
+        (id, rejection(error.status(), "the body can't be read"))
+    })?;
+    Ok(ProxiedRequest { body, ..admitted })
+}
+
+/// Returns a request, without its body, unless it is rejected for what its head says.
+fn admit(app: &app::App, call: &server::Call) -> Result<ProxiedRequest, (String, Rejection)> {
     let arrived_at = app.clock.now();
     let caller = request::CallerHeaders::from_headers(&call.headers);
     let id = caller
@@ -154,13 +183,14 @@
     let Some(table) = app.table.load_full() else {
         return Err(with_id(unavailable("no configuration is known yet")));
     };
-    let route = select(app, &table, &call).map_err(with_id)?;
+    let host = host(call);
+    let route = select(app, &table, &host, call.uri.path()).map_err(with_id)?;
     let organisation = authenticate(app, &table, &route, &caller).map_err(with_id)?;
     let Some(service) = route.target(rand::rng().random()).cloned() else {
         return Err(with_id(unavailable("the route names no service")));
     };
-    let timeout = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let deadline = arrived_at + timeout;
+    let timeout = request_timeout::RequestTimeout::new(caller.timeout, route.timeout);
+    let deadline = arrived_at + timeout.get();
     let is_late_retry = is_late_retry(app, &route, &caller);
     if !app.accepts(deadline) {
         return Err(with_id(Rejection {
@@ -169,24 +199,20 @@
         }));
     }
     let (method, uri, headers) = (call.method.clone(), call.uri.clone(), call.headers.clone());
-    let body_max = table.body_max_bytes.unwrap_or(BODY_MAX_BYTES);
-    let body = match call.read_body(body_max).await {
-        Ok(body) => body,
-        Err(error) => return Err(with_id(rejection(error.status(), "the body can't be read"))),
-    };
     Ok(ProxiedRequest {
         caller,
         method,
         uri,
+        host,
         headers,
-        body,
+        body: Bytes::new(),
         route: sync::Arc::new(route),
         service,
         table,
         organisation,
         is_late_retry,
         arrived_at,
-        deadline,
+        timeout,
     })
 }
 
@@ -202,17 +228,23 @@
     longest_timeout.saturating_sub(timeout) > route.goal
 }
 
-fn select(
-    app: &app::App,
-    table: &routes::RouteTable,
-    call: &server::Call,
-) -> Result<routes::Route, Rejection> {
+/// Returns the host of a request, without a port.
+fn host(call: &server::Call) -> String {
     let host = call
         .header("host")
         .or_else(|| call.uri.host())
         .unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    let selected = table.select(&host.to_ascii_lowercase(), call.uri.path());
+    host.to_ascii_lowercase()
+}
+
+fn select(
+    app: &app::App,
+    table: &routes::RouteTable,
+    host: &str,
+    path: &str,
+) -> Result<routes::Route, Rejection> {
+    let selected = table.select(host, path);
     // A route that is missing in a stale configuration may exist in the one in force.
     selected.cloned().ok_or_else(|| {
         if app.is_stale() {
@@ -257,9 +289,12 @@
 
 async fn serve(app: &sync::Arc<app::App>, request: ProxiedRequest) -> Response<Body> {
     let request = sync::Arc::new(request);
-    let deadline = tokio::time::Instant::from_std(request.deadline) - RESPONSE_MARGIN;
+    let phase = ending::Phase::Waiting;
+    let mut unfinished = ending::UnfinishedGuard::new(app.clone(), request.clone(), phase);
+    let deadline = tokio::time::Instant::from_std(request.deadline()) - RESPONSE_MARGIN;
     let mut history = AttemptHistory::default();
     let result = tokio::time::timeout_at(deadline, run_attempts(app, &request, &mut history)).await;
+    unfinished.finish();
     result.unwrap_or_else(|_| time_out(app, &request, &history))
 }
 
@@ -485,12 +520,12 @@
     };
     app.count("timed_out");
     log::warn!(
-        "proxy: event=timeout request={} route={} status={} tried={:?} after_ms={}",
+        "proxy: event=timeout request={} route={} status={} tried={:?} {}",
         request.id(),
         request.route.name,
         status.as_u16(),
         history.tried,
-        request.arrived_at.elapsed().as_millis()
+        ending::Timing::new(app, request)
     );
     error_response(status, None, "the time for this request is over")
 }
