Close the connection of a rejected caller that has not sent its body

A caller that waits for a status before it sends its body ('Expect') may leave the body out after a rejection. The connection was kept, and the next request on it was taken for that body: it got no answer until the caller gave up.

Change: such a body is not read, so the connection is closed after the response as it was before.

--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -212,9 +212,11 @@
     /// at once and the connection is kept.
     ///
     /// A connection that is closed while its peer still sends is reset, and the peer may lose the
-    /// response.
+    /// response. A peer that waits for a status before it sends its body may never send it, so the
+    /// body of such a request is not read.
     pub fn discard_body(self, max_bytes: usize) {
-        if hyper::body::Body::is_end_stream(&self.body) {
+        let waits_for_status = self.headers.contains_key(header::EXPECT);
+        if waits_for_status || hyper::body::Body::is_end_stream(&self.body) {
             return;
         }
         let mut limited = http_body_util::Limited::new(self.body, max_bytes);
