Name the interface of the evidence against parts of prompts

Types and signatures of `core::prompt_evidence` are final: `prompt` (PromptPart, Prompt, EngineRun), `kept::KeptParts`, `change` (Change, Belief, Admission), `report::Report`, and the commands and queries of `PromptEvidence`. The bodies decide nothing yet: nothing is kept back, the report is empty.

Other than the design: what was served does not travel as an age but as the crashes that it refutes, so that a message that is late or comes twice can't refute a crash that came after it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 //! * [`engine_admission`]: which requests an engine admits.
 //! * [`engine_contact`]: whether an engine whose agent does not respond is used.
 //! * [`event_stream`]: the events of a streamed response.
+//! * [`prompt_evidence`]: which parts of prompts crash engines and are kept from them.
 //! * [`refusal_rate`]: when refused callers should retry.
 //! * [`shutdown`]: which requests a process accepts while it is shutting down.
 //! * [`announcement`]: when versions of weights were announced.
@@ -61,6 +62,7 @@
 pub mod limits;
 pub mod membership;
 pub mod position;
+pub mod prompt_evidence;
 pub mod refusal_rate;
 pub mod relay;
 pub mod report;
--- /dev/null
+++ b/crates/core/src/prompt_evidence/exchange.rs
@@ -0,0 +1,1 @@
+//! The evidence as it is exchanged with other entries.
--- /dev/null
+++ b/crates/core/src/prompt_evidence/mod.rs
@@ -0,0 +1,47 @@
+//! Which parts of prompts crash the engines that begin to write a response on them.
+//!
+//! Against a part counts each distinct run of an engine that ended while a request with the part was
+//! under way there. For it count responses on it that their engine outlived: they refute all earlier
+//! crashes. A part with enough crashes left is kept from engines, and the crashes that it explains
+//! count against no other part. What entries exchange is this evidence and not their verdicts, so
+//! entries with the same evidence reach the same verdicts; see [`verdicts`].
+//!
+//! A verdict ends after some time without requests that have the part. The part is on probation
+//! then: one entry sends one such request as a trial.
+//!
+//! The state is bounded, and nothing of it is used on the path of a request but [`kept::KeptParts`],
+//! a snapshot that is empty as long as no part is kept from engines.
+
+pub mod change;
+mod commands;
+mod ends;
+mod exchange;
+pub mod kept;
+pub mod prompt;
+mod queries;
+pub mod report;
+pub mod served;
+mod suspects;
+mod trials;
+mod verdicts;
+
+use std::time;
+
+use indexmap::IndexMap;
+
+/// How long a part is kept from engines after the last request with it was seen.
+pub const VERDICT_LIFETIME: time::Duration = time::Duration::from_mins(10);
+/// How long a part is kept from engines after the last crash, whether or not requests with it come,
+/// and after a trial that crashed an engine. A part costs at most three trials a day.
+pub const REVIEW_INTERVAL: time::Duration = time::Duration::from_hours(8);
+
+/// What one entry knows for and against parts of prompts.
+#[expect(dead_code, reason = "the commands don't use all of it yet")]
+#[derive(Clone, Debug, Default)]
+pub struct PromptEvidence {
+    ends: ends::Ends,
+    suspects: suspects::Suspects,
+    served: served::ServedParts,
+    pending: served::PendingResponses,
+    verdicts: IndexMap<prompt::PromptPart, verdicts::Verdict>,
+}
--- /dev/null
+++ b/crates/core/src/prompt_evidence/trials.rs
@@ -0,0 +1,1 @@
+//! Trials of parts on probation.
