Weigh the evidence against parts of prompts

Evidence travels as ends and refuted crashes, which merge in any order. Verdicts end by age, with one trial by one entry.

`BEGUN_FOR` stands in the module itself now. Compiles, not tested yet.

--- a/crates/core/src/prompt_evidence/kept.rs
+++ b/crates/core/src/prompt_evidence/kept.rs
@@ -19,6 +19,12 @@
         suspects.find(|part| self.0.contains(*part)).copied()
     }
 
+    /// Returns whether a part is kept from engines.
+    #[must_use]
+    pub fn contains(&self, part: prompt::PromptPart) -> bool {
+        self.0.contains(&part)
+    }
+
     /// Returns whether no part is kept from engines.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/core/src/prompt_evidence/mod.rs
+++ b/crates/core/src/prompt_evidence/mod.rs
@@ -12,6 +12,7 @@
 //! The state is bounded, and nothing of it is used on the path of a request but [`kept::KeptParts`],
 //! a snapshot that is empty as long as no part is kept from engines.
 
+mod beliefs;
 pub mod change;
 mod commands;
 mod ends;
@@ -20,28 +21,34 @@
 pub mod prompt;
 mod queries;
 pub mod report;
-pub mod served;
+mod retention;
+mod served;
 mod suspects;
 mod trials;
 mod verdicts;
 
 use std::time;
 
-use indexmap::IndexMap;
-
 /// How long a part is kept from engines after the last request with it was seen.
 pub const VERDICT_LIFETIME: time::Duration = time::Duration::from_mins(10);
 /// How long a part is kept from engines after the last crash, whether or not requests with it come,
 /// and after a trial that crashed an engine. A part costs at most three trials a day.
 pub const REVIEW_INTERVAL: time::Duration = time::Duration::from_hours(8);
 
+/// How long a stream must have run after its first event to be recorded as served.
+pub const BEGUN_FOR: time::Duration = time::Duration::from_secs(1);
+
 /// What one entry knows for and against parts of prompts.
-#[expect(dead_code, reason = "the commands don't use all of it yet")]
 #[derive(Clone, Debug, Default)]
 pub struct PromptEvidence {
     ends: ends::Ends,
     suspects: suspects::Suspects,
     served: served::ServedParts,
     pending: served::PendingResponses,
-    verdicts: IndexMap<prompt::PromptPart, verdicts::Verdict>,
+    /// What follows from the above.
+    verdicts: verdicts::Verdicts,
+    /// Whether the evidence has changed since the verdicts were derived.
+    is_stale: bool,
+    /// When the verdicts were last derived.
+    reviewed_at: Option<time::Instant>,
 }
--- a/crates/core/src/prompt_evidence/suspects.rs
+++ b/crates/core/src/prompt_evidence/suspects.rs
@@ -1,5 +1,132 @@
 //! The evidence against each part.
 
+use std::time;
+
+use indexmap::IndexMap;
+
+use super::{ends, prompt};
+
+/// The end of an engine run while a request with a part was under way there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Crash {
+    /// Whether a later response on the part refutes it.
+    pub is_refuted: bool,
+    /// Whether the part was on probation.
+    pub is_trial: bool,
+}
+
+/// A part with which engine runs ended.
+#[derive(Clone, Debug, Default)]
+pub struct Suspect {
+    /// Its last position in a prompt, counted from 0.
+    pub position: u8,
+    /// The runs that ended while a request with the part was under way there.
+    pub crashes: IndexMap<prompt::EngineRun, Crash>,
+    /// When this entry last received a response on it.
+    pub served_here: Option<time::Instant>,
+    /// When another entry last received one.
+    pub served_elsewhere: Option<time::Instant>,
+    /// When a request with the part was last held back, at any entry.
+    pub held_back_at: Option<time::Instant>,
+    /// Since when a trial of the part is under way here.
+    pub trial_started_at: Option<time::Instant>,
+}
+
+impl Suspect {
+    /// Returns the crashes that count against the part, and when they were.
+    pub fn standing_crashes(
+        &self,
+        ends: &ends::Ends,
+    ) -> impl Iterator<Item = (prompt::EngineRun, time::Instant)> {
+        let unrefuted = self.crashes.iter().filter(|(_, crash)| !crash.is_refuted);
+        unrefuted.filter_map(|(run, _)| Some((*run, ends.ended_at(*run)?)))
+    }
+
+    /// Returns when the last crash was that counts against the part.
+    pub fn last_standing_crash_at(&self, ends: &ends::Ends) -> Option<time::Instant> {
+        self.standing_crashes(ends).map(|(_, at)| at).max()
+    }
+
+    /// Returns when the last crash was, refuted or not.
+    pub fn last_crash_at(&self, ends: &ends::Ends) -> Option<time::Instant> {
+        let runs = self.crashes.keys();
+        runs.filter_map(|run| ends.ended_at(*run)).max()
+    }
+
+    /// Returns when the part was last seen: a crash or a request that was held back.
+    pub fn last_seen_at(&self, ends: &ends::Ends) -> Option<time::Instant> {
+        self.last_crash_at(ends).max(self.held_back_at)
+    }
+
+    /// Returns when any entry last received a response on the part.
+    pub fn last_served_at(&self) -> Option<time::Instant> {
+        self.served_here.max(self.served_elsewhere)
+    }
+
+    /// Records a response on the part, which refutes earlier crashes; returns whether there were
+    /// any.
+    pub fn refute(&mut self, ends: &ends::Ends, served_at: time::Instant) -> bool {
+        self.served_here = self.served_here.max(Some(served_at));
+        let mut is_changed = false;
+        for (run, crash) in &mut self.crashes {
+            let is_earlier = ends.ended_at(*run).is_some_and(|at| at < served_at);
+            is_changed |= is_earlier && !crash.is_refuted;
+            crash.is_refuted |= is_earlier;
+        }
+        is_changed
+    }
+}
+
 /// The parts with which engine runs ended.
 #[derive(Clone, Debug, Default)]
-pub struct Suspects;
+pub struct Suspects {
+    by_part: IndexMap<prompt::PromptPart, Suspect>,
+}
+
+impl Suspects {
+    /// Returns the evidence against a part.
+    pub fn get(&self, part: prompt::PromptPart) -> Option<&Suspect> {
+        self.by_part.get(&part)
+    }
+
+    /// Returns the evidence against a part, to change it.
+    pub fn get_mut(&mut self, part: prompt::PromptPart) -> Option<&mut Suspect> {
+        self.by_part.get_mut(&part)
+    }
+
+    /// Returns the evidence against a part, to change it; adds it if there is none.
+    pub fn get_or_add(&mut self, part: prompt::PromptPart) -> &mut Suspect {
+        self.by_part.entry(part).or_default()
+    }
+
+    /// Returns the evidence against all parts.
+    pub fn iter(&self) -> impl Iterator<Item = (prompt::PromptPart, &Suspect)> {
+        self.by_part.iter().map(|(part, suspect)| (*part, suspect))
+    }
+
+    /// Returns the number of parts.
+    pub fn len(&self) -> usize {
+        self.by_part.len()
+    }
+
+    /// Returns whether there is no evidence against any part.
+    pub fn is_empty(&self) -> bool {
+        self.by_part.is_empty()
+    }
+
+    /// Removes the end of a run from the evidence.
+    pub fn remove_crashes(&mut self, run: prompt::EngineRun) {
+        for suspect in self.by_part.values_mut() {
+            suspect.crashes.swap_remove(&run);
+        }
+    }
+
+    /// Keeps the parts for which `is_needed` returns true.
+    pub fn retain<F>(&mut self, mut is_needed: F)
+    where
+        F: FnMut(prompt::PromptPart, &Suspect) -> bool,
+    {
+        self.by_part
+            .retain(|part, suspect| is_needed(*part, suspect));
+    }
+}
