--- a/crates/core/src/prompt_evidence/commands.rs
+++ b/crates/core/src/prompt_evidence/commands.rs
@@ -130,7 +130,7 @@
             for part in response.prompt.parts() {
                 self.served.record(*part, response.served_at);
                 if let Some(suspect) = self.suspects.get_mut(*part) {
-                    self.is_stale |= suspect.refute(&self.ends, response.served_at);
+                    self.is_stale |= suspect.refute(&self.ends, response.served_at, now);
                 }
             }
         }
@@ -152,7 +152,7 @@
         let crash = suspect.crashes.entry(run).or_default();
         crash.is_trial |= is_trial;
         if let Some(served_here) = served_here {
-            suspect.refute(&self.ends, served_here);
+            suspect.refute(&self.ends, served_here, now);
         }
     }
 
--- a/crates/core/src/prompt_evidence/exchange.rs
+++ b/crates/core/src/prompt_evidence/exchange.rs
@@ -69,7 +69,7 @@
             part,
             position: suspect.position,
             crashes,
-            served_age_ms: suspect.served_here.map(|at| age_ms(at, now)),
+            was_served: suspect.was_served,
             held_back_age_ms: suspect.held_back_at.map(|at| age_ms(at, now)),
         }
     }
@@ -111,21 +111,20 @@
         }
         let suspect = self.suspects.get_or_add(reported.part);
         for crash in crashes {
-            let known = suspect.crashes.entry(crash.run).or_default();
-            known.is_refuted |= crash.is_refuted;
-            known.is_trial |= crash.is_trial;
+            let told = suspects::Crash {
+                is_refuted: crash.is_refuted,
+                is_trial: crash.is_trial,
+            };
+            suspect.merge_crash(crash.run, told, now);
         }
         suspect.position = suspect.position.max(reported.position.min(POSITION_MAX));
-        let served_at = reported
-            .served_age_ms
-            .and_then(|age_ms| instant(age_ms, now));
-        suspect.served_elsewhere = suspect.served_elsewhere.max(served_at);
+        suspect.was_served |= reported.was_served;
         let held_back_at = reported
             .held_back_age_ms
             .and_then(|age_ms| instant(age_ms, now));
         suspect.held_back_at = later_by_a_step(suspect.held_back_at, held_back_at);
         if let Some(served_here) = self.served.last_served_at(reported.part) {
-            suspect.refute(&self.ends, served_here);
+            suspect.refute(&self.ends, served_here, now);
         }
     }
 }
--- a/crates/core/src/prompt_evidence/report.rs
+++ b/crates/core/src/prompt_evidence/report.rs
@@ -49,9 +49,9 @@
     /// The ends of engine runs at which requests with the part were under way.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
-    /// How long ago the entry itself last received a response on it.
+    /// Whether an entry ever received a response on it, as far as known.
     #[serde(default)]
-    pub served_age_ms: Option<u64>,
+    pub was_served: bool,
     /// How long ago a request with the part was last held back, at any entry.
     #[serde(default)]
     pub held_back_age_ms: Option<u64>,
--- a/crates/core/src/prompt_evidence/retention.rs
+++ b/crates/core/src/prompt_evidence/retention.rs
@@ -1,6 +1,6 @@
 //! Bounds on the number and the age of evidence.
 
-use std::time;
+use std::{cmp, time};
 
 use indexmap::IndexSet;
 
@@ -8,6 +8,8 @@
 
 /// The maximum number of parts with evidence against them.
 pub(super) const SUSPECTS_MAX: usize = 256;
+/// How many of these parts are kept for their number of crashes, whatever their age.
+const STRONGEST_MAX: usize = SUSPECTS_MAX / 2;
 /// The maximum number of engine runs that ended.
 pub(super) const ENDS_MAX: usize = 256;
 /// How long evidence is kept after its last crash, unless the part is kept from engines.
@@ -60,7 +62,7 @@
         if self.is_kept(part) {
             suspect.last_seen_at(&self.ends)
         } else {
-            suspect.last_crash_at(&self.ends)
+            suspect.last_crash_at(&self.ends).max(suspect.refuted_at)
         }
     }
 
@@ -75,19 +77,22 @@
         }
     }
 
-    /// Keeps the newest suspicions; parts that are kept from engines are the last to go.
+    /// Keeps the strongest suspicions, and of the others the newest; parts that are kept from
+    /// engines are the last to go.
     fn limit_parts(&mut self) {
         let excess = self.suspects.len().saturating_sub(SUSPECTS_MAX);
         if excess == 0 {
             return;
         }
-        let mut by_need: Vec<_> = self.suspects.iter().collect();
-        by_need.sort_by_cached_key(|(part, suspect)| {
-            let is_kept = self.is_kept(*part);
-            (is_kept, suspect.last_standing_crash_at(&self.ends))
+        let mut by_strength: Vec<_> = self.suspects.iter().collect();
+        by_strength.sort_by_cached_key(|(part, suspect)| {
+            let crash_count = suspect.standing_crashes(&self.ends).count();
+            cmp::Reverse((self.is_kept(*part), crash_count))
         });
+        let mut by_age = by_strength.split_off(STRONGEST_MAX);
+        by_age.sort_by_cached_key(|(_, suspect)| suspect.last_standing_crash_at(&self.ends));
         let least: IndexSet<prompt::PromptPart> =
-            by_need.iter().take(excess).map(|(part, _)| *part).collect();
+            by_age.iter().take(excess).map(|(part, _)| *part).collect();
         self.suspects.retain(|part, _| !least.contains(&part));
     }
 
--- a/crates/core/src/prompt_evidence/suspects.rs
+++ b/crates/core/src/prompt_evidence/suspects.rs
@@ -22,10 +22,10 @@
     pub position: u8,
     /// The runs that ended while a request with the part was under way there.
     pub crashes: IndexMap<prompt::EngineRun, Crash>,
-    /// When this entry last received a response on it.
-    pub served_here: Option<time::Instant>,
-    /// When another entry last received one.
-    pub served_elsewhere: Option<time::Instant>,
+    /// Whether an entry ever received a response on it, as far as known.
+    pub was_served: bool,
+    /// When this entry last learned that a crash is refuted.
+    pub refuted_at: Option<time::Instant>,
     /// When a request with the part was last held back, at any entry.
     pub held_back_at: Option<time::Instant>,
     /// Since when a trial of the part is under way here.
@@ -58,23 +58,36 @@
         self.last_crash_at(ends).max(self.held_back_at)
     }
 
-    /// Returns when any entry last received a response on the part.
-    pub fn last_served_at(&self) -> Option<time::Instant> {
-        self.served_here.max(self.served_elsewhere)
-    }
-
     /// Records a response on the part, which refutes earlier crashes; returns whether there were
     /// any.
-    pub fn refute(&mut self, ends: &ends::Ends, served_at: time::Instant) -> bool {
-        self.served_here = self.served_here.max(Some(served_at));
+    pub fn refute(
+        &mut self,
+        ends: &ends::Ends,
+        served_at: time::Instant,
+        now: time::Instant,
+    ) -> bool {
+        self.was_served = true;
         let mut is_changed = false;
         for (run, crash) in &mut self.crashes {
             let is_earlier = ends.ended_at(*run).is_some_and(|at| at < served_at);
             is_changed |= is_earlier && !crash.is_refuted;
             crash.is_refuted |= is_earlier;
         }
+        if is_changed {
+            self.refuted_at = Some(now);
+        }
         is_changed
     }
+
+    /// Merges a crash that another entry told.
+    pub fn merge_crash(&mut self, run: prompt::EngineRun, told: Crash, now: time::Instant) {
+        let known = self.crashes.entry(run).or_default();
+        if told.is_refuted && !known.is_refuted {
+            self.refuted_at = Some(now);
+        }
+        known.is_refuted |= told.is_refuted;
+        known.is_trial |= told.is_trial;
+    }
 }
 
 /// The parts with which engine runs ended.
--- a/crates/core/src/prompt_evidence/verdicts.rs
+++ b/crates/core/src/prompt_evidence/verdicts.rs
@@ -4,7 +4,7 @@
 //! crashes are explained and count against no other part, then the next one is taken. So neither a
 //! first part that many prompts share nor a part that stood beside another is accused for long.
 
-use std::{cmp, time};
+use std::time;
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -113,19 +113,13 @@
 /// Returns a key that grows with the suspicion against a part.
 ///
 /// A part on which no entry ever received a response is more suspicious than any other, however many
-/// crashes there are: a first part stands beside all parts that crash engines. Prompts begin with
-/// the parts that are shared most, so of two that differ in nothing else the later one is accused.
+/// crashes there are: a first part may stand beside several parts that crash engines. Prompts begin
+/// with the parts that are shared most, so of two that differ in nothing else the later one is
+/// accused. No age is compared, since entries don't agree on ages.
 fn suspicion(
     part: prompt::PromptPart,
     suspect: &suspects::Suspect,
     crash_count: usize,
 ) -> impl Ord + use<> {
-    let last_served_at = suspect.last_served_at();
-    (
-        last_served_at.is_none(),
-        crash_count,
-        cmp::Reverse(last_served_at),
-        suspect.position,
-        part,
-    )
+    (!suspect.was_served, crash_count, suspect.position, part)
 }
