Log which upstream ended under a request, and the parts of its prompt

The logs of the incident name an instance and a fault for each failed attempt. They do not say whether the upstream ended or only failed, and the parts of prompts are neither read nor logged, so the three hypotheses (a part that crashes engines, load, engines that end by themselves) can't be told apart.

One line (prompt: event=upstream_ended) for each request whose connection broke now names the request, the instance with its start, how far the response had come, and the first eight parts of the prompt. No decision uses it yet.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -11,8 +11,8 @@
 use pimentohook_runtime::{body, client, server};
 
 use super::{
-    app, engine_silence, limited_upstream, placement, proxy, upstream_limits, upstream_notices,
-    weights_versions,
+    app, engine_silence, limited_upstream, placement, prompt_evidence, proxy, upstream_limits,
+    upstream_notices, weights_versions,
 };
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
@@ -99,7 +99,12 @@
             app.count("withdrawn");
             return Outcome::Fault(Fault::MayHaveRun);
         }
-        Err(error) => return send_failed(app, state, &error),
+        Err(error) => {
+            let progress = prompt_evidence::Progress::NoResponse;
+            let candidate = &placement.candidate;
+            prompt_evidence::record_failure(app, request, candidate, &error, progress);
+            return send_failed(app, state, &error);
+        }
     };
     record_sign(app, &placement.candidate);
     let class = request::classify_response(
@@ -255,17 +260,28 @@
         if self.response.status().is_success() && (is_events || request.route.streaming) {
             return self.read_stream(app, request, placement).await;
         }
-        self.read_complete(app, placement).await
+        self.read_complete(app, request, placement).await
     }
 
-    async fn read_complete(self, app: &app::App, placement: &placement::Placement) -> Outcome {
+    async fn read_complete(
+        self,
+        app: &app::App,
+        request: &proxy::ProxiedRequest,
+        placement: &placement::Placement,
+    ) -> Outcome {
         let state = &placement.candidate.state;
         let address = placement.candidate.upstream.address;
         let (head, body) = self.response.into_parts();
         let response = Response::new(body);
         let budget = &app.response_budget;
         let read = body::read_body_within(address, response, RESPONSE_MAX_BYTES, budget);
-        let Ok(Ok(body)) = tokio::time::timeout(self.timeout, read).await else {
+        let read = tokio::time::timeout(self.timeout, read).await;
+        if let Ok(Err(error)) = &read {
+            let progress = prompt_evidence::Progress::Begun;
+            let candidate = &placement.candidate;
+            prompt_evidence::record_failure(app, request, candidate, error, progress);
+        }
+        let Ok(Ok(body)) = read else {
             state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
         };
@@ -298,6 +314,10 @@
             app.count("withdrawn");
             return Outcome::Fault(Fault::MayHaveRun);
         }
+        if matches!(first, Ok(false)) {
+            let progress = prompt_evidence::Progress::Begun;
+            open.record_ended(app, request, progress);
+        }
         if !matches!(first, Ok(true)) {
             open.candidate.state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
@@ -348,6 +368,18 @@
         true
     }
 
+    /// Records that the body was cut off, unless its bytes are not valid.
+    pub fn record_ended(
+        &self,
+        app: &app::App,
+        request: &proxy::ProxiedRequest,
+        progress: prompt_evidence::Progress,
+    ) {
+        if self.events.violation().is_none() {
+            prompt_evidence::record_ended(app, request, &self.candidate, progress);
+        }
+    }
+
     /// Returns the upstream's instance.
     #[must_use]
     pub fn instance(&self) -> &str {
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -17,6 +17,7 @@
 //!   upstreams name in their responses, and the permits with which all entries together keep them.
 //! * [`upstream_notices`]: which upstreams have said that they are leaving, or that they want no
 //!   requests for a while.
+//! * [`prompt_evidence`]: which parts of prompts crash engines.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`restored`]: what an entry does when the store was restored from a copy.
@@ -36,6 +37,7 @@
 pub mod peers;
 pub mod permits;
 pub mod placement;
+pub mod prompt_evidence;
 pub mod proxy;
 pub mod restored;
 pub mod settings;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -14,7 +14,7 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    engine_silence, limited_upstream, permits, placement, stream,
+    engine_silence, limited_upstream, permits, placement, prompt_evidence, stream,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -104,7 +104,10 @@
 pub async fn handle(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
     let is_shutting_down = app.is_shutting_down();
     let mut response = match read_request(&app, call).await {
-        Ok(request) => serve(&app, request).await,
+        Ok(request) => {
+            prompt_evidence::record_invalid(&app, &request);
+            serve(&app, request).await
+        }
         Err((id, rejection)) => {
             app.count("rejected");
             log::info!(
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,7 +12,7 @@
 use super::{
     app,
     attempt::{self, OpenStream, Outcome},
-    engine_silence, limited_upstream, permits, placement, proxy,
+    engine_silence, limited_upstream, permits, placement, prompt_evidence, proxy,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -122,6 +122,8 @@
                 Ok(false) => {
                     let stats = &self.open.candidate.state.stats;
                     stats.record_failure(self.app.now_ms());
+                    let progress = prompt_evidence::Progress::Events;
+                    self.open.record_ended(&self.app, &self.request, progress);
                     if !self.resume(false).await {
                         return Some(Err(InterruptedStream));
                     }
