Keep requests from engines that crash on a part of their prompts

What callers saw: engines ended one after the other, 104 of them in the record, and took sound requests with them; requests with the part that crashes them were sent on and on.

Cause: an entry took each end for the fault of the engine and sent the request, and the next ones with the same part, to the others. Nothing read the parts of prompts.

Change: entries record for each request whose connection broke which engine run ended and which parts were under way there, and each response that its engine outlives (prompt_evidence, stream_evidence); core weighs this. prompt_admission is asked before each send (first, retry, resumed stream) and withdraws what waits without an event. Who is held back gets 503 with Retry-After 600 at once, or 502 if an engine may have begun on it. A request whose own engine ended is sent again only if fewer than two ended under its parts. The evidence travels with heartbeats, both ways, and a round of them goes out at once, five a second at most, when an entry sees an engine end or changes its belief.

An answer to a request that was sent later than 1 s after the end of its engine does not show that the engine lived on: it may have restarted under its id before it is listed.

--- a/crates/core/src/prompt_evidence/queries.rs
+++ b/crates/core/src/prompt_evidence/queries.rs
@@ -56,6 +56,12 @@
         self.ends.ended_at(run).is_some()
     }
 
+    /// Returns when an engine run that is believed to have ended did so.
+    #[must_use]
+    pub fn ended_at(&self, run: prompt::EngineRun) -> Option<time::Instant> {
+        self.ends.ended_at(run)
+    }
+
     /// Returns whether there is no evidence against any part.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -11,8 +11,8 @@
 use pimentohook_runtime::{body, client, server};
 
 use super::{
-    app, engine_silence, limited_upstream, placement, prompt_evidence, proxy, upstream_limits,
-    upstream_notices, weights_versions,
+    app, engine_silence, limited_upstream, placement, prompt_evidence, proxy, stream_evidence,
+    upstream_limits, upstream_notices, weights_versions,
 };
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
@@ -46,6 +46,8 @@
     pub candidate: app::Candidate,
     /// Counts the request as in flight at the upstream.
     pub in_flight: placement::InFlightGuard,
+    /// What the stream says of the parts of its prompt.
+    pub evidence: stream_evidence::StreamEvidence,
 }
 
 /// The outcome of an attempt.
@@ -115,6 +117,9 @@
     record_limit(app, &upstream.instance, class, &response, started_at);
     let statement = request::upstream_statement(response.status(), response.headers(), class);
     upstream_notices::record_response(app, request.id(), upstream, &statement);
+    if prompt_evidence::shows_life(class) {
+        prompt_evidence::record_alive(app, &placement.candidate, started_at);
+    }
     match class {
         request::ResponseClass::Answer => {}
         request::ResponseClass::NotRun => return Outcome::Fault(Fault::NotRun),
@@ -291,6 +296,10 @@
             return Outcome::ServerError(respond(&head, server::full(body)));
         }
         state.stats.record_success(self.started_at.elapsed());
+        if head.status.is_success() {
+            let candidate = &placement.candidate;
+            prompt_evidence::record_served(app, request, candidate, self.started_at);
+        }
         Outcome::Complete(respond(&head, server::full(body)))
     }
 
@@ -308,6 +317,7 @@
             is_ended: false,
             candidate: placement.candidate.clone(),
             in_flight: self.in_flight,
+            evidence: stream_evidence::StreamEvidence::new(self.started_at),
         };
         let first = tokio::time::timeout(self.start_timeout, open.fill(app)).await;
         if first.is_err() && placement.is_withdrawn() {
@@ -316,7 +326,7 @@
         }
         if matches!(first, Ok(false)) {
             let progress = prompt_evidence::Progress::Begun;
-            open.record_ended(app, request, progress);
+            stream_evidence::record_cut(app, request, &open, progress);
         }
         if !matches!(first, Ok(true)) {
             open.candidate.state.stats.record_failure(app.now_ms());
@@ -368,18 +378,6 @@
         true
     }
 
-    /// Records that the body was cut off, unless its bytes are not valid.
-    pub fn record_ended(
-        &self,
-        app: &app::App,
-        request: &proxy::ProxiedRequest,
-        progress: prompt_evidence::Progress,
-    ) {
-        if self.events.violation().is_none() {
-            prompt_evidence::record_ended(app, request, &self.candidate, progress);
-        }
-    }
-
     /// Returns the upstream's instance.
     #[must_use]
     pub fn instance(&self) -> &str {
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -17,7 +17,8 @@
 //!   upstreams name in their responses, and the permits with which all entries together keep them.
 //! * [`upstream_notices`]: which upstreams have said that they are leaving, or that they want no
 //!   requests for a while.
-//! * [`prompt_evidence`]: which parts of prompts crash engines.
+//! * [`prompt_evidence`], [`stream_evidence`] and [`prompt_admission`]: which parts of prompts crash
+//!   engines, and requests that are held back because of them.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`restored`]: what an entry does when the store was restored from a copy.
@@ -37,12 +38,14 @@
 pub mod peers;
 pub mod permits;
 pub mod placement;
+pub mod prompt_admission;
 pub mod prompt_evidence;
 pub mod proxy;
 pub mod restored;
 pub mod settings;
 pub mod slot;
 pub mod stream;
+pub mod stream_evidence;
 pub mod upstream_limits;
 pub mod upstream_notices;
 pub mod weights_versions;
@@ -151,6 +154,7 @@
     tokio::spawn(restored::run(app.clone()));
     tokio::spawn(limit_gossip::run(app.clone()));
     tokio::spawn(engine_silence::run(app.clone()));
+    tokio::spawn(prompt_evidence::run(app.clone()));
     Ok(Running {
         stop,
         app,
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -14,7 +14,7 @@
 use rand::seq::IndexedRandom as _;
 use tokio::time as tokio_time;
 
-use super::{app, weights_versions};
+use super::{app, prompt_evidence, weights_versions};
 
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
@@ -67,9 +67,7 @@
     };
     loop {
         registration.renew(&app).await;
-        for address in heartbeat_targets(&app) {
-            tokio::spawn(send_heartbeat(app.clone(), address));
-        }
+        send_heartbeats(&app);
         tokio_time::sleep(HEARTBEAT_INTERVAL).await;
         remove_lost(&app);
         app.limit_idle_connections();
@@ -77,6 +75,13 @@
     }
 }
 
+/// Sends a heartbeat to a sample of the other entries.
+pub fn send_heartbeats(app: &sync::Arc<app::App>) {
+    for address in heartbeat_targets(app) {
+        tokio::spawn(send_heartbeat(app.clone(), address));
+    }
+}
+
 /// Sends the state of this entry to all other entries immediately.
 ///
 /// Entries that could not be reached in time learn it from heartbeats.
@@ -170,6 +175,7 @@
         peer: app.peer_state(),
         configuration: app.configuration_version(),
         announced: weights_versions::report(&app),
+        prompt_evidence: prompt_evidence::report(&app),
     };
     let requested_at = app.clock.boot_now();
     let sent_at = app.clock.now();
@@ -199,6 +205,7 @@
         now: app.clock.boot_now(),
     };
     weights_versions::merge(&app, &reply.peer.entry, &reply.announced, heard);
+    prompt_evidence::merge(&app, &reply.peer.entry, &reply.prompt_evidence);
     // Counted from the request, so that no entry looks younger each time that it is passed on.
     for known in &reply.known {
         let age = time::Duration::from_millis(known.age_ms);
@@ -272,11 +279,13 @@
     let now = app.clock.boot_now();
     let heard = announcement::Heard::InRequest { now };
     weights_versions::merge(&app, &request.peer.entry, &request.announced, heard);
+    prompt_evidence::merge(&app, &request.peer.entry, &request.prompt_evidence);
     let reply = direct::PeerReply {
         peer: app.peer_state(),
         configuration: app.configuration_version(),
         known: known_peers(&app),
         announced: weights_versions::report(&app),
+        prompt_evidence: prompt_evidence::report(&app),
     };
     server::respond_message(&reply)
 }
--- a/crates/entry/src/direct/prompt_evidence.rs
+++ b/crates/entry/src/direct/prompt_evidence.rs
@@ -1,24 +1,102 @@
-//! Which parts of prompts crash engines: what this entry sees of engines that end under requests.
+//! Which parts of prompts crash engines: what this entry sees and hears of it.
+//!
+//! [`prompt_evidence`] weighs the evidence. This module feeds it, publishes the parts that are kept
+//! from engines for the path of a request, and tells other entries.
 
-use std::{fmt, sync::atomic};
+use std::{fmt, sync, sync::atomic, time};
 
-use pimentohook_core::prompt_evidence::prompt;
+use arc_swap::ArcSwap;
+use pimentohook_core::prompt_evidence::{
+    PromptEvidence,
+    change::{Belief, Change},
+    kept, prompt, report,
+};
+use pimentohook_platform::request;
 use pimentohook_runtime::client;
+use tokio::time as tokio_time;
 
-use super::{app, proxy};
+use super::{app, peers, proxy};
 
 /// The number of a prompt's parts in a log line.
 const LOGGED_PARTS_MAX: usize = 8;
 /// The shortest time between two log lines about lists of parts that can't be read.
 const INVALID_LOG_INTERVAL_MS: u64 = 1_000;
+/// How often the evidence is told that time has passed.
+const ADVANCE_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// The shortest time between two rounds of early heartbeats.
+const EARLY_HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// An engine that answers a request sent later than this after it seemed to end may have restarted
+/// under its id, and says nothing of its earlier run.
+const RESTART_MIN: time::Duration = time::Duration::from_secs(1);
+/// Stands for the start of an engine run that is not listed yet.
+const NEXT_RUN: &str = "next";
+/// The source of evidence that this entry has seen itself.
+const OWN: &str = "own";
 
 /// What this entry knows of parts of prompts.
 #[derive(Debug, Default)]
 pub struct PromptParts {
+    evidence: sync::Mutex<PromptEvidence>,
+    /// Whether there is evidence against any part, so that responses need no lock if there is none.
+    has_evidence: atomic::AtomicBool,
+    kept: ArcSwap<kept::KeptParts>,
+    kept_changed: tokio::sync::Notify,
+    /// Notified when there is evidence that other entries should hear at once.
+    news: tokio::sync::Notify,
+    /// Notified when there is evidence after there was none.
+    begun: tokio::sync::Notify,
     /// When an invalid list may be logged again, in milliseconds since the entry started.
     invalid_logged_again_at_ms: atomic::AtomicU64,
 }
 
+impl PromptParts {
+    /// Returns the parts that are kept from engines.
+    pub(super) fn kept(&self) -> sync::Arc<kept::KeptParts> {
+        self.kept.load_full()
+    }
+
+    pub(super) fn lock(&self) -> sync::MutexGuard<'_, PromptEvidence> {
+        self.evidence
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Changes the evidence and publishes what follows from it; returns the changes of belief.
+    fn update<F>(&self, change: F) -> Vec<Change>
+    where
+        F: FnOnce(&mut PromptEvidence) -> Vec<Change>,
+    {
+        let mut evidence = self.lock();
+        let changes = change(&mut evidence);
+        if !changes.is_empty() {
+            self.kept.store(sync::Arc::new(evidence.kept_parts()));
+            self.kept_changed.notify_waiters();
+        }
+        let has_evidence = !evidence.is_empty();
+        let ordering = atomic::Ordering::Relaxed;
+        let was_set = self.has_evidence.swap(has_evidence, ordering);
+        if has_evidence && !was_set {
+            self.begun.notify_one();
+        }
+        changes
+    }
+
+    fn has_evidence(&self) -> bool {
+        self.has_evidence.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Waits until one of a prompt's parts is kept from engines.
+    pub(super) async fn until_kept(&self, prompt: &prompt::Prompt) -> prompt::PromptPart {
+        loop {
+            let changed = self.kept_changed.notified();
+            if let Some(part) = self.kept.load().find(prompt) {
+                return part;
+            }
+            changed.await;
+        }
+    }
+}
+
 /// How far a response had come when its upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -32,7 +110,7 @@
 }
 
 /// Formats the first parts of a prompt for a log line.
-struct LoggedParts<'a>(&'a prompt::Prompt);
+pub(super) struct LoggedParts<'a>(pub(super) &'a prompt::Prompt);
 
 impl fmt::Display for LoggedParts<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -45,6 +123,35 @@
     }
 }
 
+/// Returns the listed run of an engine.
+fn engine_run(candidate: &app::Candidate) -> prompt::EngineRun {
+    let started = candidate.upstream.started_unix_ms;
+    let started = started.map_or_else(String::new, |started| started.to_string());
+    prompt::EngineRun::of(&candidate.upstream.instance, &started)
+}
+
+/// Returns the run that answered a request sent at `sent_at`: the listed one, or the next one that
+/// is not listed yet.
+fn answering_run(
+    evidence: &PromptEvidence,
+    candidate: &app::Candidate,
+    sent_at: time::Instant,
+) -> prompt::EngineRun {
+    let run = engine_run(candidate);
+    let is_next = |ended_at| sent_at.saturating_duration_since(ended_at) > RESTART_MIN;
+    if evidence.ended_at(run).is_some_and(is_next) {
+        prompt::EngineRun::of(&candidate.upstream.instance, NEXT_RUN)
+    } else {
+        run
+    }
+}
+
+/// Returns whether a request runs at an engine; plain services are no evidence.
+pub(super) fn is_evidence(request: &proxy::ProxiedRequest) -> bool {
+    let service = request.table.services.get(&request.service);
+    service.is_some_and(|service| service.engine.is_some())
+}
+
 /// Records that the connection to an upstream broke while a request was under way there.
 pub fn record_ended(
     app: &app::App,
@@ -62,6 +169,18 @@
         request.arrived_at.elapsed().as_millis(),
         LoggedParts(&request.caller.prompt)
     );
+    if !is_evidence(request) {
+        return;
+    }
+    let run = engine_run(candidate);
+    let now = app.clock.now();
+    let changes = app.prompt_parts.update(|evidence| {
+        if !evidence.has_ended(run) {
+            app.prompt_parts.news.notify_one();
+        }
+        evidence.record_ended(run, &request.caller.prompt, now)
+    });
+    log_changes(app, &changes, OWN);
 }
 
 /// Like [`record_ended`], if a request failed because its connection broke.
@@ -77,6 +196,117 @@
     }
 }
 
+/// Returns whether a response of this class comes from the instance that the request was sent to.
+#[must_use]
+pub const fn shows_life(class: request::ResponseClass) -> bool {
+    matches!(
+        class,
+        request::ResponseClass::Answer | request::ResponseClass::NotRun
+    )
+}
+
+/// Records that something of a response to a request sent at `sent_at` has come from an upstream.
+pub fn record_alive(app: &app::App, candidate: &app::Candidate, sent_at: time::Instant) {
+    if !app.prompt_parts.has_evidence() {
+        return;
+    }
+    let now = app.clock.now();
+    let changes = app.prompt_parts.update(|evidence| {
+        let run = answering_run(evidence, candidate, sent_at);
+        if evidence.has_ended(run) {
+            evidence.record_alive(run, sent_at, now)
+        } else {
+            Vec::new()
+        }
+    });
+    log_changes(app, &changes, OWN);
+}
+
+/// Records that a response to a request sent at `sent_at` is whole.
+pub fn record_served(
+    app: &app::App,
+    request: &proxy::ProxiedRequest,
+    candidate: &app::Candidate,
+    sent_at: time::Instant,
+) {
+    if !is_evidence(request) {
+        return;
+    }
+    let now = app.clock.now();
+    let prompt = &request.caller.prompt;
+    let changes = app.prompt_parts.update(|evidence| {
+        let run = answering_run(evidence, candidate, sent_at);
+        evidence.record_served(run, prompt, sent_at, now)
+    });
+    log_changes(app, &changes, OWN);
+}
+
+/// Returns the evidence for other entries.
+#[must_use]
+pub fn report(app: &app::App) -> report::Report {
+    app.prompt_parts.lock().report(app.clock.now())
+}
+
+/// Merges the evidence of another entry.
+pub fn merge(app: &app::App, entry: &str, report: &report::Report) {
+    if report.is_empty() {
+        return;
+    }
+    let now = app.clock.now();
+    let changes = app
+        .prompt_parts
+        .update(|evidence| evidence.merge(report, now));
+    if !changes.is_empty() {
+        app.prompt_parts.news.notify_one();
+    }
+    log_changes(app, &changes, entry);
+}
+
+/// Tells other entries of news, and the evidence that time passes, until the process exits.
+pub async fn run(app: sync::Arc<app::App>) {
+    tokio::spawn(send_news(app.clone()));
+    loop {
+        if !app.prompt_parts.has_evidence() {
+            app.prompt_parts.begun.notified().await;
+        }
+        tokio_time::sleep(ADVANCE_INTERVAL).await;
+        let now = app.clock.now();
+        let changes = app.prompt_parts.update(|evidence| evidence.advance(now));
+        log_changes(&app, &changes, OWN);
+    }
+}
+
+async fn send_news(app: sync::Arc<app::App>) {
+    loop {
+        app.prompt_parts.news.notified().await;
+        peers::send_heartbeats(&app);
+        tokio_time::sleep(EARLY_HEARTBEAT_INTERVAL).await;
+    }
+}
+
+/// Logs and counts changes of what is believed of parts; `told_by` is the entry whose evidence
+/// caused them.
+fn log_changes(app: &app::App, changes: &[Change], told_by: &str) {
+    for change in changes {
+        let belief: &str = change.belief.into();
+        app.count(&format!("prompt_part_{belief}"));
+        let Change {
+            part,
+            crash_count,
+            moment_count,
+            ..
+        } = change;
+        let line = format!(
+            "prompt: event={belief} part={part} crashes={crash_count} moments={moment_count} \
+             told_by={told_by}"
+        );
+        match change.belief {
+            Belief::Kept => log::warn!("{line}"),
+            _ => log::info!("{line}"),
+        }
+    }
+}
+
 /// Logs that the list of a request's parts can't be read.
 pub fn record_invalid(app: &app::App, request: &proxy::ProxiedRequest) {
     let Some(invalid) = &request.caller.invalid_prompt else {
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -6,7 +6,11 @@
 use cadence::Timed as _;
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri, header};
-use pimentohook_core::{id, routes};
+use pimentohook_core::{
+    id,
+    prompt_evidence::{VERDICT_LIFETIME, prompt},
+    routes,
+};
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
 use rand::RngExt as _;
@@ -14,7 +18,8 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    engine_silence, limited_upstream, permits, placement, prompt_evidence, stream,
+    engine_silence, limited_upstream, permits, placement, prompt_admission, prompt_evidence,
+    stream,
 };
 
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -48,6 +53,8 @@
     pub table: sync::Arc<routes::RouteTable>,
     /// The caller's organisation.
     pub organisation: Option<routes::Organisation>,
+    /// Whether this is the trial of parts of its prompt.
+    pub trial: prompt_admission::Trial,
     /// Whether this is a retry whose caller has already waited longer than the route's goal.
     pub is_late_retry: bool,
     /// When the request arrived.
@@ -187,6 +194,7 @@
         service,
         table,
         organisation,
+        trial: prompt_admission::Trial::default(),
         is_late_retry,
         arrived_at,
         deadline,
@@ -273,8 +281,14 @@
 ) -> Response<Body> {
     let budget = app.retry_budget(&request.service);
     budget.deposit();
-    let mut next = None;
+    let mut next: Option<placement::Placement> = None;
     loop {
+        if let Err(part) = prompt_admission::admit(app, request) {
+            if let Some(placement) = next {
+                permits::give_back(app, &placement.candidate.upstream.instance);
+            }
+            return hold_back(app, request, history, part);
+        }
         let placement = if let Some(placement) = next.take() {
             placement
         } else {
@@ -288,6 +302,10 @@
             }
             placement
         };
+        if let Some(part) = prompt_admission::held_back(app, request) {
+            permits::give_back(app, &placement.candidate.upstream.instance);
+            return hold_back(app, request, history, part);
+        }
         history
             .tried
             .push(placement.candidate.upstream.instance.clone());
@@ -309,6 +327,10 @@
                 history.run_count += 1;
                 continue;
             }
+            part = prompt_admission::until_held_back(app, request) => {
+                history.may_have_run = true;
+                return hold_back(app, request, history, part);
+            }
         };
         match outcome {
             Outcome::Complete(response) => {
@@ -339,7 +361,9 @@
             }
         }
         let may_retry = !history.may_have_run
-            || (request.route.may_repeat() && history.run_count < request.route.attempts_max);
+            || (request.route.may_repeat()
+                && history.run_count < request.route.attempts_max
+                && prompt_admission::may_resend(app, request));
         if !may_retry {
             return fail(app, request, history, "the upstream failed");
         }
@@ -439,6 +463,33 @@
     error_response(status, Some(retry_after), "every upstream is busy or away")
 }
 
+/// Ends a request because engines crash on a part of its prompt.
+///
+/// The delay tells the caller that coming back does not help.
+fn hold_back(
+    app: &app::App,
+    request: &ProxiedRequest,
+    history: &mut AttemptHistory,
+    part: prompt::PromptPart,
+) -> Response<Body> {
+    app.count("held_back");
+    log::info!(
+        "proxy: event=held_back request={} route={} part={part} may_have_run={} tried={} \
+         after_ms={}",
+        request.id(),
+        request.route.name,
+        history.may_have_run,
+        history.tried.len(),
+        request.arrived_at.elapsed().as_millis()
+    );
+    let reason = "engines crash on a part of the prompt";
+    if history.may_have_run {
+        return fail(app, request, history, reason);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    error_response(status, Some(VERDICT_LIFETIME), reason)
+}
+
 /// Counts a refusal and returns the delay after which the caller should retry.
 fn retry_after(app: &app::App, request: &ProxiedRequest) -> time::Duration {
     let refusal_rate = app.refusal_rate(&request.service);
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,7 +12,8 @@
 use super::{
     app,
     attempt::{self, OpenStream, Outcome},
-    engine_silence, limited_upstream, permits, placement, prompt_evidence, proxy,
+    engine_silence, limited_upstream, permits, placement, prompt_admission, prompt_evidence, proxy,
+    stream_evidence,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -117,13 +118,16 @@
             match tokio::time::timeout(silence.check_after, self.open.fill(&self.app)).await {
                 Ok(true) => {
                     let events = self.open.take_events();
+                    let is_whole = events.is_empty();
+                    let open = &mut self.open;
+                    stream_evidence::record_served(&self.app, &self.request, open, is_whole);
                     return (!events.is_empty()).then_some(Ok(events));
                 }
                 Ok(false) => {
                     let stats = &self.open.candidate.state.stats;
                     stats.record_failure(self.app.now_ms());
                     let progress = prompt_evidence::Progress::Events;
-                    self.open.record_ended(&self.app, &self.request, progress);
+                    stream_evidence::record_cut(&self.app, &self.request, &self.open, progress);
                     if !self.resume(false).await {
                         return Some(Err(InterruptedStream));
                     }
@@ -163,6 +167,9 @@
         if !route.resumable || self.run_count >= route.attempts_max {
             return false;
         }
+        if !prompt_admission::may_resume(&self.app, &self.request, is_open) {
+            return false;
+        }
         let excluded = [String::from(self.open.instance())];
         let service = self.request.table.services.get(&self.request.service);
         let placement_request = placement::PlacementRequest {
@@ -184,6 +191,10 @@
             permits::give_back(&self.app, &placement.candidate.upstream.instance);
             return false;
         }
+        if prompt_admission::held_back(&self.app, &self.request).is_some() {
+            permits::give_back(&self.app, &placement.candidate.upstream.instance);
+            return false;
+        }
         self.run_count += 1;
         let last = self.open.events.last_id();
         let reason = limited_upstream::SendReason::Resume;
@@ -191,6 +202,7 @@
             biased;
             outcome = attempt::run(&self.app, &self.request, &placement, reason, last) => outcome,
             true = self.open.fill(&self.app), if is_open => return true,
+            _ = prompt_admission::until_held_back(&self.app, &self.request) => return false,
         };
         let Outcome::Stream(open) = outcome else {
             return false;
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -3,7 +3,7 @@
 
 use indexmap::IndexMap;
 use pimentohook_core::{
-    announcement, collection, engine, id, position, size, upstream_limit::rate,
+    announcement, collection, engine, id, position, prompt_evidence, size, upstream_limit::rate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -147,6 +147,9 @@
     /// The announced versions of weights that the sender knows.
     #[serde(default)]
     pub announced: announcement::Report,
+    /// The sender's evidence against parts of prompts.
+    #[serde(default)]
+    pub prompt_evidence: prompt_evidence::report::Report,
 }
 
 /// The state that an entry reports to other entries.
@@ -194,6 +197,9 @@
     /// The announced versions of weights that the replying entry knows.
     #[serde(default)]
     pub announced: announcement::Report,
+    /// The replying entry's evidence against parts of prompts.
+    #[serde(default)]
+    pub prompt_evidence: prompt_evidence::report::Report,
 }
 
 /// What an entry believes of the limit of an upstream.
