--- a/crates/core/src/prompt_evidence/commands.rs
+++ b/crates/core/src/prompt_evidence/commands.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use super::{PromptEvidence, change, prompt, report, retention, served};
+use super::{PromptEvidence, change, prompt, report, retention, served, suspects};
 
 /// What an engine sent before its end arrives within this time after the end is noticed.
 const ARRIVAL_MAX: time::Duration = time::Duration::from_secs(1);
@@ -146,11 +146,12 @@
         let is_trial = self.is_kept(part) && self.is_on_probation(part, now);
         let served_here = self.served.last_served_at(part);
         let suspect = self.suspects.get_or_add(part);
-        suspect.position = suspect
-            .position
-            .max(u8::try_from(position).unwrap_or(u8::MAX));
-        let crash = suspect.crashes.entry(run).or_default();
-        crash.is_trial |= is_trial;
+        let crash = suspects::Crash {
+            position: u8::try_from(position).unwrap_or(u8::MAX),
+            is_refuted: false,
+            is_trial,
+        };
+        suspect.merge_crash(run, crash, now);
         if let Some(served_here) = served_here {
             suspect.refute(&self.ends, served_here, now);
         }
--- a/crates/core/src/prompt_evidence/exchange.rs
+++ b/crates/core/src/prompt_evidence/exchange.rs
@@ -67,7 +67,6 @@
         *crashes_left -= crashes.len();
         report::PartReport {
             part,
-            position: suspect.position,
             crashes,
             was_served: suspect.was_served,
             held_back_age_ms: suspect.held_back_at.map(|at| age_ms(at, now)),
@@ -111,13 +110,8 @@
         }
         let suspect = self.suspects.get_or_add(reported.part);
         for crash in crashes {
-            let told = suspects::Crash {
-                is_refuted: crash.is_refuted,
-                is_trial: crash.is_trial,
-            };
-            suspect.merge_crash(crash.run, told, now);
+            suspect.merge_crash(crash.run, told_crash(crash), now);
         }
-        suspect.position = suspect.position.max(reported.position.min(POSITION_MAX));
         suspect.was_served |= reported.was_served;
         let held_back_at = reported
             .held_back_age_ms
@@ -129,8 +123,6 @@
     }
 }
 
-const POSITION_MAX: u8 = 63;
-
 fn later_by_a_step(
     known: Option<time::Instant>,
     reported: Option<time::Instant>,
@@ -145,11 +137,20 @@
 fn crash_report(run: prompt::EngineRun, crash: suspects::Crash) -> report::CrashReport {
     report::CrashReport {
         run,
+        position: crash.position,
         is_refuted: crash.is_refuted,
         is_trial: crash.is_trial,
     }
 }
 
+fn told_crash(report: &report::CrashReport) -> suspects::Crash {
+    suspects::Crash {
+        position: report.position,
+        is_refuted: report.is_refuted,
+        is_trial: report.is_trial,
+    }
+}
+
 fn end_report(run: prompt::EngineRun, end: &ends::End, now: time::Instant) -> report::EndReport {
     report::EndReport {
         run,
--- a/crates/core/src/prompt_evidence/report.rs
+++ b/crates/core/src/prompt_evidence/report.rs
@@ -43,9 +43,6 @@
 pub struct PartReport {
     /// The part.
     pub part: prompt::PromptPart,
-    /// Its last position in a prompt, counted from 0.
-    #[serde(default)]
-    pub position: u8,
     /// The ends of engine runs at which requests with the part were under way.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
@@ -62,6 +59,9 @@
 pub struct CrashReport {
     /// The engine run.
     pub run: prompt::EngineRun,
+    /// The last position of the part in a prompt of such a request, counted from 0.
+    #[serde(default)]
+    pub position: u8,
     /// Whether a later response on the part refutes it.
     #[serde(default)]
     pub is_refuted: bool,
--- a/crates/core/src/prompt_evidence/retention.rs
+++ b/crates/core/src/prompt_evidence/retention.rs
@@ -59,10 +59,11 @@
         part: prompt::PromptPart,
         suspect: &suspects::Suspect,
     ) -> Option<time::Instant> {
+        let last_crash_at = suspect.last_crash_at(&self.ends)?;
         if self.is_kept(part) {
             suspect.last_seen_at(&self.ends)
         } else {
-            suspect.last_crash_at(&self.ends).max(suspect.refuted_at)
+            Some(last_crash_at).max(suspect.refuted_at)
         }
     }
 
--- a/crates/core/src/prompt_evidence/suspects.rs
+++ b/crates/core/src/prompt_evidence/suspects.rs
@@ -9,17 +9,28 @@
 /// The end of an engine run while a request with a part was under way there.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Crash {
+    /// The last position of the part in a prompt of such a request, counted from 0.
+    pub position: u8,
     /// Whether a later response on the part refutes it.
     pub is_refuted: bool,
     /// Whether the part was on probation.
     pub is_trial: bool,
 }
 
+impl Crash {
+    /// Returns what follows from both, in whatever order they are learned.
+    pub fn join(self, other: Self) -> Self {
+        Self {
+            position: self.position.max(other.position),
+            is_refuted: self.is_refuted || other.is_refuted,
+            is_trial: self.is_trial || other.is_trial,
+        }
+    }
+}
+
 /// A part with which engine runs ended.
 #[derive(Clone, Debug, Default)]
 pub struct Suspect {
-    /// Its last position in a prompt, counted from 0.
-    pub position: u8,
     /// The runs that ended while a request with the part was under way there.
     pub crashes: IndexMap<prompt::EngineRun, Crash>,
     /// Whether an entry ever received a response on it, as far as known.
@@ -42,6 +53,12 @@
         unrefuted.filter_map(|(run, _)| Some((*run, ends.ended_at(*run)?)))
     }
 
+    /// Returns the last position of the part in the prompts with which it crashed engines.
+    pub fn position(&self) -> u8 {
+        let positions = self.crashes.values().map(|crash| crash.position);
+        positions.max().unwrap_or(0)
+    }
+
     /// Returns when the last crash was that counts against the part.
     pub fn last_standing_crash_at(&self, ends: &ends::Ends) -> Option<time::Instant> {
         self.standing_crashes(ends).map(|(_, at)| at).max()
@@ -85,8 +102,7 @@
         if told.is_refuted && !known.is_refuted {
             self.refuted_at = Some(now);
         }
-        known.is_refuted |= told.is_refuted;
-        known.is_trial |= told.is_trial;
+        *known = known.join(told);
     }
 }
 
--- a/crates/core/src/prompt_evidence/verdicts.rs
+++ b/crates/core/src/prompt_evidence/verdicts.rs
@@ -121,5 +121,5 @@
     suspect: &suspects::Suspect,
     crash_count: usize,
 ) -> impl Ord + use<> {
-    (!suspect.was_served, crash_count, suspect.position, part)
+    (!suspect.was_served, crash_count, suspect.position(), part)
 }
--- a/crates/core/tests/prompt_evidence/messages.rs
+++ b/crates/core/tests/prompt_evidence/messages.rs
@@ -148,10 +148,10 @@
     };
     let part = |runs: std::ops::Range<u64>| PartReport {
         part: PromptPart::new(FIRST),
-        position: u8::MAX,
         crashes: runs
             .map(|number| CrashReport {
                 run: run(number),
+                position: u8::MAX,
                 is_refuted: false,
                 is_trial: false,
             })
--- a/crates/core/tests/prompt_evidence/verdicts.rs
+++ b/crates/core/tests/prompt_evidence/verdicts.rs
@@ -211,6 +211,16 @@
     }
 }
 
+#[test]
+fn crashes_that_are_minutes_apart_accuse_no_part() {
+    let mut fleet = Fleet::new(1);
+    for _ in 0..10 {
+        fleet.crash(&[(0, &[FIRST])]);
+        fleet.wait_ms(6 * 60 * 1_000);
+        fleet.assert_all_keep(&[]);
+    }
+}
+
 #[test]
 fn a_response_at_any_entry_ends_the_verdict_at_all() {
     let mut fleet = Fleet::new(3);
