--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -11,8 +11,8 @@
 use pimentohook_runtime::{body, client, server};
 
 use super::{
-    app, engine_silence, limited_upstream, placement, proxy, upstream_limits, upstream_notices,
-    weights_versions,
+    app, engine_silence, limited_upstream, placement, prompt_evidence, proxy, stream_evidence,
+    upstream_limits, upstream_notices, weights_versions,
 };
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
@@ -46,6 +46,8 @@
     pub candidate: app::Candidate,
     /// Counts the request as in flight at the upstream.
     pub in_flight: placement::InFlightGuard,
+    /// What the stream says of the parts of its prompt.
+    pub evidence: stream_evidence::StreamEvidence,
 }
 
 /// The outcome of an attempt.
@@ -99,7 +101,12 @@
             app.count("withdrawn");
             return Outcome::Fault(Fault::MayHaveRun);
         }
-        Err(error) => return send_failed(app, state, &error),
+        Err(error) => {
+            let progress = prompt_evidence::Progress::NoResponse;
+            let candidate = &placement.candidate;
+            prompt_evidence::record_failure(app, request, candidate, &error, progress);
+            return send_failed(app, state, &error);
+        }
     };
     record_sign(app, &placement.candidate);
     let class = request::classify_response(
@@ -110,6 +117,9 @@
     record_limit(app, &upstream.instance, class, &response, started_at);
     let statement = request::upstream_statement(response.status(), response.headers(), class);
     upstream_notices::record_response(app, request.id(), upstream, &statement);
+    if prompt_evidence::shows_life(class) {
+        prompt_evidence::record_alive(app, &placement.candidate, started_at);
+    }
     match class {
         request::ResponseClass::Answer => {}
         request::ResponseClass::NotRun => return Outcome::Fault(Fault::NotRun),
@@ -255,17 +265,28 @@
         if self.response.status().is_success() && (is_events || request.route.streaming) {
             return self.read_stream(app, request, placement).await;
         }
-        self.read_complete(app, placement).await
+        self.read_complete(app, request, placement).await
     }
 
-    async fn read_complete(self, app: &app::App, placement: &placement::Placement) -> Outcome {
+    async fn read_complete(
+        self,
+        app: &app::App,
+        request: &proxy::ProxiedRequest,
+        placement: &placement::Placement,
+    ) -> Outcome {
         let state = &placement.candidate.state;
         let address = placement.candidate.upstream.address;
         let (head, body) = self.response.into_parts();
         let response = Response::new(body);
         let budget = &app.response_budget;
         let read = body::read_body_within(address, response, RESPONSE_MAX_BYTES, budget);
-        let Ok(Ok(body)) = tokio::time::timeout(self.timeout, read).await else {
+        let read = tokio::time::timeout(self.timeout, read).await;
+        if let Ok(Err(error)) = &read {
+            let progress = prompt_evidence::Progress::Begun;
+            let candidate = &placement.candidate;
+            prompt_evidence::record_failure(app, request, candidate, error, progress);
+        }
+        let Ok(Ok(body)) = read else {
             state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
         };
@@ -275,6 +296,10 @@
             return Outcome::ServerError(respond(&head, server::full(body)));
         }
         state.stats.record_success(self.started_at.elapsed());
+        if head.status.is_success() {
+            let candidate = &placement.candidate;
+            prompt_evidence::record_served(app, request, candidate, self.started_at);
+        }
         Outcome::Complete(respond(&head, server::full(body)))
     }
 
@@ -292,12 +317,17 @@
             is_ended: false,
             candidate: placement.candidate.clone(),
             in_flight: self.in_flight,
+            evidence: stream_evidence::StreamEvidence::new(self.started_at),
         };
         let first = tokio::time::timeout(self.start_timeout, open.fill(app)).await;
         if first.is_err() && placement.is_withdrawn() {
             app.count("withdrawn");
             return Outcome::Fault(Fault::MayHaveRun);
         }
+        if matches!(first, Ok(false)) {
+            let progress = prompt_evidence::Progress::Begun;
+            stream_evidence::record_cut(app, request, &open, progress);
+        }
         if !matches!(first, Ok(true)) {
             open.candidate.state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,7 +12,8 @@
 use super::{
     app,
     attempt::{self, OpenStream, Outcome},
-    ending, engine_silence, limited_upstream, permits, placement, proxy, request_timeout,
+    ending, engine_silence, limited_upstream, permits, placement, prompt_admission,
+    prompt_evidence, proxy, request_timeout, stream_evidence,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -34,6 +35,9 @@
     AttemptsSpent,
     #[snafu(display("retry_budget_spent"))]
     RetryBudgetSpent,
+    /// Engines crash on a part of its prompt, or may do so.
+    #[snafu(display("held_back"))]
+    HeldBack,
     /// No other upstream can take it.
     #[snafu(display("upstreams_{denial}"))]
     NoUpstream { denial: placement::Denial },
@@ -160,11 +164,16 @@
             match tokio::time::timeout(silence.check_after, self.open.fill(&self.app)).await {
                 Ok(true) => {
                     let events = self.open.take_events();
+                    let is_whole = events.is_empty();
+                    let open = &mut self.open;
+                    stream_evidence::record_served(&self.app, &self.request, open, is_whole);
                     return (!events.is_empty()).then_some(Ok(events));
                 }
                 Ok(false) => {
                     let stats = &self.open.candidate.state.stats;
                     stats.record_failure(self.app.now_ms());
+                    let progress = prompt_evidence::Progress::Events;
+                    stream_evidence::record_cut(&self.app, &self.request, &self.open, progress);
                     if let Err(interruption) = self.replace_upstream().await {
                         return Some(Err(interruption));
                     }
@@ -225,6 +234,8 @@
         let route = &self.request.route;
         snafu::ensure!(route.resumable, NotResumableSnafu);
         snafu::ensure!(self.run_count < route.attempts_max, AttemptsSpentSnafu);
+        let may_resume = prompt_admission::may_resume(&self.app, &self.request, is_open);
+        snafu::ensure!(may_resume, HeldBackSnafu);
         let service = self.request.table.services.get(&self.request.service);
         let placement_request = placement::PlacementRequest {
             service: &self.request.service,
@@ -245,6 +256,10 @@
             permits::give_back(&self.app, &placement.candidate.upstream.instance);
             return RetryBudgetSpentSnafu.fail();
         }
+        if prompt_admission::held_back(&self.app, &self.request).is_some() {
+            permits::give_back(&self.app, &placement.candidate.upstream.instance);
+            return HeldBackSnafu.fail();
+        }
         excluded.push(placement.candidate.upstream.instance.clone());
         self.run_count += 1;
         let last = self.open.events.last_id();
@@ -253,6 +268,9 @@
             biased;
             outcome = attempt::run(&self.app, &self.request, &placement, reason, last) => outcome,
             true = self.open.fill(&self.app), if is_open => return Ok(()),
+            _ = prompt_admission::until_held_back(&self.app, &self.request) => {
+                return HeldBackSnafu.fail();
+            }
         };
         let open = match outcome {
             Outcome::Stream(open) => open,
