Remember that the body of a stream was broken

Callers saw a stream that ended properly after half of its events. The error of a connection is reported once, as one frame, and then the body ends. A stream that pauses is read beside an attempt elsewhere; where it was reset meanwhile and that attempt failed too, the next read met the end, after a whole event, and took the stream for complete.

How far the body was read is now kept, and a broken one stays broken. What broke it is logged once: 'attempt: event=stream_cut_off', or 'stream_not_valid' as before.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to an upstream.
 
-use std::{net, sync::atomic, time};
+use std::{fmt, net, sync::atomic, time};
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -31,6 +31,17 @@
     MayHaveRun,
 }
 
+/// How far the body of an event stream has been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyState {
+    /// More may come.
+    Open,
+    /// It has ended after a complete event.
+    Ended,
+    /// It was cut off or is not valid, which stays so: a body ends after its error.
+    Broken,
+}
+
 /// An event stream whose first event has been received.
 #[derive(Debug)]
 pub struct OpenStream {
@@ -40,8 +51,8 @@
     pub body: Incoming,
     /// The events that have been read.
     pub events: event_stream::EventReader,
-    /// Whether the body has ended.
-    pub is_ended: bool,
+    /// How far the body has been read.
+    pub body_state: BodyState,
     /// The upstream.
     pub candidate: app::Candidate,
     /// Counts the request as in flight at the upstream.
@@ -289,7 +300,7 @@
             head,
             body,
             events: event_stream::EventReader::new(self.last_event_id),
-            is_ended: false,
+            body_state: BodyState::Open,
             candidate: placement.candidate.clone(),
             in_flight: self.in_flight,
         };
@@ -323,29 +334,42 @@
     /// cut off or is not valid.
     pub async fn fill(&mut self, app: &app::App) -> bool {
         while !self.events.has_events() {
-            if let Some(violation) = self.events.violation() {
-                log::warn!(
-                    "attempt: event=stream_not_valid instance={} reason={violation}",
-                    self.instance()
-                );
-                return false;
+            match self.body_state {
+                BodyState::Open => self.read_frame(app).await,
+                BodyState::Ended => return true,
+                BodyState::Broken => return false,
             }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    record_sign(app, &self.candidate);
-                    if let Ok(bytes) = frame.into_data() {
-                        self.events.push(&bytes);
-                    }
-                }
-                Some(Err(_)) => return false,
-                None => {
-                    self.is_ended = true;
-                    // A body that ends in the middle of an event was cut off.
-                    return self.events.is_at_boundary();
+        }
+        true
+    }
+
+    async fn read_frame(&mut self, app: &app::App) {
+        match self.body.frame().await {
+            Some(Ok(frame)) => {
+                record_sign(app, &self.candidate);
+                if let Ok(bytes) = frame.into_data() {
+                    self.events.push(&bytes);
                 }
             }
+            Some(Err(error)) => self.record_break("stream_cut_off", &error),
+            None if self.events.is_at_boundary() => self.body_state = BodyState::Ended,
+            None => self.record_break("stream_cut_off", &"ended within an event"),
         }
-        true
+        if let Some(violation) = self.events.violation() {
+            self.record_break("stream_not_valid", &violation);
+        }
+    }
+
+    fn record_break<R>(&mut self, event: &str, reason: &R)
+    where
+        R: fmt::Display,
+    {
+        self.body_state = BodyState::Broken;
+        log::warn!(
+            "attempt: event={event} instance={} last_event={:?} reason={reason}",
+            self.instance(),
+            self.events.last_id()
+        );
     }
 
     /// Returns the upstream's instance.
