Take a stream without an event for interrupted unless its end is marked

An upstream that ended right after the head of a stream, with neither a length nor chunks, was passed on as a whole stream of status 200 without an event: a connection that closes looks the same then, whatever the reason. Now such a stream is a failed attempt: it is tried again if it may be resumed, and otherwise ends with 502. A stream whose head or last chunk says that it is empty (204, length 0, chunked) stays whole, and so does one that is resumed after its last event.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -295,6 +295,8 @@
         request: &proxy::ProxiedRequest,
         placement: &placement::Placement,
     ) -> Outcome {
+        // Only a resumed stream may have nothing left before its connection closes.
+        let may_be_empty = self.last_event_id.is_some() || body::has_marked_end(&self.response);
         let (head, body) = self.response.into_parts();
         let mut open = OpenStream {
             head,
@@ -309,7 +311,8 @@
             app.count("withdrawn");
             return Outcome::Fault(Fault::MayHaveRun);
         }
-        if !matches!(first, Ok(true)) {
+        let has_begun = matches!(first, Ok(true)) && (may_be_empty || open.events.has_events());
+        if !has_begun {
             open.candidate.state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
         }
--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::{Response, body::Incoming};
+use hyper::{
+    Response,
+    body::{Body as _, Incoming},
+    header,
+};
 
 use crate::client;
 
@@ -28,6 +32,15 @@
     }
 }
 
+/// Returns whether the end of a body, none of which has been read, can be told from a connection that
+/// was closed too early.
+#[must_use]
+pub fn has_marked_end(response: &Response<Incoming>) -> bool {
+    response.body().is_end_stream()
+        || response.headers().contains_key(header::CONTENT_LENGTH)
+        || response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 /// A bound on the memory of all responses that are read at the same time.
 #[derive(Debug)]
 pub struct BodyBudget {
