Test what faults put into the evidence against prompt parts left green

New or sharper cases turn them red: positions and counts that are not compared, a part without crashes that is still told, the last part of a prompt as a part that was served, an engine that lived on and ends later under other parts. The case of the latter first needed a crash that stands, since a part without one is forgotten at once.

A disproved end gives up its crashes once, where it is disproved, and not again where the run ends later.

The bench `decisions` asks for kept parts; not run yet.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -1,11 +1,12 @@
-//! The cost of a routing decision for different numbers of agents, and of an admission.
+//! The cost of a routing decision for different numbers of agents, of an admission, and of asking
+//! whether a part of a prompt is kept from engines.
 
 use std::{hint, sync, time};
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use indexmap::IndexMap;
 use pimentohook_core::{
-    admission, id, intent, limits, membership,
+    admission, id, intent, limits, membership, prompt_evidence,
     routing::{planner, score},
 };
 use rand::SeedableRng as _;
@@ -126,5 +127,43 @@
     });
 }
 
-criterion_group!(benches, routing, admission);
+fn prompt(parts: &[u64]) -> prompt_evidence::prompt::Prompt {
+    let parts = parts
+        .iter()
+        .copied()
+        .map(prompt_evidence::prompt::PromptPart::new);
+    prompt_evidence::prompt::Prompt::new(parts.collect()).expect("distinct parts")
+}
+
+/// Returns the evidence of an entry that keeps `count` parts from engines.
+fn evidence(count: u64) -> prompt_evidence::PromptEvidence {
+    const CRASH_COUNT: u64 = 3;
+    const CRASH_INTERVAL: time::Duration = time::Duration::from_millis(400);
+    let mut now = time::Instant::now();
+    let mut evidence = prompt_evidence::PromptEvidence::default();
+    for part in 0..count {
+        for crash in 0..CRASH_COUNT {
+            let run = prompt_evidence::prompt::EngineRun::new(part * CRASH_COUNT + crash);
+            evidence.record_ended(run, &prompt(&[1_000 + part, 1]), now);
+            now += CRASH_INTERVAL;
+        }
+    }
+    evidence
+}
+
+fn kept_parts(criterion: &mut Criterion) {
+    const KEPT_COUNTS: [u64; 3] = [0, 1, 8];
+    let sound = prompt(&[1, 2, 3]);
+    let mut group = criterion.benchmark_group("kept_parts");
+    for count in KEPT_COUNTS {
+        let kept = evidence(count).kept_parts();
+        assert_eq!(u64::try_from(kept.len()).ok(), Some(count));
+        group.bench_function(BenchmarkId::new("sound", count), |bencher| {
+            bencher.iter(|| hint::black_box(kept.find(hint::black_box(&sound))));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, routing, admission, kept_parts);
 criterion_main!(benches);
--- a/crates/core/src/prompt_evidence/commands.rs
+++ b/crates/core/src/prompt_evidence/commands.rs
@@ -23,9 +23,7 @@
         now: time::Instant,
     ) -> Vec<change::Change> {
         self.settle(now);
-        if self.ends.record(run, now) {
-            self.suspects.remove_crashes(run);
-        }
+        self.ends.record(run, now);
         self.pending.drop_not_outlived(run, now);
         for (position, part) in prompt.suspects().iter().enumerate() {
             self.accuse(*part, position, run, now);
--- a/crates/core/src/prompt_evidence/ends.rs
+++ b/crates/core/src/prompt_evidence/ends.rs
@@ -43,11 +43,11 @@
 }
 
 impl Ends {
-    /// Records an end that this entry noticed; returns whether it is new.
-    pub fn record(&mut self, run: prompt::EngineRun, now: time::Instant) -> bool {
+    /// Records an end that this entry noticed.
+    pub fn record(&mut self, run: prompt::EngineRun, now: time::Instant) {
         let known = self.by_run.get(&run);
         if known.is_some_and(|end| !end.is_false) {
-            return false;
+            return;
         }
         let false_end_count = known.map_or(0, |end| end.false_end_count.saturating_add(1));
         let end = End {
@@ -56,7 +56,6 @@
             is_false: false,
         };
         self.by_run.insert(run, end);
-        true
     }
 
     /// Records that a run was alive.
--- a/crates/core/tests/prompt_evidence/verdicts.rs
+++ b/crates/core/tests/prompt_evidence/verdicts.rs
@@ -6,10 +6,10 @@
 
 use super::fleet::{Fleet, OUTLIVED_MS, lines, prompt};
 
-const FIRST: u64 = 0x1;
+const FIRST: u64 = 0xf1;
 const BAD: u64 = 0xb;
 const OTHER_BAD: u64 = 0xc;
-const SUBJECT: u64 = 0x5;
+const SUBJECT: u64 = 0xe5;
 const CRASH_INTERVAL_MS: u64 = 400;
 
 #[test]
@@ -284,21 +284,66 @@
 }
 
 #[test]
-fn an_engine_that_lived_on_may_end_later() {
+fn an_engine_that_lived_on_may_end_later_under_other_parts() {
     let mut fleet = Fleet::new(2);
-    for _ in 0..3 {
+    fleet.crash(&[(0, &[FIRST])]);
+    fleet.wait_ms(CRASH_INTERVAL_MS);
+    for request in 0..3 {
         let run = fleet.crash(&[(0, &[FIRST])]);
+        let old = fleet.report(0);
         fleet.exchange();
         fleet.wait_ms(CRASH_INTERVAL_MS);
-        fleet.respond(run, 0, &[FIRST]);
+        fleet.respond(run, 0, &[OTHER_BAD]);
         fleet.exchange();
+        fleet.hear(0, &old);
         fleet.wait_ms(CRASH_INTERVAL_MS);
-        fleet.end(run, 0, &[BAD]);
+        fleet.end(run, 0, &[SUBJECT + request]);
         fleet.exchange();
+        assert!(fleet.entries[1].has_ended(run));
+    }
+    fleet.assert_all_keep(&[]);
+    let run = fleet.crash(&[(0, &[FIRST, BAD])]);
+    fleet.wait_ms(CRASH_INTERVAL_MS);
+    fleet.respond(run, 0, &[OTHER_BAD]);
+    for _ in 0..3 {
+        fleet.wait_ms(CRASH_INTERVAL_MS);
+        fleet.end(run, 0, &[BAD]);
+        fleet.crash(&[(0, &[BAD])]);
     }
+    fleet.exchange();
     fleet.assert_all_keep(&[BAD]);
 }
 
+#[test]
+fn a_part_whose_only_crash_was_disproved_is_not_told() {
+    let mut fleet = Fleet::new(1);
+    let run = fleet.crash(&[(0, &[FIRST, SUBJECT])]);
+    fleet.wait_ms(CRASH_INTERVAL_MS);
+    fleet.serve(0, &[FIRST]);
+    fleet.wait_ms(OUTLIVED_MS);
+    assert_eq!(fleet.report(0).parts.len(), 2);
+    fleet.respond(run, 0, &[OTHER_BAD]);
+    assert_eq!(fleet.report(0).parts, []);
+}
+
+#[test]
+fn a_response_speaks_for_the_last_part_of_its_prompt_too() {
+    let mut fleet = Fleet::new(1);
+    for round in 0..6 {
+        fleet.crash(&[(0, &[FIRST, SUBJECT])]);
+        fleet.wait_ms(CRASH_INTERVAL_MS);
+        if round % 2 == 1 {
+            // An earlier turn of the session, whose own part later turns begin with.
+            let turn = Prompt::new(vec![PromptPart::new(FIRST), PromptPart::new(SUBJECT)]);
+            let run = fleet.start_engine();
+            let now = fleet.now();
+            fleet.entries[0].record_served(run, &turn.expect("two parts"), now, now);
+            fleet.wait_ms(OUTLIVED_MS);
+        }
+    }
+    fleet.assert_all_keep(&[]);
+}
+
 #[test]
 fn a_request_is_not_sent_to_a_third_engine() {
     let mut fleet = Fleet::new(1);
