Test that a lowered timeout holds for its own route only

A stream on a route below one whose timeout was lowered may last as long as that one had allowed, though the timeout of its own route was always shorter.

--- a/crates/core/tests/lowered_timeouts.rs
+++ b/crates/core/tests/lowered_timeouts.rs
@@ -8,10 +8,15 @@
 
 fn table(timeout_s: u64) -> routes::RouteTable {
     let mut table = routes::RouteTable::default();
+    table.insert(String::from(HOST), route("/notes/", timeout_s));
+    table
+}
+
+fn route(path_prefix: &str, timeout_s: u64) -> routes::Route {
     let timeout = time::Duration::from_secs(timeout_s);
-    let route = routes::Route {
+    routes::Route {
         name: String::from("drafts"),
-        path_prefix: String::from("/notes/"),
+        path_prefix: String::from(path_prefix),
         repeat: routes::RepeatPolicy::AtMostOnce,
         streaming: true,
         resumable: true,
@@ -20,9 +25,7 @@
         targets: Vec::new(),
         attempts_max: 1,
         public: true,
-    };
-    table.insert(String::from(HOST), route);
-    table
+    }
 }
 
 #[test]
@@ -49,3 +52,21 @@
     lowered.record(start + time::Duration::from_mins(2), &table(3), &table(3));
     assert_eq!(lowered.longest_since(start, HOST, "/notes/1"), None);
 }
+
+/// A stream on a route below one whose timeout was lowered lasted as long as that one had allowed.
+#[test]
+fn a_lowered_timeout_does_not_hold_for_a_route_below_it() {
+    let with_inner_route = |outer_s| {
+        let mut table = table(outer_s);
+        table.insert(String::from(HOST), route("/notes/drafts/", 2));
+        table
+    };
+    let mut lowered = lowered_timeouts::LoweredTimeouts::default();
+    let start = time::Instant::now();
+    let changed_at = start + time::Duration::from_secs(1);
+    lowered.record(changed_at, &with_inner_route(10), &with_inner_route(5));
+    let longest = lowered.longest_since(start, HOST, "/notes/drafts/1");
+    assert_eq!(longest, None);
+    let longest = lowered.longest_since(start, HOST, "/notes/1");
+    assert_eq!(longest, Some(time::Duration::from_secs(10)));
+}
