Let a lowered timeout hold for its own route only

A stream could last as long as a route above its own had allowed before a change, past the timeout that its own route always had.

Cause: a lowered timeout was looked up by prefix, without regard to routes below it, which select their own paths.

Evidence: a_lowered_timeout_does_not_hold_for_a_route_below_it failed before ('left: Some(10s), right: None').

Change: a lowered timeout is kept with the prefixes of the routes below it, and doesn't hold for their paths.

--- a/crates/core/src/lowered_timeouts.rs
+++ b/crates/core/src/lowered_timeouts.rs
@@ -18,10 +18,20 @@
 struct LoweredTimeout {
     host: String,
     path_prefix: String,
+    /// The prefixes of routes below it, which select their own paths.
+    inner_prefixes: Vec<String>,
     timeout: time::Duration,
     replaced_at: time::Instant,
 }
 
+impl LoweredTimeout {
+    /// Returns whether the route selected this path until the change.
+    fn selects(&self, path: &str) -> bool {
+        let is_inner = |prefix: &String| path.starts_with(prefix.as_str());
+        path.starts_with(&self.path_prefix) && !self.inner_prefixes.iter().any(is_inner)
+    }
+}
+
 /// The timeouts that have been lowered lately, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LoweredTimeouts {
@@ -43,6 +53,7 @@
             self.timeouts.extend(lowered.map(|route| LoweredTimeout {
                 host: host.clone(),
                 path_prefix: route.path_prefix.clone(),
+                inner_prefixes: inner_prefixes(route, routes),
                 timeout: route.timeout,
                 replaced_at: now,
             }));
@@ -60,9 +71,7 @@
         path: &str,
     ) -> Option<time::Duration> {
         let matching = self.timeouts.iter().filter(|lowered| {
-            lowered.replaced_at > since
-                && lowered.host == host
-                && path.starts_with(&lowered.path_prefix)
+            lowered.replaced_at > since && lowered.host == host && lowered.selects(path)
         });
         matching.map(|lowered| lowered.timeout).max()
     }
@@ -72,3 +81,12 @@
     let now = after.select(host, &route.path_prefix);
     now.is_some_and(|now| now.timeout < route.timeout)
 }
+
+/// Returns the prefixes of the routes of a host that are below a route.
+fn inner_prefixes(route: &routes::Route, routes: &[routes::Route]) -> Vec<String> {
+    let prefixes = routes.iter().map(|other| &other.path_prefix);
+    let inner = prefixes.filter(|prefix| {
+        prefix.len() > route.path_prefix.len() && prefix.starts_with(&route.path_prefix)
+    });
+    inner.cloned().collect()
+}
