Split the selection of an engine into a search with one step a function

The function had 70 lines with two loops, three ways to a placement and the give-back of permits in two of them. Each way is a function of a Search now, and the permit is given back in one place a way. No behaviour changed.

--- a/crates/entry/src/direct/engine_placement.rs
+++ b/crates/entry/src/direct/engine_placement.rs
@@ -37,69 +37,143 @@
         return Err(placement::Denial::Nobody);
     }
     rank(app, &mut serving);
-    let slot_requests_max = if request.spare_only {
-        SLOT_REQUESTS_LATE_MAX
-    } else {
-        SLOT_REQUESTS_MAX
+    let mut search = Search {
+        app,
+        request,
+        profile,
+        model,
+        allowed,
+        denials: placement::PermitDenials::default(),
+        slot_request_count: 0,
     };
-    let mut denials = placement::PermitDenials::default();
-    let mut slot_requests = 0;
-    for candidate in &serving {
-        if slot_requests == slot_requests_max {
-            break;
+    if let Some(placement) = search.ask_agents(&serving).await {
+        return Ok(placement);
+    }
+    // Only if nobody else takes the request, because it may wait there in vain.
+    if let Some(placement) = search.probe_any(&serving).await {
+        return Ok(placement);
+    }
+    Err(search.denial())
+}
+
+/// The search for an engine for one request.
+struct Search<'a> {
+    app: &'a sync::Arc<app::App>,
+    request: &'a placement::PlacementRequest<'a>,
+    profile: &'a engine::EngineProfile,
+    model: &'a str,
+    /// The versions of the weights that the request may run on.
+    allowed: weights_versions::AllowedVersions,
+    denials: placement::PermitDenials,
+    /// The number of agents that were asked for a slot.
+    slot_request_count: usize,
+}
+
+impl Search<'_> {
+    const fn slot_requests_max(&self) -> usize {
+        if self.request.spare_only {
+            SLOT_REQUESTS_LATE_MAX
+        } else {
+            SLOT_REQUESTS_MAX
         }
-        match candidate.state.contact.access(app.now_ms(), false) {
-            Access::Closed => continue,
-            Access::Probe => {
-                if let Some(placement) =
-                    probe(app, request, candidate, model, false, &mut denials).await
-                {
-                    return Ok(placement);
-                }
-                continue;
+    }
+
+    /// Requests slots from the agents beside these engines, one after the other.
+    async fn ask_agents(&mut self, serving: &[&app::Candidate]) -> Option<placement::Placement> {
+        for candidate in serving {
+            if self.slot_request_count == self.slot_requests_max() {
+                return None;
+            }
+            let access = candidate.state.contact.access(self.app.now_ms(), false);
+            let placement = match access {
+                Access::Closed => None,
+                Access::Probe => self.probe(candidate, false).await,
+                Access::Agent | Access::Share => self.ask_agent(candidate).await,
+            };
+            if placement.is_some() {
+                return placement;
             }
-            Access::Agent | Access::Share => {}
         }
-        if !denials.acquire(app, candidate).await {
-            continue;
+        None
+    }
+
+    /// Requests a slot from the agent beside an engine.
+    async fn ask_agent(&mut self, candidate: &app::Candidate) -> Option<placement::Placement> {
+        if !self.denials.acquire(self.app, candidate).await {
+            return None;
         }
-        slot_requests += 1;
+        self.slot_request_count += 1;
+        let allowed = &self.allowed;
+        let served = candidate.served_version(self.model);
         let slot_request = slot::Request {
-            placement: request,
-            profile,
-            model,
+            placement: self.request,
+            profile: self.profile,
+            model: self.model,
             version_min: allowed.version_min,
-            start_within: allowed.start_within(app, model, candidate.served_version(model)),
+            start_within: allowed.start_within(self.app, self.model, served),
         };
-        if slot::request(app, &slot_request, candidate).await {
-            if let Some(placement) = engine_placement(app, request, candidate, model, None) {
-                return Ok(placement);
-            }
-        } else if may_wait_unwatched(app, candidate, model)
+        let placement = if slot::request(self.app, &slot_request, candidate).await {
+            self.placement(candidate, None)
+        } else {
             // Its agent may just have turned out to be gone, and a permit is held already.
-            && let Some(probe) = mark_probe(app, candidate, false)
-            && let Some(placement) = engine_placement(app, request, candidate, model, Some(probe))
-        {
-            return Ok(placement);
+            may_wait_unwatched(self.app, candidate, self.model)
+                .then(|| mark_probe(self.app, candidate, false))
+                .flatten()
+                .and_then(|probe| self.placement(candidate, Some(probe)))
+        };
+        if placement.is_none() {
+            permits::give_back(self.app, &candidate.upstream.instance);
         }
-        permits::give_back(app, &candidate.upstream.instance);
+        placement
     }
-    // Only if nobody else takes the request, because it may wait there in vain.
-    for candidate in &serving {
-        let may_probe = request.may_probe;
-        let access = candidate.state.contact.access(app.now_ms(), may_probe);
-        if access != Access::Probe {
-            continue;
+
+    /// Lets the request probe one of these engines.
+    async fn probe_any(&mut self, serving: &[&app::Candidate]) -> Option<placement::Placement> {
+        let may_probe = self.request.may_probe;
+        for candidate in serving {
+            let access = candidate.state.contact.access(self.app.now_ms(), may_probe);
+            if access != Access::Probe {
+                continue;
+            }
+            let placement = self.probe(candidate, may_probe).await;
+            if placement.is_some() {
+                return placement;
+            }
         }
-        if let Some(placement) =
-            probe(app, request, candidate, model, may_probe, &mut denials).await
-        {
-            return Ok(placement);
+        None
+    }
+
+    /// Lets the request probe an engine and returns its placement there; `None` if it may not.
+    async fn probe(
+        &mut self,
+        candidate: &app::Candidate,
+        may_probe: bool,
+    ) -> Option<placement::Placement> {
+        if !may_wait_unwatched(self.app, candidate, self.model) {
+            return None;
+        }
+        let probe = begin_probe(self.app, candidate, may_probe, &mut self.denials).await?;
+        let placement = self.placement(candidate, Some(probe));
+        if placement.is_none() {
+            permits::give_back(self.app, &candidate.upstream.instance);
         }
+        placement
+    }
+
+    fn placement(
+        &self,
+        candidate: &app::Candidate,
+        probe: Option<placement::ProbeGuard>,
+    ) -> Option<placement::Placement> {
+        engine_placement(self.app, self.request, candidate, self.model, probe)
     }
-    match denials.denial() {
-        Some(denial) if slot_requests == 0 => Err(denial),
-        _ => Err(placement::Denial::Full),
+
+    /// Returns why no engine takes the request.
+    const fn denial(&self) -> placement::Denial {
+        match self.denials.denial() {
+            Some(denial) if self.slot_request_count == 0 => denial,
+            _ => placement::Denial::Full,
+        }
     }
 }
 
@@ -164,26 +238,6 @@
     slot::may_wait_unwatched(start_within)
 }
 
-/// Lets a request probe an engine and returns its placement there; `None` if it may not.
-async fn probe(
-    app: &app::App,
-    request: &placement::PlacementRequest<'_>,
-    candidate: &app::Candidate,
-    model: &str,
-    may_probe: bool,
-    denials: &mut placement::PermitDenials,
-) -> Option<placement::Placement> {
-    if !may_wait_unwatched(app, candidate, model) {
-        return None;
-    }
-    let probe = begin_probe(app, candidate, may_probe, denials).await?;
-    let placement = engine_placement(app, request, candidate, model, Some(probe));
-    if placement.is_none() {
-        permits::give_back(app, &candidate.upstream.instance);
-    }
-    placement
-}
-
 /// Lets a request probe an engine of which it is not known whether it responds, unless another one
 /// does so or there is no permit.
 async fn begin_probe(
