--- a/crates/core/tests/idle_limit.rs
+++ b/crates/core/tests/idle_limit.rs
@@ -35,3 +35,14 @@
     assert_eq!(limit.get(now + seconds(14)), seconds(15));
     assert_eq!(limit.get(now + seconds(30)), seconds(5));
 }
+
+/// Each configuration states the limit again, and each of them prolonged the earlier limit.
+#[test]
+fn a_limit_that_is_stated_again_does_not_prolong_an_earlier_one() {
+    let mut limit = idle_limit::IdleLimit::new(seconds(15));
+    let now = time::Instant::now();
+    limit.change(now, seconds(5));
+    limit.change(now + seconds(10), seconds(5));
+    assert_eq!(limit.get(now + seconds(14)), seconds(15));
+    assert_eq!(limit.get(now + seconds(15)), seconds(5));
+}
