End an earlier idle limit although the lower one is stated again

What callers saw: nothing. Connections were kept for the earlier limit, 15 s for example, for as long as configurations came more often than that, so more of them were open than the limit in force asks for.

Cause: each configuration that is applied states its limit, and a limit below the one in force was taken for a new lowering each time.

Evidence: a_limit_that_is_stated_again_does_not_prolong_an_earlier_one failed before ('left: 15s, right: 5s').

Change: only a limit below the last one stated begins the time of an earlier one.

--- a/crates/core/src/idle_limit.rs
+++ b/crates/core/src/idle_limit.rs
@@ -50,11 +50,13 @@
 
     /// Puts another limit in force.
     pub fn change(&mut self, now: time::Instant, limit: time::Duration) {
-        let longest = self.get(now);
-        if limit < longest {
+        if limit < self.current {
+            let earlier = self.earlier.filter(|earlier| now < earlier.holds_until);
+            let holds_until = now + self.current;
             self.earlier = Some(EarlierLimit {
-                limit: longest,
-                holds_until: now + longest,
+                limit: self.get(now),
+                holds_until: earlier
+                    .map_or(holds_until, |earlier| earlier.holds_until.max(holds_until)),
             });
         }
         self.current = limit;
