Do not end a stream that was cut off as if it were whole

What callers saw: a stream without its last events that ended with a terminator, so that it looked whole. It needs a stream that pauses until another upstream is asked to go on, is cut off meanwhile, and is turned away there.

Cause: the body of a stream is read while the other upstream is asked, and the error at its end was dropped there. When the stream was read again, a body after its error says that it has ended, and a body that ends after a whole event is a complete stream.

Change: a stream remembers that its body was cut off. So the next read fails too, and the stream is resumed at another upstream or ends without a terminator.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -42,6 +42,8 @@
     pub events: event_stream::EventReader,
     /// Whether the body has ended.
     pub is_ended: bool,
+    /// Whether the body was cut off.
+    is_cut_off: bool,
     /// The upstream.
     pub candidate: app::Candidate,
     /// Counts the request as in flight at the upstream.
@@ -290,6 +292,7 @@
             body,
             events: event_stream::EventReader::new(self.last_event_id),
             is_ended: false,
+            is_cut_off: false,
             candidate: placement.candidate.clone(),
             in_flight: self.in_flight,
         };
@@ -322,6 +325,10 @@
     /// Reads until there are complete events or the body has ended; returns false if the body was
     /// cut off or is not valid.
     pub async fn fill(&mut self, app: &app::App) -> bool {
+        // A body that is read again after an error looks as if it had ended.
+        if self.is_cut_off {
+            return false;
+        }
         while !self.events.has_events() {
             if let Some(violation) = self.events.violation() {
                 log::warn!(
@@ -337,7 +344,10 @@
                         self.events.push(&bytes);
                     }
                 }
-                Some(Err(_)) => return false,
+                Some(Err(_)) => {
+                    self.is_cut_off = true;
+                    return false;
+                }
                 None => {
                     self.is_ended = true;
                     // A body that ends in the middle of an event was cut off.
