--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -1,18 +1,18 @@
 //! One attempt to send a request to an upstream.
 
-use std::{fmt, net, sync::atomic, time};
+use std::{net, sync::atomic, time};
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http_body_util::{BodyExt as _, Full};
-use hyper::{Request, Response, StatusCode, Uri, body::Incoming, header, http};
+use http_body_util::Full;
+use hyper::{Request, Response, Uri, body::Incoming, header, http};
 use pimentohook_core::{event_stream, upstream_limit::belief};
 use pimentohook_platform::request;
 use pimentohook_runtime::{body, client, server};
 
 use super::{
-    app, engine_silence, limited_upstream, placement, prompt_evidence, proxy, stream_evidence,
-    upstream_limits, upstream_notices, weights_versions,
+    app, engine_silence, limited_upstream, open_stream, placement, prompt_evidence, proxy,
+    stream_evidence, upstream_limits, upstream_notices, weights_versions,
 };
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
@@ -31,36 +31,6 @@
     MayHaveRun,
 }
 
-/// How far the body of an event stream has been read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyState {
-    /// More may come.
-    Open,
-    /// It has ended after a complete event.
-    Ended,
-    /// It was cut off or is not valid, which stays so: a body ends after its error.
-    Broken,
-}
-
-/// An event stream whose first event has been received.
-#[derive(Debug)]
-pub struct OpenStream {
-    /// The head of the response.
-    pub head: http::response::Parts,
-    /// The remaining body.
-    pub body: Incoming,
-    /// The events that have been read.
-    pub events: event_stream::EventReader,
-    /// How far the body has been read.
-    pub body_state: BodyState,
-    /// The upstream.
-    pub candidate: app::Candidate,
-    /// Counts the request as in flight at the upstream.
-    pub in_flight: placement::InFlightGuard,
-    /// What the stream says of the parts of its prompt.
-    pub evidence: stream_evidence::StreamEvidence,
-}
-
 /// The outcome of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
@@ -69,7 +39,7 @@
     /// An error response from the upstream, forwarded if no other upstream can be tried.
     ServerError(Response<Body>),
     /// An event stream whose first event has been received.
-    Stream(Box<OpenStream>),
+    Stream(Box<open_stream::OpenStream>),
     /// No response.
     Fault(Fault),
 }
@@ -159,7 +129,7 @@
 }
 
 /// Records that something has come from an upstream.
-fn record_sign(app: &app::App, candidate: &app::Candidate) {
+pub(super) fn record_sign(app: &app::App, candidate: &app::Candidate) {
     let change = candidate.state.contact.record_sign(app.now_ms());
     engine_silence::log_change(app, &candidate.upstream.instance, change);
 }
@@ -323,11 +293,11 @@
         // Only a resumed stream may have nothing left before its connection closes.
         let may_be_empty = self.last_event_id.is_some() || body::has_marked_end(&self.response);
         let (head, body) = self.response.into_parts();
-        let mut open = OpenStream {
+        let mut open = open_stream::OpenStream {
             head,
             body,
             events: event_stream::EventReader::new(self.last_event_id),
-            body_state: BodyState::Open,
+            body_state: open_stream::BodyState::Open,
             candidate: placement.candidate.clone(),
             in_flight: self.in_flight,
             evidence: stream_evidence::StreamEvidence::new(self.started_at),
@@ -361,64 +331,3 @@
     *response.headers_mut() = request::response_headers(&head.headers);
     response
 }
-
-impl OpenStream {
-    /// Reads until there are complete events or the body has ended; returns false if the body was
-    /// cut off or is not valid.
-    pub async fn fill(&mut self, app: &app::App) -> bool {
-        while !self.events.has_events() {
-            match self.body_state {
-                BodyState::Open => self.read_frame(app).await,
-                BodyState::Ended => return true,
-                BodyState::Broken => return false,
-            }
-        }
-        true
-    }
-
-    async fn read_frame(&mut self, app: &app::App) {
-        match self.body.frame().await {
-            Some(Ok(frame)) => {
-                record_sign(app, &self.candidate);
-                if let Ok(bytes) = frame.into_data() {
-                    self.events.push(&bytes);
-                }
-            }
-            Some(Err(error)) => self.record_break("stream_cut_off", &error),
-            None if self.events.is_at_boundary() => self.body_state = BodyState::Ended,
-            None => self.record_break("stream_cut_off", &"ended within an event"),
-        }
-        if let Some(violation) = self.events.violation() {
-            self.record_break("stream_not_valid", &violation);
-        }
-    }
-
-    fn record_break<R>(&mut self, event: &str, reason: &R)
-    where
-        R: fmt::Display,
-    {
-        self.body_state = BodyState::Broken;
-        log::warn!(
-            "attempt: event={event} instance={} last_event={:?} reason={reason}",
-            self.instance(),
-            self.events.last_id()
-        );
-    }
-
-    /// Returns the upstream's instance.
-    #[must_use]
-    pub fn instance(&self) -> &str {
-        &self.candidate.upstream.instance
-    }
-
-    /// Removes the complete events and returns them.
-    pub fn take_events(&mut self) -> Bytes {
-        Bytes::from(self.events.take())
-    }
-
-    /// Returns whether a response with this status may be resumed at another upstream.
-    #[must_use]
-    pub fn is_success(&self) -> bool {
-        self.head.status == StatusCode::OK
-    }
-}
--- /dev/null
+++ b/crates/entry/src/direct/final_response.rs
@@ -0,0 +1,199 @@
+//! Final responses to requests, and the log lines on them.
+
+use std::time;
+
+use cadence::Timed as _;
+use gotham::helpers::http::Body;
+use hyper::{Response, StatusCode, header};
+use pimentohook_core::prompt_evidence::{VERDICT_LIFETIME, prompt};
+use pimentohook_runtime::server;
+use rand::RngExt as _;
+
+use super::{app, ending, placement, proxy::ProxiedRequest};
+
+/// Callers honour a delay of at most their remaining time divided by this.
+const RETRY_AFTER_REMAINING_DIVISOR: u32 = 3;
+
+/// The attempts at a request so far.
+#[derive(Debug, Default)]
+pub(super) struct AttemptHistory {
+    /// Instances that the request was sent to.
+    pub(super) tried: Vec<String>,
+    /// The number of upstreams that may have run the request.
+    pub(super) run_count: u32,
+    /// Whether the request may be running or may have run.
+    pub(super) may_have_run: bool,
+    /// The last error response from an upstream.
+    pub(super) upstream_error: Option<Response<Body>>,
+}
+
+/// Builds an error response of the entry itself.
+pub(super) fn error_response(
+    status: StatusCode,
+    retry_after: Option<time::Duration>,
+    reason: &str,
+) -> Response<Body> {
+    let mut response = server::respond_text(status, reason);
+    if let Some(retry_after) = retry_after {
+        let text = format!("{:.3}", retry_after.as_secs_f64());
+        if let Ok(value) = header::HeaderValue::from_str(&text) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Logs and counts a response of an upstream.
+pub(super) fn log_response(
+    app: &app::App,
+    request: &ProxiedRequest,
+    history: &AttemptHistory,
+    placement: &placement::Placement,
+    status: StatusCode,
+) {
+    app.count("answered");
+    app.refusal_rate(&request.service)
+        .record(app.now_ms(), false);
+    if let Err(error) = app.metrics.time("first_byte", request.arrived_at.elapsed()) {
+        log::debug!("metrics: event=not_kept name=first_byte error={error:?}");
+    }
+    log::info!(
+        "proxy: event=answered request={} route={} instance={} status={} attempt={} \
+         after_ms={} configuration={}{placement}",
+        request.id(),
+        request.route.name,
+        placement.candidate.upstream.instance,
+        status.as_u16(),
+        history.tried.len(),
+        request.arrived_at.elapsed().as_millis(),
+        request.table.version
+    );
+}
+
+/// Refuses a request that no upstream can take now.
+pub(super) fn refuse(
+    app: &app::App,
+    request: &ProxiedRequest,
+    history: &mut AttemptHistory,
+    denial: placement::Denial,
+) -> Response<Body> {
+    if history.may_have_run {
+        return fail(app, request, history, "no other upstream can take it");
+    }
+    let retry_after = match denial {
+        placement::Denial::Limited {
+            retry_after: limited,
+        } => {
+            let longest = request.remaining() / RETRY_AFTER_REMAINING_DIVISOR;
+            retry_after(app, request).max(limited.min(longest))
+        }
+        placement::Denial::BackingOff {
+            retry_after: back_off,
+        } => retry_after(app, request).max(back_off),
+        placement::Denial::Nobody | placement::Denial::Full => retry_after(app, request),
+    };
+    app.count("refused");
+    log::info!(
+        "proxy: event=refused request={} route={} service={} reason={denial} tried={} \
+         after_ms={} retry_after_ms={}",
+        request.id(),
+        request.route.name,
+        request.service,
+        history.tried.len(),
+        request.arrived_at.elapsed().as_millis(),
+        retry_after.as_millis()
+    );
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    error_response(status, Some(retry_after), "every upstream is busy or away")
+}
+
+/// Ends a request because engines crash on a part of its prompt.
+///
+/// The delay tells the caller that coming back does not help.
+pub(super) fn hold_back(
+    app: &app::App,
+    request: &ProxiedRequest,
+    history: &mut AttemptHistory,
+    part: prompt::PromptPart,
+) -> Response<Body> {
+    app.count("held_back");
+    log::info!(
+        "proxy: event=held_back request={} route={} part={part} may_have_run={} tried={} \
+         after_ms={}",
+        request.id(),
+        request.route.name,
+        history.may_have_run,
+        history.tried.len(),
+        request.arrived_at.elapsed().as_millis()
+    );
+    let reason = "engines crash on a part of the prompt";
+    if history.may_have_run {
+        return fail(app, request, history, reason);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    error_response(status, Some(VERDICT_LIFETIME), reason)
+}
+
+/// Counts a refusal and returns the delay after which the caller should retry.
+fn retry_after(app: &app::App, request: &ProxiedRequest) -> time::Duration {
+    let refusal_rate = app.refusal_rate(&request.service);
+    let now_ms = app.now_ms();
+    refusal_rate.record(now_ms, true);
+    refusal_rate.retry_after(now_ms, request.remaining(), rand::rng().random())
+}
+
+/// Ends a request whose attempts failed: with the last error response of an upstream if there is
+/// one, else with status 503 if the request did not run and 502 if it may have run.
+pub(super) fn fail(
+    app: &app::App,
+    request: &ProxiedRequest,
+    history: &mut AttemptHistory,
+    reason: &str,
+) -> Response<Body> {
+    if let Some(response) = history.upstream_error.take() {
+        return response;
+    }
+    let status = if history.may_have_run {
+        StatusCode::BAD_GATEWAY
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    app.count("failed");
+    log::warn!(
+        "proxy: event=failed request={} route={} status={} may_have_run={} tried={:?} \
+         after_ms={} reason={reason:?}",
+        request.id(),
+        request.route.name,
+        status.as_u16(),
+        history.may_have_run,
+        history.tried,
+        request.arrived_at.elapsed().as_millis()
+    );
+    let retry_after = (!history.may_have_run).then(|| retry_after(app, request));
+    error_response(status, retry_after, reason)
+}
+
+/// Ends a request whose time is over.
+pub(super) fn time_out(
+    app: &app::App,
+    request: &ProxiedRequest,
+    history: &AttemptHistory,
+) -> Response<Body> {
+    // An attempt that the timeout cancelled may still be running.
+    let may_be_running = !history.tried.is_empty();
+    let status = if may_be_running {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    app.count("timed_out");
+    log::warn!(
+        "proxy: event=timeout request={} route={} status={} tried={:?} {}",
+        request.id(),
+        request.route.name,
+        status.as_u16(),
+        history.tried,
+        ending::Timing::new(app, request)
+    );
+    error_response(status, None, "the time for this request is over")
+}
--- /dev/null
+++ b/crates/entry/src/direct/intake.rs
@@ -0,0 +1,178 @@
+//! Reads callers' requests, and rejects those that no upstream may get.
+
+use std::{sync, time};
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use pimentohook_core::routes;
+use pimentohook_platform::request;
+use pimentohook_runtime::server;
+use rand::RngExt as _;
+
+use super::{app, prompt_admission, proxy, request_timeout};
+
+const BODY_MAX_BYTES: usize = 4 << 20;
+const RETRY_AFTER_UNAVAILABLE: time::Duration = time::Duration::from_millis(500);
+/// Short, because another entry accepts the request immediately.
+const RETRY_AFTER_SHUTDOWN: time::Duration = time::Duration::from_millis(20);
+
+/// A final response to a request that was not sent to any upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rejection {
+    /// The status.
+    pub(super) status: StatusCode,
+    /// When the caller may come back, if that helps.
+    pub(super) retry_after: Option<time::Duration>,
+    /// The reason, which the body of the response says.
+    pub(super) reason: &'static str,
+}
+
+const fn rejection(status: StatusCode, reason: &'static str) -> Rejection {
+    Rejection {
+        status,
+        retry_after: None,
+        reason,
+    }
+}
+
+const fn unavailable(reason: &'static str) -> Rejection {
+    Rejection {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        retry_after: Some(RETRY_AFTER_UNAVAILABLE),
+        reason,
+    }
+}
+
+/// Reads a request, which may be rejected before its body has come.
+///
+/// # Errors
+///
+/// Returns the request's id and how it is rejected.
+pub(super) async fn read_request(
+    app: &app::App,
+    call: server::Call,
+) -> Result<proxy::ProxiedRequest, (String, Rejection)> {
+    let admitted = match admit(app, &call) {
+        Ok(admitted) => admitted,
+        Err(rejection) => {
+            let table = app.table.load();
+            let body_max = table.as_ref().and_then(|table| table.body_max_bytes);
+            call.discard_body(body_max.unwrap_or(BODY_MAX_BYTES));
+            return Err(rejection);
+        }
+    };
+    let body_max = admitted.table.body_max_bytes.unwrap_or(BODY_MAX_BYTES);
+    let body = call.read_body(body_max).await;
+    let body = body.map_err(|error| {
+        let id = String::from(admitted.id());
+        (id, rejection(error.status(), "the body can't be read"))
+    })?;
+    Ok(proxy::ProxiedRequest { body, ..admitted })
+}
+
+/// Returns a request, without its body, unless it is rejected for what its head says.
+fn admit(
+    app: &app::App,
+    call: &server::Call,
+) -> Result<proxy::ProxiedRequest, (String, Rejection)> {
+    let arrived_at = app.clock.now();
+    let caller = request::CallerHeaders::from_headers(&call.headers);
+    let id = caller
+        .request_id
+        .clone()
+        .unwrap_or_else(|| String::from("-"));
+    let with_id = |rejection| (id.clone(), rejection);
+    let Some(table) = app.table.load_full() else {
+        return Err(with_id(unavailable("no configuration is known yet")));
+    };
+    let host = host(call);
+    let route = select(app, &table, &host, call.uri.path()).map_err(with_id)?;
+    let organisation = authenticate(app, &table, &route, &caller).map_err(with_id)?;
+    let Some(service) = route.target(rand::rng().random()).cloned() else {
+        return Err(with_id(unavailable("the route names no service")));
+    };
+    let timeout = request_timeout::RequestTimeout::new(caller.timeout, route.timeout);
+    let deadline = arrived_at + timeout.get();
+    let is_late_retry = is_late_retry(app, &route, &caller);
+    if !app.accepts(deadline) {
+        return Err(with_id(Rejection {
+            retry_after: Some(RETRY_AFTER_SHUTDOWN),
+            ..unavailable("this entry is leaving")
+        }));
+    }
+    let (method, uri, headers) = (call.method.clone(), call.uri.clone(), call.headers.clone());
+    Ok(proxy::ProxiedRequest {
+        caller,
+        method,
+        uri,
+        host,
+        headers,
+        body: Bytes::new(),
+        route: sync::Arc::new(route),
+        service,
+        table,
+        organisation,
+        trial: prompt_admission::Trial::default(),
+        is_late_retry,
+        arrived_at,
+        timeout,
+    })
+}
+
+/// Returns whether a request is a retry whose caller has already waited longer than the goal.
+///
+/// A caller sends the time that it still waits, and all callers of a route start with the same
+/// time. So the difference to the longest time seen is the time that the caller has already waited.
+fn is_late_retry(app: &app::App, route: &routes::Route, caller: &request::CallerHeaders) -> bool {
+    let Some(timeout) = caller.timeout else {
+        return false;
+    };
+    let longest_timeout = app.record_caller_timeout(&route.name, timeout);
+    longest_timeout.saturating_sub(timeout) > route.goal
+}
+
+/// Returns the host of a request, without a port.
+fn host(call: &server::Call) -> String {
+    let host = call
+        .header("host")
+        .or_else(|| call.uri.host())
+        .unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    host.to_ascii_lowercase()
+}
+
+fn select(
+    app: &app::App,
+    table: &routes::RouteTable,
+    host: &str,
+    path: &str,
+) -> Result<routes::Route, Rejection> {
+    let selected = table.select(host, path);
+    // A route that is missing in a stale configuration may exist in the one in force.
+    selected.cloned().ok_or_else(|| {
+        if app.is_stale() {
+            unavailable("the configuration may be out of date")
+        } else {
+            rejection(StatusCode::NOT_FOUND, "no route for this host and path")
+        }
+    })
+}
+
+fn authenticate(
+    app: &app::App,
+    table: &routes::RouteTable,
+    route: &routes::Route,
+    caller: &request::CallerHeaders,
+) -> Result<Option<routes::Organisation>, Rejection> {
+    let organisation = caller.key.as_ref().and_then(|key| table.keys.get(key));
+    if organisation.is_some() || route.public || table.keys.is_empty() {
+        return Ok(organisation.cloned());
+    }
+    if app.is_stale() {
+        return Err(unavailable("the configuration may be out of date"));
+    }
+    Err(rejection(
+        StatusCode::UNAUTHORIZED,
+        "the API key is not known",
+    ))
+}
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -6,12 +6,13 @@
 //! * [`settings`] and [`app`]: the settings and the shared state.
 //! * [`feed`] and [`cache`]: the configuration, the upstreams, the entries and the announced
 //!   weights, from the store or from other entries.
-//! * [`proxy`]: a caller's request, from its arrival to the final response.
+//! * [`proxy`]: a caller's request, from its arrival to the final response, with [`intake`], which
+//!   reads it, and [`final_response`].
 //! * [`placement`], [`engine_placement`] and [`slot`]: the selection of an upstream, of an engine, and
 //!   the slots that agents grant.
 //! * [`weights_versions`]: the versions of weights that a request may run on.
-//! * [`attempt`] and [`stream`]: one attempt to send a request to an upstream, and responses that
-//!   are event streams.
+//! * [`attempt`], [`open_stream`] and [`stream`]: one attempt to send a request to an upstream, and
+//!   responses that are event streams.
 //! * [`engine_silence`]: engines that stand still, and what happens to requests that wait there.
 //! * [`upstream_limits`], [`limited_upstream`], [`limit_gossip`] and [`permits`]: the limits that
 //!   upstreams name in their responses, and the permits with which all entries together keep them.
@@ -35,8 +36,11 @@
 pub mod engine_placement;
 pub mod engine_silence;
 pub mod feed;
+pub mod final_response;
+pub mod intake;
 pub mod limit_gossip;
 pub mod limited_upstream;
+pub mod open_stream;
 pub mod peers;
 pub mod permits;
 pub mod placement;
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -11,8 +11,8 @@
 
 use super::{
     app,
-    attempt::{self, OpenStream, Outcome},
-    ending, engine_silence, limited_upstream, permits, placement, prompt_admission,
+    attempt::{self, Outcome},
+    ending, engine_silence, limited_upstream, open_stream, permits, placement, prompt_admission,
     prompt_evidence, proxy, request_timeout, stream_evidence,
 };
 
@@ -53,7 +53,7 @@
 pub fn respond(
     app: sync::Arc<app::App>,
     request: sync::Arc<proxy::ProxiedRequest>,
-    open: Box<OpenStream>,
+    open: Box<open_stream::OpenStream>,
     run_count: u32,
 ) -> Response<Body> {
     let head = open.head.clone();
@@ -103,7 +103,7 @@
 struct ForwardedStream {
     app: sync::Arc<app::App>,
     request: sync::Arc<proxy::ProxiedRequest>,
-    open: Box<OpenStream>,
+    open: Box<open_stream::OpenStream>,
     run_count: u32,
     is_failed: bool,
     unfinished: ending::UnfinishedGuard,
--- a/crates/entry/src/direct/stream_evidence.rs
+++ b/crates/entry/src/direct/stream_evidence.rs
@@ -4,7 +4,7 @@
 
 use pimentohook_core::prompt_evidence::BEGUN_FOR;
 
-use super::{app, attempt, prompt_evidence, proxy};
+use super::{app, open_stream, prompt_evidence, proxy};
 
 /// The evidence that a stream gives for the parts of its prompt.
 #[derive(Debug)]
@@ -31,7 +31,7 @@
 pub fn record_served(
     app: &app::App,
     request: &proxy::ProxiedRequest,
-    open: &mut attempt::OpenStream,
+    open: &mut open_stream::OpenStream,
     is_whole: bool,
 ) {
     let evidence = &mut open.evidence;
@@ -49,7 +49,7 @@
 pub fn record_cut(
     app: &app::App,
     request: &proxy::ProxiedRequest,
-    open: &attempt::OpenStream,
+    open: &open_stream::OpenStream,
     progress: prompt_evidence::Progress,
 ) {
     if open.events.violation().is_none() {
