--- a/crates/entry/src/direct/prompt_evidence.rs
+++ b/crates/entry/src/direct/prompt_evidence.rs
@@ -1,6 +1,6 @@
 //! Which parts of prompts crash engines: what this entry sees and hears of it.
 //!
-//! [`prompt_evidence`] weighs the evidence. This module feeds it, publishes the parts that are kept
+//! [`PromptEvidence`] weighs the evidence. This module feeds it, publishes the parts that are kept
 //! from engines for the path of a request, and tells other entries.
 
 use std::{fmt, sync, sync::atomic, time};
