--- a/crates/core/src/prompt_evidence/mod.rs
+++ b/crates/core/src/prompt_evidence/mod.rs
@@ -4,7 +4,7 @@
 //! under way there. For it count responses on it that their engine outlived: they refute all earlier
 //! crashes. A part with enough crashes left is kept from engines, and the crashes that it explains
 //! count against no other part. What entries exchange is this evidence and not their verdicts, so
-//! entries with the same evidence reach the same verdicts; see [`verdicts`].
+//! entries with the same evidence reach the same verdicts.
 //!
 //! A verdict ends after some time without requests that have the part. The part is on probation
 //! then: one entry sends one such request as a trial.
