Grant and hand out every version that is downloaded, and choose it by a forecast

Two parts decided which version comes next, the downloader (keeps one that is more than half there) and the grantor (the newest only), so agents waited for chunks that nobody granted or handed out.

Ruled out by the same log: peers as the bottleneck (on average agents were two or three chunks behind what the origin had sent), and the grantor's cut from the store (the cut agent was another).

Change: `core::version_selection` has the decision. The version before the newest is finished only if by its pace less service is lost so, between the end of an older version's use and the loads of the next one; one without a new chunk for 1.2 s is given up, and none before the previous one is selected, as the origin has it no more. Grants follow demand: the first live agent in the order of a version grants it as long as anybody downloads it, whatever it downloads itself, and agents that went on to another version count as holders only. Ledgers, reports of others and what is remembered for a restored store are kept for each version. What is under way of a version that was given up is cancelled, at the origin and between agents. Grants and the manifest are told at once instead of being asked for every 264 ms, and a used grant is reported at once; they are recorded in batches of six.

Left: 25 and 40 engines load at once when a version comes whole after the first places of the schedule; the origin rests for 1.3 s between the two versions.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -107,6 +107,7 @@
             on_complete: Box::new(move || {
                 trigger.send_replace(());
             }),
+            on_grant_used: Box::new(|| {}),
         };
         let app = Self {
             clock,
--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{
     announcement,
-    burst::{self, chunks, ledger, uploader},
+    burst::{chunks, uploader},
     clock, engine, engine_admission, id,
 };
 use pimentohook_platform::{origin, runner, store};
@@ -15,7 +15,7 @@
 use pimentohook_wire::direct;
 use tokio::sync::Notify;
 
-use super::{ledger_recovery, settings};
+use super::{ledger_recovery, peer_statuses, settings, version_ledgers};
 use crate::{mutex::lock, transfer};
 
 const STALL_MAX: time::Duration = time::Duration::from_millis(700);
@@ -50,17 +50,6 @@
     pub learned_at: time::Instant,
 }
 
-/// The state that another agent last reported.
-#[derive(Clone, Debug)]
-pub struct PeerStatus {
-    /// The incarnation of the agent's process.
-    pub incarnation: id::Incarnation,
-    /// The chunks that it holds and the state of its downloads.
-    pub progress: burst::Progress,
-    /// When the report arrived.
-    pub last_seen_at: time::Instant,
-}
-
 /// Another agent of the same service.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerAgent {
@@ -102,8 +91,10 @@
     pub announced: ArcSwap<Vec<TargetVersion>>,
     /// When versions were announced.
     pub announcements: ArcSwap<announcement::Announcements>,
-    /// Wakes the download loop when a version is announced or its manifest arrives.
-    pub weights_announced: Notify,
+    /// Wakes the download loop when a version is announced, its manifest arrives or a grant was used.
+    pub swarm_changed: sync::Arc<Notify>,
+    /// Whether a grant was used since the last report to the grantors.
+    pub is_grant_used: sync::Arc<atomic::AtomicBool>,
     /// Whether the announced versions have been read from the store.
     pub announcements_read: atomic::AtomicBool,
     /// The other agents of the service.
@@ -120,14 +111,12 @@
     pub calls_in_flight: sync::Mutex<IndexSet<id::VmId>>,
     /// Whether a manifest is being fetched from the origin.
     pub is_fetching_manifest: atomic::AtomicBool,
-    /// The state of other agents with regard to the newest version.
-    pub peer_statuses: sync::Mutex<IndexMap<id::VmId, PeerStatus>>,
-    /// The recorded grants for the newest version.
-    pub ledger: ArcSwapOption<ledger::Ledger>,
-    /// What this agent knows of the ledger besides what the store has.
+    /// What other agents last reported of the announced versions.
+    pub peer_statuses: sync::Mutex<peer_statuses::PeerStatuses>,
+    /// The ledgers of the versions of which this agent is or was the grantor.
+    pub version_ledgers: sync::Mutex<version_ledgers::VersionLedgers>,
+    /// What this agent knows of the ledgers besides what the store has.
     pub recovery: sync::Mutex<ledger_recovery::Recovery>,
-    /// The times of the grants that this agent made.
-    pub grant_times: sync::Mutex<ledger::GrantTimes>,
     /// Wakes the task that notifies entries of the engine's state.
     pub engine_state_changed: Notify,
     /// The client that records metrics.
@@ -147,6 +136,8 @@
 }
 
 const MANIFESTS_MAX: usize = 3;
+/// Reports of other agents are kept for at least this long.
+const PEER_REPORT_LIFETIME: time::Duration = time::Duration::from_secs(10);
 
 impl App {
     /// Creates the state of an agent that has no configuration and no weights yet.
@@ -156,6 +147,8 @@
         let local_ip = settings.peers.ip();
         let client = sync::Arc::new(client::Client::new(local_ip));
         let platform_client = sync::Arc::new(client::Client::new(local_ip));
+        let swarm_changed = sync::Arc::new(Notify::new());
+        let is_grant_used = sync::Arc::new(atomic::AtomicBool::new(false));
         let link = transfer::Link {
             clock: clock.clone(),
             client: client.clone(),
@@ -169,6 +162,13 @@
             prefer_same_domain: true,
             credit_refill: CREDIT_REFILL,
             on_complete: Box::new(|| {}),
+            on_grant_used: {
+                let (swarm_changed, is_grant_used) = (swarm_changed.clone(), is_grant_used.clone());
+                Box::new(move || {
+                    is_grant_used.store(true, atomic::Ordering::Relaxed);
+                    swarm_changed.notify_one();
+                })
+            },
         };
         let metrics_registry = sync::Arc::new(metrics::Registry::default());
         sync::Arc::new(Self {
@@ -191,7 +191,8 @@
             newest_version: ArcSwapOption::empty(),
             announced: ArcSwap::default(),
             announcements: ArcSwap::default(),
-            weights_announced: Notify::new(),
+            swarm_changed,
+            is_grant_used,
             announcements_read: atomic::AtomicBool::new(false),
             peers: ArcSwap::default(),
             leaving_vms: ArcSwap::default(),
@@ -200,10 +201,9 @@
             manifests: sync::Mutex::new(IndexMap::new()),
             calls_in_flight: sync::Mutex::new(IndexSet::new()),
             is_fetching_manifest: atomic::AtomicBool::new(false),
-            peer_statuses: sync::Mutex::new(IndexMap::new()),
-            ledger: ArcSwapOption::empty(),
+            peer_statuses: sync::Mutex::default(),
+            version_ledgers: sync::Mutex::default(),
             recovery: sync::Mutex::default(),
-            grant_times: sync::Mutex::default(),
             engine_state_changed: Notify::new(),
             own_vm: vm_id_of(settings.engine.ip()),
             incarnation: id::Incarnation::new(u64::from(rand::random::<u32>())),
@@ -240,6 +240,13 @@
         self.transfers.held_chunks(manifest.digest())
     }
 
+    /// Returns when the last chunk of a version was downloaded.
+    #[must_use]
+    pub fn last_chunk_at(&self, target: &TargetVersion) -> Option<time::Instant> {
+        let manifest = self.manifest(&(target.model.clone(), target.version))?;
+        self.transfers.last_chunk_at(manifest.digest())
+    }
+
     /// Inserts a manifest; drops the oldest if there are too many.
     pub fn insert_manifest(&self, manifest: origin::Manifest) -> sync::Arc<origin::Manifest> {
         let version = (manifest.model.clone(), manifest.version);
@@ -270,13 +277,14 @@
             return;
         }
         log::info!("agent: event=weights_wanted model={model} version={version}");
-        lock(&self.peer_statuses).clear();
-        self.ledger.store(None);
-        *lock(&self.grant_times) = ledger::GrantTimes::default();
+        let now = self.clock.now();
+        if let Some(oldest) = now.checked_sub(PEER_REPORT_LIFETIME) {
+            lock(&self.peer_statuses).forget_before(oldest);
+        }
         let target = TargetVersion {
             model: String::from(model),
             version,
-            learned_at: self.clock.now(),
+            learned_at: now,
         };
         self.announced.rcu(|announced| {
             let mut announced = Vec::clone(announced);
@@ -286,7 +294,7 @@
             announced
         });
         self.newest_version.store(Some(sync::Arc::new(target)));
-        self.weights_announced.notify_one();
+        self.swarm_changed.notify_one();
     }
 
     /// Returns the rank of this VM in the rendezvous order of a version, which is the same at all
--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -1,8 +1,10 @@
 //! Grants to download chunks from the origin, which bound how much it sends.
 //!
 //! The grants for a version are recorded in its ledger in the store before they are handed out. The
-//! live agent that is first by rank for the version is its grantor. It extends the ledger by
-//! compare-and-swap on the revision, so two agents that both act as grantor can't exceed the bound.
+//! live agent that is first by rank for the version is its grantor, whichever version it downloads
+//! itself: a superseded version is granted as long as an agent downloads it. The grantor extends the
+//! ledger by compare-and-swap on the revision, so two agents that both act as grantor can't exceed
+//! the bound.
 
 use std::{sync, time};
 
@@ -10,9 +12,9 @@
     burst::{self, ledger},
     collection, id,
 };
-use pimentohook_platform::store;
+use pimentohook_platform::{origin, store};
 
-use super::{app, ledger_recovery};
+use super::{app, ledger_recovery, peer_statuses, version_ledgers};
 use crate::mutex::lock;
 
 /// When a granted chunk that no agent holds is granted again, and how many grants may be
@@ -22,6 +24,8 @@
     open_grants_max: 18,
     vm_grants_max: 18,
 };
+/// Grants are recorded once this many are due, while the others keep the origin busy.
+const GRANT_BATCH_MIN: usize = 6;
 /// The first grants wait for at most this many agents to take part.
 const FIRST_GRANT_PARTICIPANTS_MAX: usize = 6;
 /// An agent that was last seen longer ago than this takes no part.
@@ -64,18 +68,67 @@
     order.into_iter()
 }
 
-/// Makes the grants that are due, if this agent is the grantor.
-pub async fn make_due_grants(app: &sync::Arc<app::App>, target: &app::TargetVersion) {
-    if !is_grantor(app, target) {
-        return;
+/// The grants that were made for a version in one round.
+#[derive(Clone, Debug)]
+pub struct NewGrants {
+    /// The version.
+    pub target: app::TargetVersion,
+    /// The grants, which may be none.
+    pub grants: Vec<ledger::Grant>,
+}
+
+/// Makes the grants that are due for all announced versions of which this agent is the grantor.
+pub async fn make_due_grants(app: &app::App) -> Vec<NewGrants> {
+    let announced = app.announced.load_full();
+    let mut made = Vec::new();
+    for target in announced.iter() {
+        let Some(manifest) = app.manifest(&(target.model.clone(), target.version)) else {
+            continue;
+        };
+        if is_wanted(app, manifest.digest()) && is_grantor(app, target) {
+            let grants = make_version_grants(app, target, &manifest).await;
+            let target = target.clone();
+            made.push(NewGrants { target, grants });
+        }
     }
-    if let Err(error) = extend_ledger(app, target).await {
-        log::warn!("grants: event=not_recorded error={error:?}");
-        app.ledger.store(None);
+    made
+}
+
+async fn make_version_grants(
+    app: &app::App,
+    target: &app::TargetVersion,
+    manifest: &origin::Manifest,
+) -> Vec<ledger::Grant> {
+    match extend_ledger(app, target, manifest).await {
+        Ok(granted) => granted,
+        Err(error) => {
+            log::warn!("grants: event=not_recorded error={error:?}");
+            lock(&app.version_ledgers).forget_recorded(manifest.digest());
+            Vec::new()
+        }
     }
 }
 
-/// Returns whether this agent is the grantor: the first live one by rank.
+/// Returns whether this agent or one that it hears downloads a version of which it lacks chunks.
+#[must_use]
+pub fn is_wanted(app: &app::App, manifest: id::Digest) -> bool {
+    let Some(own) = app.transfers.progress_of(manifest) else {
+        return false;
+    };
+    if own.held.is_full() {
+        return false;
+    }
+    let oldest = app.clock.now().checked_sub(silence_max(app));
+    let is_downloading = |report: &peer_statuses::VersionReport| {
+        report.progress.is_downloading && Some(report.received_at) > oldest
+    };
+    let peer_statuses = lock(&app.peer_statuses);
+    let mut reports = peer_statuses.reports_on(manifest);
+    own.is_downloading || reports.any(|(_, report)| is_downloading(report))
+}
+
+/// Returns whether this agent is the grantor of a version: the first by rank that is live and knows
+/// the version.
 #[must_use]
 pub fn is_grantor(app: &app::App, target: &app::TargetVersion) -> bool {
     let now = app.clock.now();
@@ -86,92 +139,122 @@
     if now.duration_since(target.learned_at) < TAKEOVER_DELAY {
         return false;
     }
+    let Some(manifest) = app.manifest(&(target.model.clone(), target.version)) else {
+        return false;
+    };
     let peers = app.peers.load();
     let peer_statuses = lock(&app.peer_statuses);
     let silence_max = silence_max(app);
     let is_live = |vm: &id::VmId| {
-        let status = peer_statuses.get(vm);
-        status.is_some_and(|status| now.duration_since(status.last_seen_at) < silence_max)
+        let report = peer_statuses.report(vm, manifest.digest());
+        report.is_some_and(|report| now.duration_since(report.received_at) < silence_max)
     };
     !by_rank(&peers, target)
         .take(rank)
         .any(|(vm, _)| is_live(vm))
 }
 
+/// Records the grants that are due; returns them.
 async fn extend_ledger(
-    app: &sync::Arc<app::App>,
+    app: &app::App,
     target: &app::TargetVersion,
-) -> Result<(), store::StoreError> {
-    let Some(manifest) = app.manifest(&(target.model.clone(), target.version)) else {
-        return Ok(());
-    };
-    let chunk_count = manifest.chunk_count();
-    let mut grant_times = lock(&app.grant_times).clone();
-    let availability = chunk_availability(app, manifest.digest());
-    let now = app.clock.now();
-    let age = now.duration_since(target.learned_at);
-    let participants_min = (app.peers.load().len() / 2 + 1).min(FIRST_GRANT_PARTICIPANTS_MAX);
-    if availability.participant_count() < participants_min && age < FIRST_GRANT_DELAY_MAX {
-        return Ok(());
+    manifest: &origin::Manifest,
+) -> Result<Vec<ledger::Grant>, store::StoreError> {
+    let digest = manifest.digest();
+    let availability = chunk_availability(app, digest);
+    if awaits_participants(app, target, &availability) {
+        return Ok(Vec::new());
     }
+    let now = app.clock.now();
     let era = app.store.era();
     if !lock(&app.recovery).is_ready(era, now, silence_max(app)) {
-        return Ok(());
-    }
-    let is_complete = lock(&app.recovery).is_complete(manifest.digest(), era);
-    if let Some(cached) = app.ledger.load_full().filter(|_| is_complete) {
-        let mut trial = ledger::Ledger::clone(&cached);
-        if trial.extend(now, &availability, &mut grant_times, GRANT_LIMITS) == 0 {
-            *lock(&app.grant_times) = grant_times;
-            record_own_grants(app, manifest.digest(), &cached);
-            return Ok(());
+        return Ok(Vec::new());
+    }
+    let is_complete = lock(&app.recovery).is_complete(digest, era);
+    let mut known = lock(&app.version_ledgers).get(digest);
+    if let Some(recorded) = known.recorded.as_ref().filter(|_| is_complete) {
+        let mut trial = ledger::Ledger::clone(recorded);
+        let mut grant_times = known.grant_times.clone();
+        let due_count = trial.extend(now, &availability, &mut grant_times, GRANT_LIMITS);
+        if due_count == 0 || awaits_batch(recorded, due_count) {
+            if due_count == 0 {
+                known.grant_times = grant_times;
+            }
+            record_own_grants(app, digest, recorded);
+            lock(&app.version_ledgers).set(digest, known);
+            return Ok(Vec::new());
         }
     }
     let name = ledger_name(target);
     let stored = app.store.get(store::Kind::Grants, &name).await?;
-    let mut ledger = stored
+    let mut extended = stored
         .as_ref()
         .and_then(decode_ledger)
-        .unwrap_or_else(|| ledger::Ledger::new(chunk_count, app.settings.policy));
+        .unwrap_or_else(|| ledger::Ledger::new(manifest.chunk_count(), app.settings.policy));
     if app.store.era() != era {
-        return Ok(());
+        return Ok(Vec::new());
     }
     let recovered_count = if is_complete {
         0
     } else {
-        ledger_recovery::recover(app, manifest.digest(), &mut ledger, &availability)
+        ledger_recovery::recover(app, digest, &mut extended, &availability)
     };
-    let mut grant_times = lock(&app.grant_times).clone();
-    let granted_count = ledger.extend(now, &availability, &mut grant_times, GRANT_LIMITS);
+    let mut grant_times = lock(&app.version_ledgers).get(digest).grant_times;
+    let granted_count = extended.extend(now, &availability, &mut grant_times, GRANT_LIMITS);
     if recovered_count + granted_count > 0 {
-        match &stored {
-            Some(object) => {
-                let position = object.position;
-                app.store
-                    .replace(store::Kind::Grants, &name, position, &ledger)
-                    .await?;
-            }
-            None => {
-                app.store
-                    .create(store::Kind::Grants, &name, &ledger)
-                    .await?;
-            }
-        }
+        write_ledger(app, &name, stored.as_ref(), &extended).await?;
         log::info!(
             "grants: event=recorded name={name} grants={} receivers={}",
-            ledger.grants().len(),
+            extended.grants().len(),
             availability.participant_count()
         );
     }
     // What was written may be lost, and is not handed out.
     if app.store.era() != era {
-        return Ok(());
+        return Ok(Vec::new());
+    }
+    lock(&app.recovery).record(digest, era, &extended);
+    record_own_grants(app, digest, &extended);
+    let granted = extended.grants()[extended.grants().len() - granted_count..].to_vec();
+    let version_ledger = version_ledgers::VersionLedger {
+        recorded: Some(sync::Arc::new(extended)),
+        grant_times,
+    };
+    lock(&app.version_ledgers).set(digest, version_ledger);
+    Ok(granted)
+}
+
+/// Returns whether the first grants of a version still wait for more agents to take part.
+fn awaits_participants(
+    app: &app::App,
+    target: &app::TargetVersion,
+    availability: &ledger::ChunkAvailability,
+) -> bool {
+    let age = app.clock.now().duration_since(target.learned_at);
+    let participants_min = (app.peers.load().len() / 2 + 1).min(FIRST_GRANT_PARTICIPANTS_MAX);
+    availability.participant_count() < participants_min && age < FIRST_GRANT_DELAY_MAX
+}
+
+/// Returns whether grants that are due wait until there are more, so that the store is called less
+/// often. The last ones of a version don't wait.
+fn awaits_batch(recorded: &ledger::Ledger, due_count: usize) -> bool {
+    due_count < GRANT_BATCH_MIN && recorded.ungranted_count() >= GRANT_BATCH_MIN
+}
+
+async fn write_ledger(
+    app: &app::App,
+    name: &str,
+    stored: Option<&collection::Object>,
+    extended: &ledger::Ledger,
+) -> Result<(), store::StoreError> {
+    let kind = store::Kind::Grants;
+    match stored {
+        Some(object) => {
+            let position = object.position;
+            app.store.replace(kind, name, position, extended).await
+        }
+        None => app.store.create(kind, name, extended).await,
     }
-    *lock(&app.grant_times) = grant_times;
-    lock(&app.recovery).record(manifest.digest(), era, &ledger);
-    record_own_grants(app, manifest.digest(), &ledger);
-    app.ledger.store(Some(sync::Arc::new(ledger)));
-    Ok(())
 }
 
 /// Returns the name of the object with the ledger of a version.
@@ -200,40 +283,47 @@
     }
 }
 
+/// Returns the chunks that this agent and the live ones that it hears have, and who would use grants.
 fn chunk_availability(app: &app::App, manifest: id::Digest) -> ledger::ChunkAvailability {
     let now = app.clock.now();
     let silence_max = silence_max(app);
     let mut availability = ledger::ChunkAvailability::default();
     if let Some(progress) = app.transfers.progress_of(manifest) {
-        availability.add(participant(
+        add_agent(
             app,
-            app.own_vm.clone(),
+            &mut availability,
+            &app.own_vm,
             app.incarnation,
-            progress,
-        ));
-    }
-    for (vm, status) in lock(&app.peer_statuses).iter() {
-        let is_live = now.duration_since(status.last_seen_at) < silence_max;
-        if is_live && status.progress.manifest == manifest {
-            let progress = status.progress.clone();
-            availability.add(participant(app, vm.clone(), status.incarnation, progress));
+            &progress,
+        );
+    }
+    for (vm, report) in lock(&app.peer_statuses).reports_on(manifest) {
+        if now.duration_since(report.received_at) < silence_max {
+            let incarnation = report.incarnation;
+            add_agent(app, &mut availability, vm, incarnation, &report.progress);
         }
     }
     availability
 }
 
-fn participant(
+fn add_agent(
     app: &app::App,
-    vm: id::VmId,
+    availability: &mut ledger::ChunkAvailability,
+    vm: &id::VmId,
     incarnation: id::Incarnation,
-    progress: burst::Progress,
-) -> ledger::Participant {
-    ledger::Participant {
-        leaving: app.is_leaving(&vm),
-        vm,
+    progress: &burst::Progress,
+) {
+    let leaving = app.is_leaving(vm);
+    if !leaving && !progress.is_downloading && !progress.held.is_full() {
+        availability.add_holder(&progress.held);
+        return;
+    }
+    availability.add(ledger::Participant {
+        leaving,
+        vm: vm.clone(),
         incarnation,
         starved: progress.starved,
-        failed_grants: progress.failed_grants,
-        held: progress.held,
-    }
+        failed_grants: progress.failed_grants.clone(),
+        held: progress.held.clone(),
+    });
 }
--- a/crates/agent/src/direct/ledger_recovery.rs
+++ b/crates/agent/src/direct/ledger_recovery.rs
@@ -6,22 +6,32 @@
 
 use std::{sync, time};
 
+use indexmap::IndexMap;
 use pimentohook_core::{burst::ledger, id};
 use pimentohook_runtime::metrics;
 
 use super::{app, gossip, grants};
 use crate::mutex::lock;
 
-/// What a grantor knows of the ledger besides what the store has.
+/// The number of versions whose grants are remembered.
+const VERSIONS_MAX: usize = 3;
+
+/// What a grantor knows of the ledger of a version besides what the store has.
+#[derive(Debug)]
+struct RememberedLedger {
+    /// The era in which the ledger is complete.
+    era: id::StoreEra,
+    /// The grants that this agent has recorded or read, in any era.
+    grants: Vec<ledger::Grant>,
+}
+
+/// What a grantor knows of the ledgers besides what the store has.
 #[derive(Debug, Default)]
 pub struct Recovery {
     era: id::StoreEra,
     /// When a restore of the store was last noticed.
     restored_at: Option<time::Instant>,
-    /// The manifest whose ledger is complete, and the era in which it is.
-    complete: Option<(id::Digest, id::StoreEra)>,
-    /// The grants of a manifest that this agent has recorded or read, in any era.
-    remembered: Option<(id::Digest, Vec<ledger::Grant>)>,
+    remembered: IndexMap<id::Digest, RememberedLedger>,
 }
 
 impl Recovery {
@@ -49,19 +59,23 @@
     /// Returns whether the ledger of a manifest was recovered in an era, if there was need to.
     #[must_use]
     pub fn is_complete(&self, manifest: id::Digest, era: id::StoreEra) -> bool {
-        self.complete == Some((manifest, era))
+        let remembered = self.remembered.get(&manifest);
+        remembered.is_some_and(|remembered| remembered.era == era)
     }
 
     /// Records the complete ledger of a manifest.
     pub fn record(&mut self, manifest: id::Digest, era: id::StoreEra, ledger: &ledger::Ledger) {
-        self.complete = Some((manifest, era));
-        self.remembered = Some((manifest, ledger.grants().to_vec()));
+        let grants = ledger.grants().to_vec();
+        let remembered = RememberedLedger { era, grants };
+        self.remembered.insert(manifest, remembered);
+        if self.remembered.len() > VERSIONS_MAX {
+            self.remembered.shift_remove_index(0);
+        }
     }
 
     fn remembered_grants(&self, manifest: id::Digest) -> Vec<ledger::Grant> {
-        let remembered = self.remembered.as_ref();
-        let remembered = remembered.filter(|(remembered, _)| *remembered == manifest);
-        remembered.map_or_else(Vec::new, |(_, grants)| grants.clone())
+        let remembered = self.remembered.get(&manifest);
+        remembered.map_or_else(Vec::new, |remembered| remembered.grants.clone())
     }
 }
 
@@ -76,14 +90,18 @@
             log::info!("store: event=era_known era={after}");
         } else {
             app.count("store_restored");
-            let target = app.newest_version.load_full();
-            let target = target.filter(|target| grants::is_grantor(&app, target));
-            let rewritten = target.as_ref().map(|target| grants::ledger_name(target));
+            let announced = app.announced.load_full();
+            let granted = announced
+                .iter()
+                .filter(|target| grants::is_grantor(&app, target));
+            let granted: Vec<&app::TargetVersion> = granted.collect();
+            let rewritten = granted.iter().map(|target| grants::ledger_name(target));
+            let rewritten: Vec<String> = rewritten.collect();
             log::warn!(
                 "store: event=restored before={before} after={after} writes_again={rewritten:?}"
             );
-            if let Some(target) = target {
-                gossip::call_all(&app, &target);
+            for target in granted {
+                gossip::call_all(&app, &sync::Arc::new(target.clone()));
             }
         }
         before = after;
@@ -123,12 +141,10 @@
         let own = progress.grants.into_iter();
         reported.extend(own.map(|id| ledger::Grant::new(id, app.own_vm.clone(), app.incarnation)));
     }
-    for (vm, status) in lock(&app.peer_statuses).iter() {
-        if status.progress.manifest == manifest {
-            let received = status.progress.grants.iter();
-            let grant = |id| ledger::Grant::new(id, vm.clone(), status.incarnation);
-            reported.extend(received.copied().map(grant));
-        }
+    for (vm, report) in lock(&app.peer_statuses).reports_on(manifest) {
+        let received = report.progress.grants.iter();
+        let grant = |id| ledger::Grant::new(id, vm.clone(), report.incarnation);
+        reported.extend(received.copied().map(grant));
     }
     reported
 }
--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -8,6 +8,7 @@
 //! * [`weights_versions`]: when versions of weights were announced.
 //! * [`gossip`] and [`swarm`]: exchange of progress with peers, and download of weights.
 //! * [`grants`]: permission to download chunks from the origin, which bounds what it sends.
+//! * [`peer_statuses`] and [`version_ledgers`]: what a grantor knows of agents and grants.
 //! * [`ledger_recovery`]: the record of grants after the store was restored from a copy.
 //! * [`loader`]: staging of chunks, load orders, and the engine's report.
 //! * [`place`]: admission: entries request a slot at the engine before they send a request to it.
@@ -18,9 +19,11 @@
 pub mod grants;
 pub mod ledger_recovery;
 pub mod loader;
+pub mod peer_statuses;
 pub mod place;
 pub mod settings;
 pub mod swarm;
+pub mod version_ledgers;
 pub mod weights_versions;
 
 use std::sync;
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -7,16 +7,16 @@
 
 use pimentohook_core::{
     burst::{activation, chunks},
-    id, rolling_update,
+    id, version_selection,
 };
 use pimentohook_platform::origin;
 use pimentohook_runtime::process;
 
-use super::{app, gossip, grants};
+use super::{app, gossip, grants, weights_versions};
 use crate::{mutex::lock, transfer};
 
-/// The interval of calls to grantors until the first chunk is held.
-const FIRST_CHUNK_CALL_INTERVAL: time::Duration = time::Duration::from_millis(40);
+/// The interval of rounds until the first chunk is held, and while this agent is a grantor.
+const SHORT_ROUND_INTERVAL: time::Duration = time::Duration::from_millis(40);
 const LOG_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const EARLY_DOWNLOADS_MAX: usize = 3;
 const LATE_DOWNLOADS_MAX: usize = 2;
@@ -31,6 +31,7 @@
     tokio::spawn(run_downloads(app.clone(), stop.clone()));
     let mut logged_at = app.clock.now();
     let mut calls = gossip::CallSchedule::new(logged_at);
+    let mut earlier_called_at = logged_at;
     let mut pause = gossip::SAMPLE_INTERVAL;
     while wait_for_work(&app, &stop, pause).await {
         pause = gossip::SAMPLE_INTERVAL;
@@ -39,19 +40,26 @@
         else {
             continue;
         };
-        let target = version_to_download(&app, &newest).map_or(newest.clone(), sync::Arc::new);
+        let made = grants::make_due_grants(&app).await;
+        if !made.is_empty() {
+            pause = SHORT_ROUND_INTERVAL;
+        }
+        for made in made {
+            gossip::call_receivers(&app, &sync::Arc::new(made.target), &made.grants);
+        }
+        let selected = version_to_download(&app, &newest);
+        let target = selected.map_or(newest.clone(), sync::Arc::new);
+        call_earlier_grantors(&app, &target, &mut earlier_called_at);
         // An engine whose VM is being taken away needs no more weights.
         if app.is_leaving(&app.own_vm) || is_complete(&app, &target) {
             continue;
         }
-        let is_open = open_set(&app, &target, &service).await;
-        if is_open && target.version == newest.version {
-            grants::make_due_grants(&app, &target).await;
-        }
+        let is_opened = !is_target(&app, &target) && open_set(&app, &target, &service).await;
         if !has_chunks(&app, &target) {
-            pause = FIRST_CHUNK_CALL_INTERVAL;
+            pause = SHORT_ROUND_INTERVAL;
         }
-        calls.start_due(&app, &target);
+        let is_grant_used = app.is_grant_used.swap(false, atomic::Ordering::Relaxed);
+        calls.start_due(&app, &target, is_opened || is_grant_used);
         if app.clock.now().duration_since(logged_at) >= LOG_INTERVAL {
             logged_at = app.clock.now();
             log_progress(&app, &target);
@@ -63,7 +71,7 @@
 async fn wait_for_work(app: &app::App, stop: &process::StopSignal, pause: time::Duration) -> bool {
     tokio::select! {
         is_running = stop.sleep(pause) => is_running,
-        () = app.weights_announced.notified() => true,
+        () = app.swarm_changed.notified() => true,
     }
 }
 
@@ -72,15 +80,46 @@
     app.held_chunks(target).is_some_and(|held| !held.is_empty())
 }
 
-/// Returns the version to download now: the newest of the model or one that it supersedes.
+/// Returns whether a version is the one that is being downloaded.
+fn is_target(app: &app::App, target: &app::TargetVersion) -> bool {
+    let manifest = app.manifest(&(target.model.clone(), target.version));
+    manifest.is_some_and(|manifest| app.transfers.is_target(manifest.digest()))
+}
+
+/// Calls the agents that are ranked before this one as grantors of a version that others still
+/// download.
+fn call_earlier_grantors(
+    app: &sync::Arc<app::App>,
+    target: &app::TargetVersion,
+    called_at: &mut time::Instant,
+) {
+    let now = app.clock.now();
+    let interval = grants::call_interval(app.peers.load().len());
+    if now.duration_since(*called_at) < interval {
+        return;
+    }
+    *called_at = now;
+    let announced = app.announced.load_full();
+    for other in announced.iter().filter(|other| *other != target) {
+        let manifest = app.manifest(&(other.model.clone(), other.version));
+        if manifest.is_some_and(|manifest| grants::is_wanted(app, manifest.digest())) {
+            gossip::call_earlier_grantors(app, &sync::Arc::new(other.clone()));
+        }
+    }
+}
+
+/// Returns the version to download now: the newest of the model or the one before it.
 fn version_to_download(app: &app::App, newest: &app::TargetVersion) -> Option<app::TargetVersion> {
     let announced = app.announced.load();
     let now = app.clock.now();
     let version_progress = |target: &app::TargetVersion| {
         let held = app.held_chunks(target);
-        rolling_update::VersionProgress {
+        let age = weights_versions::age(app, target);
+        let last_chunk_at = app.last_chunk_at(target);
+        version_selection::VersionProgress {
             version: target.version,
-            age: now.duration_since(target.learned_at),
+            age,
+            idle: last_chunk_at.map_or(age, |at| now.duration_since(at)),
             held: held.as_ref().map(chunks::ChunkSet::len),
             chunk_count: held.as_ref().map_or(0, chunks::ChunkSet::range),
         }
@@ -91,7 +130,7 @@
     let progress: Vec<_> = of_model.map(version_progress).collect();
     let served = lock(&app.admission).weights().get(&newest.model).copied();
     let version =
-        rolling_update::version_to_download(&progress, served, app.settings.weights_grace)?;
+        version_selection::version_to_download(&progress, served, app.settings.weights_grace)?;
     announced
         .iter()
         .find(|target| target.version == version)
@@ -197,7 +236,7 @@
     {
         return;
     }
-    let (app, target) = (app.clone(), target.clone());
+    let (app, target) = (app.clone(), sync::Arc::new(target.clone()));
     let chunk_count = service.figures.chunk_count;
     tokio::spawn(async move {
         if !fetch_manifest(&app, &target, origin, chunk_count).await {
@@ -210,8 +249,8 @@
 
 /// Fetches a manifest from the origin; returns false if that failed.
 async fn fetch_manifest(
-    app: &app::App,
-    target: &app::TargetVersion,
+    app: &sync::Arc<app::App>,
+    target: &sync::Arc<app::TargetVersion>,
     origin: net::SocketAddr,
     chunk_count: u32,
 ) -> bool {
@@ -224,7 +263,8 @@
     match manifest {
         Ok(manifest) => {
             app.insert_manifest(manifest);
-            app.weights_announced.notify_one();
+            app.swarm_changed.notify_one();
+            gossip::spread_manifest(app, target);
             true
         }
         Err(error) => {
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -18,7 +18,7 @@
     clock, id, size,
 };
 use pimentohook_runtime::{client, process, rate_limiter};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 pub use self::upload::upload;
 use crate::mutex::lock;
@@ -102,6 +102,8 @@
     pub credit_refill: uploader::CreditRefill,
     /// Called each time a set becomes complete.
     pub on_complete: Box<dyn Fn() + Send + Sync>,
+    /// Called each time the download of a granted chunk from the origin has ended.
+    pub on_grant_used: Box<dyn Fn() + Send + Sync>,
 }
 
 impl fmt::Debug for Link {
@@ -128,6 +130,8 @@
 #[derive(Debug)]
 pub struct Transfers {
     sets: sync::Mutex<IndexMap<id::Digest, WeightSet>>,
+    /// The manifest of the target; `None` before there is one.
+    target: watch::Sender<Option<id::Digest>>,
     changed: Notify,
     link: Link,
     incoming: Option<rate_limiter::RateLimiter>,
@@ -140,6 +144,7 @@
     pub fn new(link: Link) -> Self {
         Self {
             sets: sync::Mutex::new(IndexMap::new()),
+            target: watch::Sender::new(None),
             changed: Notify::new(),
             incoming: link.incoming_rate.map(rate_limiter::RateLimiter::new),
             outgoing: rate_limiter::RateLimiter::new(link.outgoing_rate),
@@ -216,7 +221,9 @@
     #[must_use]
     pub fn progress_of(&self, manifest: id::Digest) -> Option<burst::Progress> {
         let sets = lock(&self.sets);
-        sets.get(&manifest).map(|set| set.progress(manifest))
+        let target = sets.last().map(|(target, _)| *target);
+        let set = sets.get(&manifest)?;
+        Some(set.progress(manifest, target == Some(manifest)))
     }
 
     /// Returns the chunks held of the set with the given manifest.
@@ -237,7 +244,14 @@
     pub fn target_progress(&self) -> Option<burst::Progress> {
         let sets = lock(&self.sets);
         let (manifest, set) = sets.last()?;
-        Some(set.progress(*manifest))
+        Some(set.progress(*manifest, true))
+    }
+
+    /// Returns whether the set with the given manifest is the target.
+    #[must_use]
+    pub fn is_target(&self, manifest: id::Digest) -> bool {
+        let sets = lock(&self.sets);
+        sets.last().is_some_and(|(target, _)| *target == manifest)
     }
 
     /// Returns whether the target is incomplete.
@@ -290,6 +304,8 @@
                 .position(|digest| *digest != target && Some(*digest) != serving);
             sets.shift_remove_index(dropped.unwrap_or(0));
         }
+        drop(sets);
+        self.target.send_replace(Some(target));
     }
 
     /// Makes a set the target; returns false if it has to be opened first.
@@ -301,12 +317,23 @@
         // A rollback returns to a set that was opened before another one.
         let last = sets.len() - 1;
         sets.move_index(position, last);
+        drop(sets);
+        self.target.send_replace(Some(manifest));
         true
     }
+
+    /// Waits until the set with the given manifest is not the target.
+    async fn wait_until_replaced(&self, manifest: id::Digest) {
+        let mut target = self.target.subscribe();
+        let is_replaced = |target: &Option<id::Digest>| *target != Some(manifest);
+        if target.wait_for(is_replaced).await.is_err() {
+            log::debug!("transfer: the transfers have ended.");
+        }
+    }
 }
 
 impl WeightSet {
-    fn progress(&self, manifest: id::Digest) -> burst::Progress {
+    fn progress(&self, manifest: id::Digest, is_target: bool) -> burst::Progress {
         burst::Progress {
             manifest,
             held: self.downloader.held().clone(),
@@ -314,6 +341,7 @@
             starved: self.downloader.is_starved(),
             failed_grants: self.downloader.failed_grants().to_vec(),
             grants: self.downloader.grants().collect(),
+            is_downloading: is_target && !self.downloader.is_complete(),
         }
     }
 }
--- a/crates/agent/src/transfer/download.rs
+++ b/crates/agent/src/transfer/download.rs
@@ -47,12 +47,13 @@
 
 impl Download {
     async fn run(self, transfers: sync::Arc<Transfers>) {
-        let downloaded = match (&self.fetch.source, self.address) {
-            (downloader::Source::Origin, _) => self.download_from_origin(&transfers).await,
-            (downloader::Source::Peer(vm), Some(address)) => {
-                self.download_from_peer(&transfers, vm, address).await
+        // What is not sent yet of a version that was given up would delay the next one.
+        let downloaded = tokio::select! {
+            biased;
+            downloaded = self.download(&transfers) => downloaded,
+            () = transfers.wait_until_replaced(self.manifest) => {
+                Err(downloader::FetchFailure::Cancelled)
             }
-            (downloader::Source::Peer(_), None) => Err(downloader::FetchFailure::Stalled),
         };
         let verified = downloaded.and_then(|bytes| {
             if (self.content.verify)(self.fetch.chunk, &bytes) {
@@ -63,9 +64,22 @@
             }
         });
         self.record_outcome(&transfers, verified);
+        if self.fetch.source == downloader::Source::Origin {
+            (transfers.link.on_grant_used)();
+        }
         transfers.changed.notify_one();
     }
 
+    async fn download(&self, transfers: &Transfers) -> Result<Bytes, downloader::FetchFailure> {
+        match (&self.fetch.source, self.address) {
+            (downloader::Source::Origin, _) => self.download_from_origin(transfers).await,
+            (downloader::Source::Peer(vm), Some(address)) => {
+                self.download_from_peer(transfers, vm, address).await
+            }
+            (downloader::Source::Peer(_), None) => Err(downloader::FetchFailure::Stalled),
+        }
+    }
+
     fn record_outcome(
         &self,
         transfers: &Transfers,
--- a/crates/agent/tests/upload.rs
+++ b/crates/agent/tests/upload.rs
@@ -46,6 +46,7 @@
             per_copy: TIMEOUT,
         },
         on_complete: Box::new(|| {}),
+        on_grant_used: Box::new(|| {}),
     };
     let transfers = transfer::Transfers::new(link);
     let content = transfer::Content {
--- a/crates/core/src/burst/downloader.rs
+++ b/crates/core/src/burst/downloader.rs
@@ -103,6 +103,8 @@
     Stalled,
     /// The bytes do not match the digest of the chunk.
     Corrupt,
+    /// The download was ended because another version is downloaded now.
+    Cancelled,
 }
 
 /// The download side of one VM for one manifest.
@@ -290,6 +292,7 @@
                 self.overdraft |= now.duration_since(since) >= limits.overdraft_after;
                 peer.backoff_until = Some(now + limits.fault_backoff);
             }
+            FetchFailure::Cancelled => {}
             FetchFailure::Denied(uploader::UploadDenial::Busy) => {
                 peer.backoff_until = Some(now + limits.busy_backoff);
             }
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -74,14 +74,23 @@
         if participant.leaving {
             return;
         }
-        let chunk_count = participant.held.range() as usize;
+        self.count_held(&participant.held);
+        self.participants.push(participant);
+    }
+
+    /// Adds the chunks of a live VM that downloads nothing of this version and so uses no grants.
+    pub fn add_holder(&mut self, held: &super::chunks::ChunkSet) {
+        self.count_held(held);
+    }
+
+    fn count_held(&mut self, held: &super::chunks::ChunkSet) {
+        let chunk_count = held.range() as usize;
         if self.holder_counts.len() < chunk_count {
             self.holder_counts.resize(chunk_count, 0);
         }
-        for chunk in participant.held.iter() {
+        for chunk in held.iter() {
             self.holder_counts[chunk as usize] += 1;
         }
-        self.participants.push(participant);
     }
 
     /// Returns the number of participants.
@@ -176,6 +185,13 @@
         self.grants.iter().filter(is_own)
     }
 
+    /// Returns the number of chunks that were not granted yet.
+    #[must_use]
+    pub fn ungranted_count(&self) -> usize {
+        let counts = self.grant_counts();
+        counts.iter().filter(|count| **count == 0).count()
+    }
+
     /// Returns the policy's limit on grants, which applies while every chunk is held by a
     /// participant.
     #[must_use]
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -35,6 +35,14 @@
     /// All grants that the agent received, also those that were used.
     #[serde(default)]
     pub grants: Vec<GrantId>,
+    /// Whether the agent downloads this version now, and so would use a grant for it.
+    #[serde(default = "is_downloading_by_default")]
+    pub is_downloading: bool,
+}
+
+/// Agents that don't state it download the only version that they report.
+const fn is_downloading_by_default() -> bool {
+    true
 }
 
 /// Identifies a grant within the ledger of one manifest.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 //! * [`refusal_rate`]: when refused callers should retry.
 //! * [`shutdown`]: which requests a process accepts while it is shutting down.
 //! * [`announcement`]: when versions of weights were announced.
+//! * [`version_selection`]: which announced version of weights is downloaded next.
 //! * [`rolling_update`]: when engines load a newer version of weights.
 //! * [`collection`]: copies of the platform's objects.
 //! * [`position`]: positions in the history of the platform's store, which may be restored.
@@ -77,3 +78,4 @@
 pub mod upstream_limit;
 pub mod upstream_notice;
 pub mod upstreams;
+pub mod version_selection;
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -608,3 +608,48 @@
     let later = now + Duration::from_secs(2);
     assert_eq!(uploader.try_start(later, &held, 0, false), Ok(()));
 }
+
+/// An agent that had gone on to the next version kept its grants of the one before until the timeout.
+#[test]
+fn chunks_granted_to_a_vm_that_downloads_another_version_are_granted_again_at_once() {
+    let limits = ledger::GrantLimits::new(Policy::OriginFirst, Duration::from_millis(1_500));
+    let now = Instant::now();
+    let participants = participants_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut times = ledger::GrantTimes::default();
+    ledger.extend(now, &availability(&participants), &mut times, limits);
+    let gone_on = &participants[0];
+    let lost: Vec<u32> = ledger
+        .grants_of(&gone_on.vm, gone_on.incarnation)
+        .map(|grant| grant.chunk)
+        .collect();
+    assert!(!lost.is_empty());
+    let mut without = availability(&participants[1..]);
+    without.add_holder(&gone_on.held);
+    let before = ledger.grants().len();
+    ledger.extend(now, &without, &mut times, limits);
+    let again = &ledger.grants()[before..];
+    for chunk in lost {
+        let is_again = again.iter().any(|grant| grant.chunk == chunk);
+        assert!(is_again, "chunk {chunk}: {again:?}");
+    }
+    assert!(again.iter().all(|grant| grant.vm != gone_on.vm));
+}
+
+/// What an agent that downloads another version holds is not fetched from the origin again.
+#[test]
+fn chunks_of_a_vm_that_downloads_another_version_are_not_granted() {
+    let limits = ledger::GrantLimits::new(Policy::OriginFirst, Duration::from_millis(1_500));
+    let participants = participants_holding(|_| chunks::ChunkSet::new(CHUNKS));
+    let mut held = chunks::ChunkSet::full(CHUNKS);
+    held.remove(3);
+    let mut with_holder = availability(&participants);
+    with_holder.add_holder(&held);
+    let mut ledger = ledger::Ledger::new(CHUNKS, Policy::OriginFirst);
+    let mut times = ledger::GrantTimes::default();
+    assert_eq!(ledger.ungranted_count(), CHUNKS as usize);
+    ledger.extend(Instant::now(), &with_holder, &mut times, limits);
+    let granted: Vec<u32> = ledger.grants().iter().map(|grant| grant.chunk).collect();
+    assert_eq!(granted, [3]);
+    assert_eq!(ledger.ungranted_count(), CHUNKS as usize - 1);
+}
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -287,37 +287,6 @@
     assert_eq!(estimate, expected_ms.map(Duration::from_millis));
 }
 
-const fn progress(version: u64, age_ms: u64, held: u32) -> rolling_update::VersionProgress {
-    rolling_update::VersionProgress {
-        version,
-        age: Duration::from_millis(age_ms),
-        held: Some(held),
-        chunk_count: 64,
-    }
-}
-
-#[rstest]
-#[case::alone(&[progress(2, 100, 0)], Some(1), 2)]
-#[case::more_than_half_held(&[progress(2, 4_000, 40), progress(3, 10, 0)], Some(1), 2)]
-#[case::barely_started(&[progress(2, 4_000, 20), progress(3, 10, 0)], Some(1), 3)]
-#[case::complete(&[progress(2, 4_000, 64), progress(3, 10, 0)], Some(1), 3)]
-#[case::served_already(&[progress(2, 4_000, 40), progress(3, 10, 0)], Some(2), 3)]
-// An engine lost its weights while the store was unavailable and started to download an old
-// version, whose last chunks are no longer granted.
-#[case::empty_engine(&[progress(1, 1_500, 40), progress(2, 10, 0)], None, 2)]
-#[case::stuck_past_the_grace_period(&[progress(2, 8_100, 63), progress(3, 4_000, 0)], Some(1), 3)]
-fn the_version_to_download_is_selected(
-    #[case] announced: &[rolling_update::VersionProgress],
-    #[case] served: Option<u64>,
-    #[case] expected: u64,
-) {
-    let grace = Duration::from_secs(8);
-    assert_eq!(
-        rolling_update::version_to_download(announced, served, grace),
-        Some(expected)
-    );
-}
-
 proptest! {
     /// A stream of 6 s that arrived 3.09 s after the stop signal was cut off by the exit 7.5 s
     /// after it.
--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -49,6 +49,7 @@
         config_version: id::ConfigVersion::new(2),
         fencing: id::FencingNumber::new(1),
         burst: Some(burst::Progress {
+            is_downloading: true,
             grants: Vec::new(),
             manifest: weights().manifest,
             held: burst::chunks::ChunkSet::full(CHUNKS),
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -291,6 +291,15 @@
     pub version: u64,
     /// The progress of the sender's download; `None` while it has no manifest.
     pub progress: Option<pimentohook_core::burst::Progress>,
+    /// The manifest as JSON, if the sender has just got it and the receiver may lack it.
+    #[serde(default)]
+    pub manifest: Option<String>,
+    /// The chunks that the sender has granted to the receiver, each with its serial number.
+    #[serde(default)]
+    pub grants: Vec<(u32, u32)>,
+    /// The incarnation of the receiver that the grants are for; 0 if there are none.
+    #[serde(default)]
+    pub granted_incarnation: u64,
 }
 
 /// The reply to a [`SwarmRequest`].
