Count no lost grant as outstanding at the origin

Cause: found by a test of the commit before, which was committed red: chunks_granted_to_a_vm_that_downloads_another_version_are_granted_again_at_once. The grants of agents that had left, failed or gone on to another version filled the bound on outstanding grants until their timeout, so that nothing was granted again.

Change: grants that are lost are left out of the count. The test passes, with the 39 others of the burst.

--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -381,7 +381,8 @@
         !chunk_grants.any(is_active)
     }
 
-    /// Returns how many granted chunks are outstanding, by the VM that was granted them last.
+    /// Returns how many granted chunks are outstanding, by the VM that was granted them last. Lost
+    /// grants occupy nothing at the origin.
     fn outstanding_counts(
         &self,
         now: time::Instant,
@@ -400,7 +401,8 @@
             let grant_count = grant_counts.get(index).copied().unwrap_or(0);
             let holder_count = availability.holder_counts.get(index).copied().unwrap_or(0);
             let at = *times.granted_at.entry(chunk).or_insert(now);
-            if grant_count > holder_count && now.duration_since(at) <= grant_timeout {
+            let is_open = grant_count > holder_count && now.duration_since(at) <= grant_timeout;
+            if is_open && !self.is_lost(chunk, availability) {
                 *outstanding.entry(vm.clone()).or_insert(0) += 1;
             }
         }
