Let agents without a download wait instead of polling

Change: without an incomplete target both loops wait for news (a set that is opened, a peer, a grant, an announcement), with a look each second or two.

Measured: idle_transfers: complete_transfers_are_not_polled fails on the old loop by its 20 ms interval (not run there: its set-up needs the new callback), passes now.

--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -17,6 +17,8 @@
 
 /// The interval of rounds until the first chunk is held, and while this agent is a grantor.
 const SHORT_ROUND_INTERVAL: time::Duration = time::Duration::from_millis(40);
+/// The interval of rounds while nothing is downloaded.
+const IDLE_ROUND_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const LOG_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const EARLY_DOWNLOADS_MAX: usize = 3;
 const LATE_DOWNLOADS_MAX: usize = 2;
@@ -41,7 +43,8 @@
             continue;
         };
         let made = grants::make_due_grants(&app).await;
-        if !made.is_empty() {
+        let is_grantor = !made.is_empty();
+        if is_grantor {
             pause = SHORT_ROUND_INTERVAL;
         }
         for made in made {
@@ -52,6 +55,9 @@
         call_earlier_grantors(&app, &target, &mut earlier_called_at);
         // An engine whose VM is being taken away needs no more weights.
         if app.is_leaving(&app.own_vm) || is_complete(&app, &target) {
+            if !is_grantor {
+                pause = IDLE_ROUND_INTERVAL;
+            }
             continue;
         }
         let is_opened = !is_target(&app, &target) && open_set(&app, &target, &service).await;
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -30,7 +30,9 @@
 const ORIGIN_BACKOFF: time::Duration = time::Duration::from_millis(200);
 /// How long a grant may be used; later the chunk may have been granted to another agent.
 const GRANT_LIFETIME: time::Duration = time::Duration::from_millis(1_400);
-const IDLE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// How often backoffs are checked while the target is incomplete.
+const DOWNLOADING_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
+const IDLE_POLL_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
 /// A download of a chunk from the origin.
 pub type OriginDownload = future::BoxFuture<'static, Result<Bytes, OriginError>>;
@@ -306,6 +308,7 @@
         }
         drop(sets);
         self.target.send_replace(Some(target));
+        self.changed.notify_one();
     }
 
     /// Makes a set the target; returns false if it has to be opened first.
@@ -319,6 +322,7 @@
         sets.move_index(position, last);
         drop(sets);
         self.target.send_replace(Some(manifest));
+        self.changed.notify_one();
         true
     }
 
@@ -356,9 +360,14 @@
     /// Starts the downloads that are due and waits until more may be.
     pub async fn poll_downloads(self: &sync::Arc<Self>, stop: &process::StopSignal) {
         download::start_due(self);
+        let pause = if self.is_downloading() {
+            DOWNLOADING_POLL_INTERVAL
+        } else {
+            IDLE_POLL_INTERVAL
+        };
         tokio::select! {
             () = self.changed.notified() => {}
-            _ = stop.sleep(IDLE_POLL_INTERVAL) => {}
+            _ = stop.sleep(pause) => {}
         }
     }
 }
--- /dev/null
+++ b/crates/agent/tests/idle_transfers.rs
@@ -0,0 +1,87 @@
+//! Tests that transfers without anything to download wait for news instead of polling.
+
+use std::{sync, time};
+
+use bytes::Bytes;
+use pimentohook_agent::transfer;
+use pimentohook_core::{
+    burst::{activation, uploader},
+    clock, id, size,
+};
+use pimentohook_runtime::{client, process};
+
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// For this long nothing happens.
+const CALM: time::Duration = time::Duration::from_millis(500);
+
+fn manifest(version: u8) -> id::Digest {
+    id::Digest::of(&[version])
+}
+
+fn content(version: u8) -> transfer::Content {
+    transfer::Content {
+        weights: activation::WeightsId {
+            manifest: manifest(version),
+            content: manifest(version),
+        },
+        version: format!("v{version}"),
+        chunk_count: 1,
+        chunk_bytes: 4,
+        downloads_max: 1,
+        verify: Box::new(|_, _| true),
+        download_from_origin: Box::new(|_| Box::pin(std::future::pending())),
+    }
+}
+
+fn start_transfers() -> sync::Arc<transfer::Transfers> {
+    let link = transfer::Link {
+        clock: sync::Arc::new(clock::SystemClock),
+        client: sync::Arc::new(client::Client::new(std::net::Ipv4Addr::LOCALHOST.into())),
+        failure_domain: "domain-1".parse().expect("a name"),
+        outgoing_rate: size::ByteRate::new(1 << 40),
+        incoming_rate: None,
+        link_percent_max: 300,
+        upload_slots: 1,
+        sets_max: 3,
+        stall_max: TIMEOUT,
+        prefer_same_domain: false,
+        credit_refill: uploader::CreditRefill {
+            delay: TIMEOUT,
+            per_copy: TIMEOUT,
+        },
+        on_complete: Box::new(|| {}),
+        on_grant_used: Box::new(|| {}),
+    };
+    sync::Arc::new(transfer::Transfers::new(link))
+}
+
+async fn returns_within_calm(transfers: &sync::Arc<transfer::Transfers>) -> bool {
+    let stop = process::StopSignal::new();
+    let poll = transfers.poll_downloads(&stop);
+    tokio::time::timeout(CALM, poll).await.is_ok()
+}
+
+/// It woke fifty times a second, all day.
+#[tokio::test]
+async fn complete_transfers_are_not_polled() {
+    let transfers = start_transfers();
+    assert!(!returns_within_calm(&transfers).await, "there is no set");
+    transfers.open(content(1), None);
+    assert!(transfers.record_staged(manifest(1), 0, &Bytes::from_static(b"good")));
+    assert!(returns_within_calm(&transfers).await, "a set was opened");
+    assert!(!returns_within_calm(&transfers).await, "it is complete");
+}
+
+#[tokio::test]
+async fn an_opened_set_ends_the_wait() {
+    let transfers = start_transfers();
+    let stop = process::StopSignal::new();
+    let waiting = transfers.clone();
+    let poll = tokio::spawn(async move { waiting.poll_downloads(&stop).await });
+    tokio::time::sleep(CALM).await;
+    transfers.open(content(2), None);
+    tokio::time::timeout(CALM, poll)
+        .await
+        .expect("the end of the wait")
+        .expect("no panic");
+}
