Read the engine's report when it decides, not twenty times a second

Cause, by reading: each agent read its engine's report every 50 ms, 3,100 calls a second at 156 agents, used or not; and a request was refused by a report of up to 50 ms ago although a slot had become free since.

Change: while there is nothing to load the report is read every 200 ms, and before a request is refused for reasons that a newer report may change, unless the last one is younger than 50 ms; requests that ask at once share a report. Reports that come out of order are ignored.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -117,6 +117,8 @@
     pub version_ledgers: sync::Mutex<version_ledgers::VersionLedgers>,
     /// What this agent knows of the ledgers besides what the store has.
     pub recovery: sync::Mutex<ledger_recovery::Recovery>,
+    /// Held while the engine's report is read for a request for a slot.
+    pub report_refresh: tokio::sync::Mutex<()>,
     /// Wakes the task that notifies entries of the engine's state.
     pub engine_state_changed: Notify,
     /// The client that records metrics.
@@ -204,6 +206,7 @@
             peer_statuses: sync::Mutex::default(),
             version_ledgers: sync::Mutex::default(),
             recovery: sync::Mutex::default(),
+            report_refresh: tokio::sync::Mutex::new(()),
             engine_state_changed: Notify::new(),
             own_vm: vm_id_of(settings.engine.ip()),
             incarnation: id::Incarnation::new(u64::from(rand::random::<u32>())),
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -11,7 +11,12 @@
 use super::{app, swarm, weights_versions};
 use crate::mutex::lock;
 
-const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// The interval of reports while weights are to be loaded.
+const LOADING_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// The interval of reports otherwise; requests for slots cause further ones.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// A request for a slot is not refused by a report that is older than this.
+const REFUSING_REPORT_AGE_MAX: time::Duration = time::Duration::from_millis(50);
 const STATE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// The version that an engine is to serve before any version of its model is announced.
 const FIRST_VERSION: u64 = 1;
@@ -19,7 +24,7 @@
 /// Polls the engine's report and loads the newest downloaded version, until the process stops.
 pub async fn run(app: sync::Arc<app::App>, stop: process::StopSignal) {
     let mut loader = Loader::default();
-    while stop.sleep(REPORT_INTERVAL).await {
+    while stop.sleep(report_interval(&app)).await {
         let requested_at = app.clock.now();
         match app.runner.report().await {
             Ok(report) => {
@@ -31,6 +36,49 @@
     }
 }
 
+fn report_interval(app: &app::App) -> time::Duration {
+    let admission = lock(&app.admission);
+    let is_known = admission.report_requested_at().is_some();
+    let served = admission.weights();
+    let is_served =
+        |target: &app::TargetVersion| served.get(&target.model).copied() >= Some(target.version);
+    let newest = app.newest_version.load();
+    if is_known && newest.as_ref().is_some_and(|newest| is_served(newest)) {
+        REPORT_INTERVAL
+    } else {
+        LOADING_REPORT_INTERVAL
+    }
+}
+
+/// Reads the engine's report unless the last one is recent, so that a slot that has become free
+/// since is used.
+pub async fn refresh_report(app: &app::App) {
+    let _reading = app.report_refresh.lock().await;
+    let now = app.clock.now();
+    let last = lock(&app.admission).report_requested_at();
+    if last.is_some_and(|at| now.duration_since(at) < REFUSING_REPORT_AGE_MAX) {
+        return;
+    }
+    match app.runner.report().await {
+        Ok(report) => {
+            record_leaving(app, &report);
+            let changed = lock(&app.admission).record_report(now, engine_report(&report));
+            if changed {
+                app.engine_state_changed.notify_one();
+            }
+        }
+        Err(error) => log::debug!("loader: event=no_report error={error:?}"),
+    }
+}
+
+fn engine_report(report: &runner::Report) -> engine_admission::EngineReport {
+    engine_admission::EngineReport {
+        weights: report.weights.clone(),
+        active_count: report.active_count,
+        queued_count: report.queued_count,
+    }
+}
+
 #[derive(Debug, Default)]
 struct Loader {
     /// The version whose chunks have all been staged at the engine.
@@ -61,13 +109,8 @@
         }
         self.is_engine_silent = false;
         record_leaving(app, report);
-        let engine = engine_admission::EngineReport {
-            weights: report.weights.clone(),
-            active_count: report.active_count,
-            queued_count: report.queued_count,
-        };
         let mut admission = lock(&app.admission);
-        let mut changed = admission.record_report(requested_at, engine);
+        let mut changed = admission.record_report(requested_at, engine_report(report));
         if admission.is_loading() && !report.busy && self.is_loaded(report) {
             admission.set_loading(false);
             self.ordered = None;
--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -8,7 +8,7 @@
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
-use super::{app, weights_versions};
+use super::{app, loader, weights_versions};
 use crate::mutex::lock;
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
@@ -31,8 +31,15 @@
         version_min,
         spare_only: request.spare_only,
     };
-    let now = app.clock.now();
-    let admitted = lock(&app.admission).admit(&service.figures, now, &admission_request);
+    let admit = || {
+        let now = app.clock.now();
+        lock(&app.admission).admit(&service.figures, now, &admission_request)
+    };
+    let mut admitted = admit();
+    if admitted.is_err_and(engine_admission::DenialReason::may_be_outdated) {
+        loader::refresh_report(&app).await;
+        admitted = admit();
+    }
     app.count(if admitted.is_ok() {
         "placed"
     } else {
--- a/crates/core/src/engine_admission.rs
+++ b/crates/core/src/engine_admission.rs
@@ -72,6 +72,18 @@
     Closing,
 }
 
+impl DenialReason {
+    /// Returns whether a newer report of the engine may change the decision, because requests may
+    /// have ended since the last one.
+    #[must_use]
+    pub const fn may_be_outdated(self) -> bool {
+        matches!(
+            self,
+            Self::Unknown | Self::Full | Self::Late | Self::Closing
+        )
+    }
+}
+
 /// Returns the number of occupied slots from which on a request is refused.
 const fn slot_limit(profile: &engine::EngineProfile, request: &AdmissionRequest<'_>) -> u32 {
     if request.spare_only {
@@ -107,8 +119,11 @@
     }
 
     /// Records a report that was requested at `requested_at` and returns whether the served
-    /// weights have changed.
+    /// weights have changed. One that was requested before the last recorded one changes nothing.
     pub fn record_report(&mut self, requested_at: time::Instant, report: EngineReport) -> bool {
+        if self.report_requested_at() > Some(requested_at) {
+            return false;
+        }
         let before = self.report.as_ref().map(|(_, before)| &before.weights);
         let changed = before != Some(&report.weights);
         self.report = Some((requested_at, report));
@@ -131,6 +146,12 @@
         self.next_load_at = next_load_at;
     }
 
+    /// Returns when the last report was requested; `None` before the first one.
+    #[must_use]
+    pub fn report_requested_at(&self) -> Option<time::Instant> {
+        self.report.as_ref().map(|(requested_at, _)| *requested_at)
+    }
+
     /// Returns whether weights are being loaded.
     #[must_use]
     pub const fn is_loading(&self) -> bool {
