Spread the loads of a version from the moment when it is whole

Version 2 was whole after 5.3 s, so the 25 engines with earlier places of 88 loaded at once, and 40 at version 3. And an engine that was to skip a version waited for the skipped one's estimate, so it was not free of requests when its load came.

Change: places are spread from the moment when the version is whole on the VM (by its last chunk, or the estimate) to the end of the use of the version that the engine serves, which an earlier announcement may have replaced. The version that is expected next is the newest complete one, or else the one that is downloaded.

Measured: engines_whose_weights_come_late_do_not_load_together (new; with the fixed start 25 of 88 places are due at once, 8 are allowed); the property tests of the schedule hold for any moment at which a version is whole.

--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -154,7 +154,7 @@
             return;
         }
         self.staged = Some(version.clone());
-        if !serves_no_version && !is_load_due(app, &target) {
+        if !serves_no_version && !time_to_load(app, &target, report).is_zero() {
             return;
         }
         lock(&app.admission).set_loading(true);
@@ -208,51 +208,86 @@
 
 /// Sets when the next version is to be loaded, so that the engine is free of requests by then.
 fn schedule_load(app: &app::App, report: &runner::Report) {
-    let announced = app.announced.load();
-    let served = |target: &app::TargetVersion| report.weights.get(&target.model).copied();
-    let next = announced
-        .iter()
-        .find(|target| served(target) < Some(target.version));
     let now = app.clock.now();
     // Without an estimate of when the chunks are complete the engine keeps serving, even if its
     // load slot has started.
-    let next_load_at = next.and_then(|target| {
-        let completes_at = target.learned_at + estimated_completion(app, target)?;
-        Some(completes_at.max(now + time_to_load(app, target)))
+    let next_load_at = next_expected(app, report).and_then(|target| {
+        let age = weights_versions::age(app, &target);
+        let completes_in = whole_after(app, &target)?.saturating_sub(age);
+        Some(now + completes_in.max(time_to_load(app, &target, report)))
     });
     lock(&app.admission).set_next_load_at(next_load_at);
 }
 
-/// Returns how long after its announcement a version is expected to be complete; `None` if that
-/// can't be estimated.
-fn estimated_completion(app: &app::App, target: &app::TargetVersion) -> Option<time::Duration> {
+/// Returns the version that the engine is expected to load next: the newest that is complete, or
+/// else the one that is being downloaded.
+fn next_expected(app: &app::App, report: &runner::Report) -> Option<app::TargetVersion> {
+    if let Some(complete) = next_loadable(app, report) {
+        return Some(complete);
+    }
+    let announced = app.announced.load();
+    let is_expected = |target: &&app::TargetVersion| {
+        let is_newer = report.weights.get(&target.model).copied() < Some(target.version);
+        is_newer && swarm::is_target(app, target)
+    };
+    announced.iter().find(is_expected).cloned()
+}
+
+/// Returns how long after its announcement a version was complete, or is expected to be; `None` if
+/// that can't be estimated.
+fn whole_after(app: &app::App, target: &app::TargetVersion) -> Option<time::Duration> {
     let manifest = app.manifest(&(target.model.clone(), target.version))?;
     let held = app.transfers.held_chunks(manifest.digest())?;
-    if held.is_full() {
-        return Some(time::Duration::ZERO);
-    }
     let now = app.clock.now();
+    let age = weights_versions::age(app, target);
     let last_chunk_at = app.transfers.last_chunk_at(manifest.digest());
-    let idle = now.duration_since(last_chunk_at.unwrap_or(target.learned_at));
-    let age = now.duration_since(target.learned_at);
+    let idle = last_chunk_at.map_or(age, |at| now.duration_since(at));
+    if held.is_full() {
+        return Some(age.saturating_sub(idle));
+    }
     rolling_update::estimated_completion(age, idle, held.len(), held.range())
 }
 
-/// Returns whether this engine's load slot in the rolling update has started.
-fn is_load_due(app: &app::App, target: &app::TargetVersion) -> bool {
-    time_to_load(app, target).is_zero()
-}
-
 /// Returns the time until this engine's load slot starts; zero if it has started.
-fn time_to_load(app: &app::App, target: &app::TargetVersion) -> time::Duration {
-    load_delay(app, target).saturating_sub(weights_versions::age(app, target))
+fn time_to_load(
+    app: &app::App,
+    target: &app::TargetVersion,
+    report: &runner::Report,
+) -> time::Duration {
+    let delay = load_delay(app, target, report);
+    delay.saturating_sub(weights_versions::age(app, target))
 }
 
 /// Returns how long after the announcement of a version this engine's load slot starts.
-fn load_delay(app: &app::App, target: &app::TargetVersion) -> time::Duration {
+fn load_delay(
+    app: &app::App,
+    target: &app::TargetVersion,
+    report: &runner::Report,
+) -> time::Duration {
     let count = u32::try_from(app.peers.load().len() + 1).unwrap_or(u32::MAX);
     let rank = u32::try_from(app.rank(target)).unwrap_or(u32::MAX);
-    rolling_update::load_delay(app.settings.weights_grace, rank, count)
+    let whole_after = whole_after(app, target).unwrap_or_default();
+    let usable_for = usable_for(app, target, report);
+    rolling_update::load_delay(whole_after, usable_for, rank, count)
+}
+
+/// Returns how long after the announcement of a version requests may start on the version that the
+/// engine serves, which an earlier announcement may have replaced.
+fn usable_for(
+    app: &app::App,
+    target: &app::TargetVersion,
+    report: &runner::Report,
+) -> time::Duration {
+    let lifetime = rolling_update::previous_version_lifetime(app.settings.weights_grace);
+    let served = report.weights.get(&target.model).copied();
+    let announced = app.announced.load();
+    let replaced_by = announced
+        .iter()
+        .find(|other| other.model == target.model && Some(other.version) > served);
+    let replaced_for = replaced_by.map(|successor| weights_versions::age(app, successor));
+    let age = weights_versions::age(app, target);
+    let since_replaced = replaced_for.unwrap_or(age).saturating_sub(age);
+    lifetime.saturating_sub(since_replaced)
 }
 
 /// Stages all chunks at the engine; returns false if one failed.
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -87,7 +87,8 @@
 }
 
 /// Returns whether a version is the one that is being downloaded.
-fn is_target(app: &app::App, target: &app::TargetVersion) -> bool {
+#[must_use]
+pub fn is_target(app: &app::App, target: &app::TargetVersion) -> bool {
     let manifest = app.manifest(&(target.model.clone(), target.version));
     manifest.is_some_and(|manifest| app.transfers.is_target(manifest.digest()))
 }
--- a/crates/core/src/rolling_update.rs
+++ b/crates/core/src/rolling_update.rs
@@ -21,20 +21,24 @@
 /// The time that a withdrawal takes to reach the engine.
 const WITHDRAWAL_TIME_MAX: time::Duration = time::Duration::from_millis(100);
 
-/// The first engine loads no sooner, since the chunks are still being distributed.
-const FIRST_LOAD_DELAY: time::Duration = time::Duration::from_secs(3);
-
 /// The time that the load order takes to reach the last engine.
 const LOAD_ORDER_TIME_MAX: time::Duration = time::Duration::from_millis(100);
 
 /// Returns how long after the announcement of a version an engine starts to load it.
 ///
-/// `rank` is the engine's position among `count` engines. Loads are spread evenly over the grace
-/// period, so that few engines drain at the same time.
+/// `rank` is the engine's position among `count` engines. Loads are spread evenly from `whole_after`,
+/// when the version is completely downloaded, to `usable_for`, until when requests may start on the
+/// version that the engine serves, so that few engines drain at the same time. Both are counted
+/// from the announcement too.
 #[must_use]
-pub fn load_delay(grace: time::Duration, rank: u32, count: u32) -> time::Duration {
-    let last = previous_version_lifetime(grace).saturating_sub(LOAD_ORDER_TIME_MAX);
-    let first = FIRST_LOAD_DELAY.min(last);
+pub fn load_delay(
+    whole_after: time::Duration,
+    usable_for: time::Duration,
+    rank: u32,
+    count: u32,
+) -> time::Duration {
+    let last = usable_for.saturating_sub(LOAD_ORDER_TIME_MAX);
+    let first = whole_after.min(last);
     let share = f64::from(rank.min(count)) / f64::from(count.max(1));
     first + last.saturating_sub(first).mul_f64(share)
 }
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -241,31 +241,57 @@
     #[test]
     fn requests_admitted_before_the_load_are_started_within_the_grace_period(
         grace_ms in 3_000..20_000_u64,
+        whole_after_ms in 0..20_000_u64,
         count in 1..200_u32,
         rank in 0..200_u32,
     ) {
         let grace = Duration::from_millis(grace_ms);
         let queue_wait = Duration::from_millis(930);
-        prop_assert!(rolling_update::load_delay(grace, rank % count, count) + queue_wait < grace);
+        let lifetime = rolling_update::previous_version_lifetime(grace);
+        let whole_after = Duration::from_millis(whole_after_ms);
+        let delay = rolling_update::load_delay(whole_after, lifetime, rank % count, count);
+        prop_assert!(delay + queue_wait < grace);
         prop_assert!(rolling_update::previous_version_lifetime(grace) + queue_wait < grace);
     }
 
     #[test]
     fn load_delays_follow_the_rank_and_are_evenly_spread(
         grace_ms in 6_000..20_000_u64,
+        whole_after_ms in 0..4_000_u64,
         count in 2..100_u32,
     ) {
-        let grace = Duration::from_millis(grace_ms);
+        let lifetime = rolling_update::previous_version_lifetime(Duration::from_millis(grace_ms));
+        let whole_after = Duration::from_millis(whole_after_ms);
         let delays: Vec<_> = (0..count)
-            .map(|rank| rolling_update::load_delay(grace, rank, count))
+            .map(|rank| rolling_update::load_delay(whole_after, lifetime, rank, count))
             .collect();
         prop_assert!(delays.is_sorted());
+        prop_assert_eq!(delays[0], whole_after);
         let gaps: Vec<_> = delays.windows(2).map(|pair| pair[1].saturating_sub(pair[0])).collect();
         let (min_gap, max_gap) = (gaps.iter().min(), gaps.iter().max());
         prop_assert!(max_gap.unwrap().saturating_sub(*min_gap.unwrap()) < Duration::from_millis(1));
     }
 }
 
+/// A version was whole after the first places of a fixed schedule, and a quarter of the engines
+/// loaded it at once.
+#[test]
+fn engines_whose_weights_come_late_do_not_load_together() {
+    const COUNT: u32 = 88;
+    let lifetime = rolling_update::previous_version_lifetime(Duration::from_millis(13_400));
+    let whole_after = Duration::from_millis(5_300);
+    let delays: Vec<_> = (0..COUNT)
+        .map(|rank| rolling_update::load_delay(whole_after, lifetime, rank, COUNT))
+        .collect();
+    let load_and_drain = Duration::from_millis(500);
+    let loading_at = |at: Duration| {
+        let is_loading = |delay: &&Duration| **delay <= at && at < **delay + load_and_drain;
+        delays.iter().filter(is_loading).count()
+    };
+    let most = delays.iter().map(|delay| loading_at(*delay)).max();
+    assert!(most <= Some(COUNT as usize / 10), "{most:?}");
+}
+
 #[rstest]
 #[case::too_early(500, 20, 3, None)]
 #[case::half(1_500, 20, 32, Some(3_000))]
