Keep no more versions in memory than are of use

Change: once a version is complete, complete ones that were opened before it are dropped. Buffers of chunks have their exact size.

Measured: only_the_newest_complete_version_and_the_one_under_way_are_kept (new).

--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -55,6 +55,7 @@
         call_earlier_grantors(&app, &target, &mut earlier_called_at);
         // An engine whose VM is being taken away needs no more weights.
         if app.is_leaving(&app.own_vm) || is_complete(&app, &target) {
+            app.transfers.drop_superseded();
             if !is_grantor {
                 pause = IDLE_ROUND_INTERVAL;
             }
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -296,6 +296,21 @@
         sets.get(&manifest)?.chunks.iter().cloned().collect()
     }
 
+    /// Drops complete sets that were opened before a complete one, which no VM downloads any more.
+    pub fn drop_superseded(&self) {
+        let mut sets = lock(&self.sets);
+        let newest = sets.values().rposition(|set| set.downloader.is_complete());
+        let Some(newest) = newest else {
+            return;
+        };
+        let mut index = 0;
+        sets.retain(|_, set| {
+            let is_kept = index >= newest || !set.downloader.is_complete();
+            index += 1;
+            is_kept
+        });
+    }
+
     fn insert(&self, set: WeightSet, serving: Option<id::Digest>) {
         let mut sets = lock(&self.sets);
         let target = set.content.weights.manifest;
--- a/crates/agent/src/transfer/download.rs
+++ b/crates/agent/src/transfer/download.rs
@@ -166,7 +166,8 @@
         }
         let mut body = response.into_body();
         let mut decoder = frames::Decoder::new();
-        let mut content = Vec::new();
+        // Exact, as the chunk is kept for as long as the version is.
+        let mut content = Vec::with_capacity(self.content.chunk_bytes);
         let mut reply: Option<messages::ChunkReply> = None;
         while let Some(bytes) = next_piece(&mut body, stall_max).await? {
             transfers.limit_incoming(&bytes).await;
--- a/crates/agent/tests/idle_transfers.rs
+++ b/crates/agent/tests/idle_transfers.rs
@@ -1,4 +1,5 @@
-//! Tests that transfers without anything to download wait for news instead of polling.
+//! Tests that transfers without anything to download wait for news instead of polling, and keep no
+//! more versions than are of use.
 
 use std::{sync, time};
 
@@ -85,3 +86,29 @@
         .expect("the end of the wait")
         .expect("no panic");
 }
+
+fn open_complete(transfers: &transfer::Transfers, version: u8) {
+    transfers.open(content(version), None);
+    assert!(transfers.record_staged(manifest(version), 0, &Bytes::from_static(b"good")));
+}
+
+/// Three versions were kept, two of them in vain.
+#[test]
+fn only_the_newest_complete_version_and_the_one_under_way_are_kept() {
+    let transfers = start_transfers();
+    open_complete(&transfers, 1);
+    transfers.drop_superseded();
+    assert!(transfers.is_complete(manifest(1)), "the only one");
+    transfers.open(content(2), None);
+    transfers.drop_superseded();
+    assert!(
+        transfers.is_complete(manifest(1)),
+        "the next one is not there"
+    );
+    assert!(transfers.record_staged(manifest(2), 0, &Bytes::from_static(b"good")));
+    transfers.open(content(3), None);
+    transfers.drop_superseded();
+    assert!(!transfers.is_complete(manifest(1)));
+    assert!(transfers.is_complete(manifest(2)));
+    assert!(transfers.progress_of(manifest(3)).is_some(), "under way");
+}
