Let agents follow the announced versions through entries

Cause: every agent watched the announced versions at the store for itself, and one that the store refused learned of a version from an entry up to three seconds late.

Change: agents wait for announcements at an entry of their region, which has them from the store and tells when they were made; the store is asked while no entry can, with the delays of before.

--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -1,10 +1,10 @@
-//! Follows the configuration, peers and entries through entries, preferably of the own region, and
-//! announced weights through the store and entries.
+//! Follows the configuration, peers and entries through entries, preferably of the own region.
+//! [`weights_feed`] follows the announced weights.
 //!
 //! Links between regions have low bandwidth, so of the configuration and the lists only what no
 //! entry could supply is read from the store.
 
-use std::{convert, net, sync, sync::atomic, time};
+use std::{net, sync, time};
 
 use indexmap::IndexMap;
 use pimentohook_core::{announcement, carryover, collection, id, position, routes, upstreams};
@@ -14,11 +14,9 @@
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time as tokio_time;
 
-use super::{app, weights_versions};
+use super::{app, weights_feed, weights_versions};
 
-const LONG_POLL_WAIT: time::Duration = time::Duration::from_secs(12);
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
-const RETRY_DELAY_MAX: time::Duration = time::Duration::from_millis(3_200);
 const REFRESH_INTERVAL: time::Duration = time::Duration::from_secs(3);
 /// The number of entries that are tried before the store.
 const ENTRIES_TRIED_MAX: usize = 2;
@@ -30,96 +28,17 @@
 /// configuration from the store: the larger the fleet, the more agents would read it at once.
 const STARTUP_WAIT_PER_ENTRY: time::Duration = time::Duration::from_millis(10);
 const LIST_AGE_MAX: time::Duration = time::Duration::from_secs(6);
-const WEIGHTS_AGE_MAX: time::Duration = time::Duration::from_secs(14);
+pub(super) const WEIGHTS_AGE_MAX: time::Duration = time::Duration::from_secs(14);
 /// The interval while weights are downloaded, shorter so that VMs that join are found sooner.
 const DOWNLOADING_REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(800);
 
-/// How much each process adds to the time over which all list the announced versions again.
-const LIST_SPREAD_PER_PROCESS: time::Duration = time::Duration::from_millis(2);
-
 /// Spawns the tasks that follow the store and the entries, until the process exits.
 pub fn start(app: &sync::Arc<app::App>) {
-    tokio::spawn(follow_weights(app.clone()));
+    tokio::spawn(weights_feed::run(app.clone()));
     tokio::spawn(refresh(app.clone()));
 }
 
-type Objects = IndexMap<String, collection::Object>;
-
-fn index_by_name(objects: Vec<collection::Object>) -> Objects {
-    let named_objects = objects
-        .into_iter()
-        .map(|object| (object.name.clone(), object));
-    named_objects.collect()
-}
-
-/// Watches the announced versions in the store; while it is unreachable, `refresh` learns them from
-/// entries.
-async fn follow_weights(app: sync::Arc<app::App>) {
-    let mut retry_delay = RETRY_DELAY;
-    loop {
-        let Err(error) = watch_weights(&app, &mut retry_delay).await;
-        if is_restored(&app, &error) {
-            tokio_time::sleep(list_spread(&app)).await;
-            continue;
-        }
-        log::warn!(
-            "feed: event=store_lost kind=weights error={error:?} retry_ms={}",
-            retry_delay.as_millis()
-        );
-        tokio_time::sleep(retry_delay).await;
-        retry_delay = (retry_delay * 2).min(RETRY_DELAY_MAX);
-    }
-}
-
-async fn watch_weights(
-    app: &app::App,
-    retry_delay: &mut time::Duration,
-) -> Result<convert::Infallible, store::StoreError> {
-    let kind = store::Kind::Weights;
-    let mut read = announcement::Read::Fetched(app.clock.boot_now());
-    let listing = app.store.list(kind, store::Freshness::Current).await?;
-    *retry_delay = RETRY_DELAY;
-    let mut objects = index_by_name(listing.objects);
-    let mut position = listing.position;
-    loop {
-        record_announced_weights(app, &objects, read);
-        app.announcements_read
-            .store(true, atomic::Ordering::Relaxed);
-        let span = announcement::WatchSpan::start(&*app.clock, &app.announcements.load());
-        let changes = app.store.watch(kind, position, LONG_POLL_WAIT).await?;
-        read = span.end(&*app.clock, changes.cost.transfer);
-        position = changes.position;
-        let present = changes.changes.into_iter().filter(|change| !change.removed);
-        objects.extend(present.map(|change| (change.object.name.clone(), change.object)));
-    }
-}
-
-/// Returns whether a watch ended because the store was restored.
-fn is_restored(app: &app::App, error: &store::StoreError) -> bool {
-    match error {
-        store::StoreError::Compacted { position, .. } => position.era < app.store.era(),
-        _ => false,
-    }
-}
-
-/// Returns how long to wait before the announced versions are listed again because of a new era,
-/// since every entry and agent lists them then.
-fn list_spread(app: &app::App) -> time::Duration {
-    let count = app.entries.load().len() + app.peers.load().len() + 1;
-    let count = u32::try_from(count).unwrap_or(u32::MAX);
-    carryover::spread(count, LIST_SPREAD_PER_PROCESS, rand::random())
-}
-
-fn record_announced_weights(app: &app::App, objects: &Objects, read: announcement::Read) {
-    let service = app.service.load();
-    let is_own_model = |(model, _): &(String, u64)| {
-        let service = service.as_ref();
-        service.is_none_or(|service| service.figures.models.contains(model))
-    };
-    let announced = decode::announced_versions(objects).into_iter();
-    let announced: Vec<_> = announced.filter(is_own_model).collect();
-    weights_versions::record_read(app, &announced, read);
-}
+pub(super) type Objects = IndexMap<String, collection::Object>;
 
 /// The agent's copies of the collections that it refreshes.
 #[derive(Debug, Default)]
@@ -171,7 +90,11 @@
 
 /// State could not be refreshed from an entry.
 #[derive(Debug, Snafu)]
-enum FeedError {
+#[snafu(visibility(pub(super)))]
+pub(super) enum FeedError {
+    /// No entry is known.
+    #[snafu(display("no entry is known"))]
+    Nobody,
     #[snafu(display("{source}"))]
     Entry { source: client::ClientError },
     /// The entry has not heard yet that the store was restored.
@@ -240,7 +163,7 @@
     false
 }
 
-fn preferred_entries(app: &app::App) -> Vec<direct::PeerState> {
+pub(super) fn preferred_entries(app: &app::App) -> Vec<direct::PeerState> {
     let mut entries = Vec::clone(&app.entries.load());
     entries.sort_by_cached_key(|entry| {
         let is_other_region = entry.region != app.settings.region;
@@ -291,7 +214,7 @@
     refresh_service(app, entry, timeout).await
 }
 
-async fn refresh_service(
+pub(super) async fn refresh_service(
     app: &app::App,
     entry: &direct::PeerState,
     timeout: time::Duration,
@@ -406,7 +329,7 @@
             let lost = &mut caches.lost_entries;
             apply_entries(app, &lost.combine(era, objects, now, |_, listed| listed));
         }
-        RefreshedKind::Weights => record_announced_weights(app, &objects, read),
+        RefreshedKind::Weights => weights_feed::record_announced(app, &objects, read),
     }
 }
 
--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -4,7 +4,7 @@
 //! engine themselves, so the failure of an agent interrupts none.
 //!
 //! * [`settings`] and [`app`]: settings and shared state.
-//! * [`feed`]: configuration, announced weights, peers and entries.
+//! * [`feed`] and [`weights_feed`]: configuration, peers and entries, and announced weights.
 //! * [`weights_versions`]: when versions of weights were announced.
 //! * [`gossip`] and [`swarm`]: exchange of progress with peers, and download of weights.
 //! * [`grants`]: permission to download chunks from the origin, which bounds what it sends.
@@ -24,6 +24,7 @@
 pub mod settings;
 pub mod swarm;
 pub mod version_ledgers;
+pub mod weights_feed;
 pub mod weights_versions;
 
 use std::sync;
