Don't let the manifest of an older version hold up the newest one's

Cause: an agent fetched one manifest at a time. One that hung at the origin kept the next version's from being fetched for 3 s; found by an_agent_learns_of_an_announced_version_from_an_entry, whose origin never answers.

Change: the fetch of another version starts at once. The test passes, with the 13 of fleet, 8 of replaced_versions, 13 of store_restore and 6 of weights_grace.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -109,8 +109,8 @@
     pub manifests: sync::Mutex<IndexMap<ModelVersion, sync::Arc<origin::Manifest>>>,
     /// The agents that have an unanswered call from this one.
     pub calls_in_flight: sync::Mutex<IndexSet<id::VmId>>,
-    /// Whether a manifest is being fetched from the origin.
-    pub is_fetching_manifest: atomic::AtomicBool,
+    /// The version whose manifest is being fetched from the origin.
+    pub fetched_manifest: sync::Mutex<Option<ModelVersion>>,
     /// What other agents last reported of the announced versions.
     pub peer_statuses: sync::Mutex<peer_statuses::PeerStatuses>,
     /// The ledgers of the versions of which this agent is or was the grantor.
@@ -202,7 +202,7 @@
             entries: ArcSwap::default(),
             manifests: sync::Mutex::new(IndexMap::new()),
             calls_in_flight: sync::Mutex::new(IndexSet::new()),
-            is_fetching_manifest: atomic::AtomicBool::new(false),
+            fetched_manifest: sync::Mutex::default(),
             peer_statuses: sync::Mutex::default(),
             version_ledgers: sync::Mutex::default(),
             recovery: sync::Mutex::default(),
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -238,10 +238,10 @@
         log::warn!("swarm: event=no_origin model={}", target.model);
         return;
     };
-    if app
-        .is_fetching_manifest
-        .swap(true, atomic::Ordering::Relaxed)
-    {
+    let version = (target.model.clone(), target.version);
+    // A fetch of an earlier version may hang, and doesn't hold up this one.
+    let before = lock(&app.fetched_manifest).replace(version.clone());
+    if before.as_ref() == Some(&version) {
         return;
     }
     let (app, target) = (app.clone(), sync::Arc::new(target.clone()));
@@ -250,8 +250,10 @@
         if !fetch_manifest(&app, &target, origin, chunk_count).await {
             tokio::time::sleep(MANIFEST_RETRY_DELAY).await;
         }
-        app.is_fetching_manifest
-            .store(false, atomic::Ordering::Relaxed);
+        let mut fetched = lock(&app.fetched_manifest);
+        if fetched.as_ref() == Some(&version) {
+            *fetched = None;
+        }
     });
 }
 
