Follow upstreams and versions as often as their grace periods ask for

Cause, by reckoning: the relays' watches are most of the entries' calls to the store; they waited 0.8 s for upstreams and 2 s for versions, shares of a drain of 2 s and a grace of 8 s, on deployments whose bounds are 4 and 10.3 s too. Followers ask their relays 2.5 times a second for the same reason.

Change: both are shares of the grace periods in the settings (40, 20 and 60 percent of the drain's, as for the configuration; a quarter of the weights'), the same figures as before where the bounds are 2 and 8 s. New setting drain_grace_ms, which the platform fills in.

--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -59,13 +59,13 @@
     age_max: time::Duration,
 }
 
-/// Shares of the configuration grace period. With these, the configuration of an entry that fails
-/// over from a relay to another source stays fresh enough to decide.
+/// Shares of the grace period after a change. With these, the copy of an entry that fails over from a
+/// relay to another source stays fresh enough to decide.
 const WATCH_PERCENT: u32 = 40;
 const FOLLOW_PERCENT: u32 = 20;
 const AGE_MAX_PERCENT: u32 = 60;
 
-fn configuration_timing(grace: time::Duration) -> FollowTiming {
+fn timing_within(grace: time::Duration) -> FollowTiming {
     FollowTiming {
         watch_wait: grace * WATCH_PERCENT / 100,
         follow_wait: grace * FOLLOW_PERCENT / 100,
@@ -73,20 +73,14 @@
     }
 }
 
-/// For an entry that others may follow. Short, so that entries learn soon that an upstream is
-/// leaving, even if they follow a relay that has lost its connection to the store.
-const TIMING_UPSTREAMS: FollowTiming = FollowTiming {
-    watch_wait: time::Duration::from_millis(800),
-    follow_wait: time::Duration::from_millis(400),
-    age_max: time::Duration::from_millis(1_200),
-};
 const TIMING_LISTS: FollowTiming = FollowTiming {
     watch_wait: time::Duration::from_secs(4),
     follow_wait: time::Duration::from_millis(700),
     age_max: time::Duration::from_secs(6),
 };
-/// For a relay, so that a connection that has fallen silent does not hold back an announcement.
-const RELAY_WEIGHTS_WATCH_WAIT: time::Duration = time::Duration::from_secs(2);
+/// For a relay, as a share of the weights' grace period, so that a connection that has fallen silent
+/// does not hold back an announcement.
+const RELAY_WEIGHTS_WATCH_PERCENT: u32 = 25;
 /// Announced versions are few and small, so each entry prefers the store over relays for them.
 /// Heartbeats spread them too.
 const TIMING_WEIGHTS: FollowTiming = FollowTiming {
@@ -97,11 +91,13 @@
 
 fn timing(app: &app::App, kind: store::Kind) -> FollowTiming {
     match kind {
-        store::Kind::Configuration => configuration_timing(app.settings.configuration_grace),
-        store::Kind::Upstreams if has_followers(app) => TIMING_UPSTREAMS,
+        store::Kind::Configuration => timing_within(app.settings.configuration_grace),
+        // Entries learn in time that an upstream is leaving, even if they follow a relay that has lost
+        // its connection to the store.
+        store::Kind::Upstreams if has_followers(app) => timing_within(app.settings.drain_grace),
         store::Kind::Upstreams | store::Kind::Entries | store::Kind::Grants => TIMING_LISTS,
         store::Kind::Weights if is_relay(app) => FollowTiming {
-            watch_wait: RELAY_WEIGHTS_WATCH_WAIT,
+            watch_wait: app.settings.weights_grace * RELAY_WEIGHTS_WATCH_PERCENT / 100,
             ..TIMING_WEIGHTS
         },
         store::Kind::Weights => TIMING_WEIGHTS,
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -87,6 +87,8 @@
     pub configuration_grace: time::Duration,
     /// How long after a version of weights is announced requests may start on an earlier one.
     pub weights_grace: time::Duration,
+    /// How long requests may still reach an upstream after it is listed as draining.
+    pub drain_grace: time::Duration,
     /// The retry budget as a percentage of requests.
     pub retry_percent: u64,
     /// The burst of retries that all entries together may send on top of the percentage.
@@ -101,6 +103,9 @@
 /// The store is polled several times in a grace period, so a shorter one would overload it.
 const CONFIGURATION_GRACE_MIN: time::Duration = time::Duration::from_millis(500);
 const WEIGHTS_GRACE_DEFAULT_MS: u64 = 8_000;
+const DRAIN_GRACE_DEFAULT_MS: u64 = 2_000;
+/// The lists of upstreams are confirmed several times in a grace period.
+const DRAIN_GRACE_MIN: time::Duration = time::Duration::from_millis(500);
 const DIRECTORY_TTL_DEFAULT_MS: u64 = 2_000;
 const SHUTDOWN_DELAY_DEFAULT_MS: u64 = 4_500;
 const SHUTDOWN_TIMEOUT_DEFAULT_MS: u64 = 7_500;
@@ -145,6 +150,9 @@
             .max(CONFIGURATION_GRACE_MIN);
         let weights_grace =
             checker.millis("weights_grace_ms", WEIGHTS_GRACE_DEFAULT_MS, 0..=MINUTE_MS);
+        let drain_grace = checker
+            .millis("drain_grace_ms", DRAIN_GRACE_DEFAULT_MS, 0..=MINUTE_MS)
+            .max(DRAIN_GRACE_MIN);
         let retry_percent = checker.number("retry_percent", RETRY_PERCENT_DEFAULT, 0..=100);
         let retry_burst = checker.number("retry_burst", RETRY_BURST_DEFAULT, 0..=100_000);
         let metrics = checker.optional("metrics", ADDRESS);
@@ -175,6 +183,7 @@
                 idle_timeout,
                 configuration_grace,
                 weights_grace,
+                drain_grace,
                 retry_percent,
                 retry_burst,
                 metrics,
