--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -305,9 +305,11 @@
         }
     }
 
-    /// Returns this entry's share of the burst of retries that all entries together may send.
+    /// Returns this entry's share of the burst of retries that all entries together may send. Entries
+    /// that are not heard may be cut off and retry too, so they keep their shares for a while.
     fn retry_burst_share(&self) -> u64 {
-        (self.settings.retry_burst / u64::from(self.entry_count())).max(1)
+        let burst = u32::try_from(self.settings.retry_burst).unwrap_or(u32::MAX);
+        u64::from(self.upstream_limits.shares().of_slots(burst))
     }
 
     /// Adjusts the retry budgets to the number of live entries.
