Ask elsewhere before all of the own domain's agents have refused

Cause, by reading: agents of the own failure domain were asked first, ten at most. In a domain of 31 engines these ten are all of it, so a request was refused whenever its domain was full, whatever room others had; and where nine of ten engines of a large fleet are full, ten random asks fail in one case of three.

Change: `core::ask_order` has the order: half of the asks go to the own domain, the next to others; one agent is asked for eight engines, ten at least and twenty at most (before: ten).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 //! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
 //! * [`engine`]: how long an engine takes to respond.
 //! * [`engine_admission`]: which requests an engine admits.
+//! * [`ask_order`]: which agents are asked for a slot.
 //! * [`engine_contact`]: whether an engine whose agent does not respond is used.
 //! * [`event_stream`]: the events of a streamed response.
 //! * [`prompt_evidence`]: which parts of prompts crash engines and are kept from them.
@@ -49,6 +50,7 @@
 
 pub mod admission;
 pub mod announcement;
+pub mod ask_order;
 pub mod burst;
 pub mod carryover;
 pub mod clock;
--- a/crates/entry/src/direct/engine_placement.rs
+++ b/crates/entry/src/direct/engine_placement.rs
@@ -3,18 +3,13 @@
 
 use std::sync::{self, atomic};
 
-use pimentohook_core::{engine, engine_contact::Access, upstream_notice};
+use pimentohook_core::{ask_order, engine, engine_contact::Access, upstream_notice};
 use rand::RngExt as _;
 
 use super::{app, permits, placement, slot, weights_versions};
 
-/// Maximum number of agents that are asked for a slot for one request, one after the other.
-const SLOT_REQUESTS_MAX: usize = 10;
-/// Like [`SLOT_REQUESTS_MAX`], for a request that has already missed its goal.
+/// Maximum number of agents that are asked for a slot for a request that has already missed its goal.
 const SLOT_REQUESTS_LATE_MAX: usize = 4;
-/// The number of requests in flight that an engine of another failure domain is charged in the
-/// ranking, because links between failure domains are expensive and low-bandwidth.
-const CROSS_DOMAIN_COST: u32 = 2;
 
 /// Selects an engine that serves the model and has a slot for the request.
 ///
@@ -32,11 +27,16 @@
     let serving = usable
         .iter()
         .filter(|candidate| allowed.allows(candidate.served_version(model)));
-    let mut serving: Vec<&app::Candidate> = serving.copied().collect();
+    let serving: Vec<&app::Candidate> = serving.copied().collect();
     if serving.is_empty() {
         return Err(placement::Denial::Nobody);
     }
-    rank(app, &mut serving);
+    let slot_requests_max = if request.spare_only {
+        SLOT_REQUESTS_LATE_MAX
+    } else {
+        ask_order::asks_max(serving.len())
+    };
+    let serving = in_ask_order(app, &serving, slot_requests_max);
     let mut search = Search {
         app,
         request,
@@ -44,6 +44,7 @@
         model,
         allowed,
         denials: placement::PermitDenials::default(),
+        slot_requests_max,
         slot_request_count: 0,
     };
     if let Some(placement) = search.ask_agents(&serving).await {
@@ -65,23 +66,17 @@
     /// The versions of the weights that the request may run on.
     allowed: weights_versions::AllowedVersions,
     denials: placement::PermitDenials,
+    /// The maximum number of agents that are asked for a slot.
+    slot_requests_max: usize,
     /// The number of agents that were asked for a slot.
     slot_request_count: usize,
 }
 
 impl Search<'_> {
-    const fn slot_requests_max(&self) -> usize {
-        if self.request.spare_only {
-            SLOT_REQUESTS_LATE_MAX
-        } else {
-            SLOT_REQUESTS_MAX
-        }
-    }
-
     /// Requests slots from the agents beside these engines, one after the other.
     async fn ask_agents(&mut self, serving: &[&app::Candidate]) -> Option<placement::Placement> {
         for candidate in serving {
-            if self.slot_request_count == self.slot_requests_max() {
+            if self.slot_request_count == self.slot_requests_max {
                 return None;
             }
             let access = candidate.state.contact.access(self.app.now_ms(), false);
@@ -177,34 +172,39 @@
     }
 }
 
-/// Sorts engines by how well they suit a request, the best first.
-fn rank(app: &app::App, serving: &mut [&app::Candidate]) {
+/// Returns engines in the order in which their agents are asked for a slot.
+fn in_ask_order<'a>(
+    app: &app::App,
+    serving: &[&'a app::Candidate],
+    asks_max: usize,
+) -> Vec<&'a app::Candidate> {
     let now = app.clock.now();
     let now_ms = app.now_ms();
-    let rank = |candidate: &&app::Candidate| {
-        let may_stand_still = candidate.state.contact.may_stand_still();
+    let describe = |candidate: &&app::Candidate| {
+        let state = &candidate.state;
         let standing = app.upstream_notices.standing(&candidate.upstream, now);
-        let is_hinted = standing == upstream_notice::Standing::HintedLeaving;
-        let is_refusing = candidate
-            .state
-            .refusing_until_ms
-            .load(atomic::Ordering::Relaxed)
-            > now_ms;
-        let is_ejected = candidate.state.stats.is_ejected(now_ms);
-        let in_flight = candidate.state.in_flight.load(atomic::Ordering::Relaxed);
-        let is_cross_domain = candidate.upstream.failure_domain != app.settings.failure_domain;
-        let cost = in_flight + u32::from(is_cross_domain) * CROSS_DOMAIN_COST;
-        let random = rand::rng().random::<u32>();
-        (
-            may_stand_still,
-            is_ejected,
-            is_hinted,
-            is_refusing,
-            cost,
-            random,
-        )
+        let is_refusing = state.refusing_until_ms.load(atomic::Ordering::Relaxed) > now_ms;
+        let doubt = if state.contact.may_stand_still() {
+            ask_order::Doubt::Still
+        } else if state.stats.is_ejected(now_ms) {
+            ask_order::Doubt::Failing
+        } else if standing == upstream_notice::Standing::HintedLeaving {
+            ask_order::Doubt::Leaving
+        } else if is_refusing {
+            ask_order::Doubt::Refusing
+        } else {
+            ask_order::Doubt::None
+        };
+        ask_order::Candidate {
+            doubt,
+            is_same_domain: candidate.upstream.failure_domain == app.settings.failure_domain,
+            in_flight_count: state.in_flight.load(atomic::Ordering::Relaxed),
+            draw: rand::rng().random(),
+        }
     };
-    serving.sort_by_cached_key(rank);
+    let candidates: Vec<_> = serving.iter().map(describe).collect();
+    let order = ask_order::order(&candidates, asks_max);
+    order.into_iter().map(|index| serving[index]).collect()
 }
 
 /// Returns the placement of a request at an engine, unless what was waited for took so long that the
