Reuse what is staged at an engine whichever version it serves

The agents that started again took nothing from beside engines that served an older version, fetched another copy from the origin (137 grants of 96 chunks by 36 s), and about a thousand requests a second were refused until 43 s. The even spread of loads made it worse, as fewer engines had loaded by then.

Change: staged chunks are tried for any version; if the first three are not of it, the others aren't read.

Measured: a_version_that_is_staged_at_the_engines_is_not_downloaded_by_agents_that_start fails before (the origin sent 64 chunks of 64), passes now (none), with the other eight.

--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -26,6 +26,8 @@
 /// The delay, per rank, before an agent fetches a manifest from the origin, so that most agents get
 /// it from a peer first.
 const MANIFEST_STAGGER: time::Duration = time::Duration::from_millis(400);
+/// If none of so many staged chunks is of a version, the others aren't either.
+const STAGED_SAMPLE_COUNT: usize = 3;
 const MANIFEST_RETRY_DELAY: time::Duration = time::Duration::from_millis(200);
 
 /// Downloads announced versions, until the process stops.
@@ -318,12 +320,9 @@
     }
 }
 
-/// Reuses the chunks of a version that are staged at the engine already.
+/// Reuses the chunks of a version that are staged at the engine already, whichever version it serves:
+/// the agent may have restarted after it had staged them.
 async fn reuse_staged(app: &app::App, manifest: &origin::Manifest) {
-    let served = lock(&app.admission).weights().get(&manifest.model).copied();
-    if served.is_some_and(|served| served != manifest.version) {
-        return;
-    }
     let manifest_digest = manifest.digest();
     let staged = match app.runner.staged_chunks(&manifest.model).await {
         Ok(staged) => staged,
@@ -333,7 +332,10 @@
         }
     };
     let mut reused_count = 0;
-    for chunk in &staged {
+    for (read_count, chunk) in staged.iter().enumerate() {
+        if read_count >= STAGED_SAMPLE_COUNT && reused_count == 0 {
+            break;
+        }
         match app.runner.staged(&manifest.model, *chunk).await {
             Ok(Some(bytes)) if app.transfers.record_staged(manifest_digest, *chunk, &bytes) => {
                 reused_count += 1;
