Write the question to an entry once, and a round of the swarm as a function

The loop of the swarm is split into its round, its schedule and its grants.

One small change: a periodic question has its timeout for the head of the reply and as much again for the body, where it was one for both.

--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -7,19 +7,21 @@
 use std::{net, sync, time};
 
 use indexmap::IndexMap;
-use pimentohook_core::{announcement, carryover, collection, id, position, routes, upstreams};
+use pimentohook_core::{announcement, carryover, collection, routes, upstreams};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
-use snafu::{ResultExt, Snafu, ensure};
+use snafu::ResultExt as _;
 use tokio::time as tokio_time;
 
-use super::{app, weights_feed, weights_versions};
+use super::{
+    app,
+    entry_follow::{self, EntrySnafu, FollowError},
+    weights_feed, weights_versions,
+};
 
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
 const REFRESH_INTERVAL: time::Duration = time::Duration::from_secs(3);
-/// The number of entries that are tried before the store.
-const ENTRIES_TRIED_MAX: usize = 2;
 const ENTRY_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 /// An agent that has just started retries soon: entries may be starting too.
 const STARTUP_ENTRY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
@@ -88,23 +90,6 @@
     }
 }
 
-/// State could not be refreshed from an entry.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub(super)))]
-pub(super) enum FeedError {
-    /// No entry is known.
-    #[snafu(display("no entry is known"))]
-    Nobody,
-    #[snafu(display("{source}"))]
-    Entry { source: client::ClientError },
-    /// The entry has not heard yet that the store was restored.
-    #[snafu(display("entry is at {position}, before the store was restored"))]
-    Outdated { position: position::Position },
-    /// The entry's copy is too old, as it is when it can't reach the store.
-    #[snafu(display("entry knows what was {age_ms:?} ms ago"))]
-    Old { age_ms: Option<u64> },
-}
-
 async fn refresh(app: sync::Arc<app::App>) {
     let mut caches = CachedCollections::default();
     loop {
@@ -149,7 +134,7 @@
     caches: &mut CachedCollections,
     timeout: time::Duration,
 ) -> bool {
-    for entry in preferred_entries(app) {
+    for entry in entry_follow::preferred_entries(app) {
         match refresh_from_entry(app, caches, &entry, timeout).await {
             Ok(()) => return true,
             Err(error) => {
@@ -163,51 +148,29 @@
     false
 }
 
-pub(super) fn preferred_entries(app: &app::App) -> Vec<direct::PeerState> {
-    let mut entries = Vec::clone(&app.entries.load());
-    entries.sort_by_cached_key(|entry| {
-        let is_other_region = entry.region != app.settings.region;
-        (
-            is_other_region,
-            id::rendezvous_score(app.own_vm.as_str(), &entry.entry),
-        )
-    });
-    entries.truncate(ENTRIES_TRIED_MAX);
-    entries
-}
-
 async fn refresh_from_entry(
     app: &app::App,
     caches: &mut CachedCollections,
     entry: &direct::PeerState,
     timeout: time::Duration,
-) -> Result<(), FeedError> {
+) -> Result<(), FollowError> {
     for kind in [
         RefreshedKind::Upstreams,
         RefreshedKind::Entries,
         RefreshedKind::Weights,
     ] {
-        let request = direct::FollowRequest {
-            kind: kind.store_kind().to_string(),
+        let question = entry_follow::Question {
+            kind: kind.store_kind(),
             position: caches.get_mut(kind).position(),
-            era: app.store.era(),
-            wait_ms: 0,
+            wait: time::Duration::ZERO,
+            age_max: kind.age_max(),
+            timeouts: client::Timeouts {
+                head: timeout,
+                body: timeout,
+            },
         };
-        let call = app
-            .client
-            .call(entry.peers, direct::FOLLOW_PATH, &request, timeout);
-        let reply: direct::FollowReply = call.await.context(EntrySnafu)?;
-        let position = reply.delta.position;
-        app.store.record_era(position.era);
-        ensure!(position.era >= app.store.era(), OutdatedSnafu { position });
-        let age = reply.age_ms.map(time::Duration::from_millis);
-        let age_ms = reply.age_ms;
-        ensure!(
-            age.is_some_and(|age| age <= kind.age_max()),
-            OldSnafu { age_ms }
-        );
-        if caches.get_mut(kind).merge(reply.delta) {
-            let read = announcement::Read::fetched_ago(age, &*app.clock);
+        let (delta, read) = entry_follow::ask(app, entry, &question).await?;
+        if caches.get_mut(kind).merge(delta) {
             apply(app, kind, caches, read);
         }
     }
@@ -218,7 +181,7 @@
     app: &app::App,
     entry: &direct::PeerState,
     timeout: time::Duration,
-) -> Result<(), FeedError> {
+) -> Result<(), FollowError> {
     let known = app
         .service
         .load()
--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! * [`settings`] and [`app`]: settings and shared state.
 //! * [`feed`] and [`weights_feed`]: configuration, peers and entries, and announced weights.
+//! * [`entry_follow`]: what both ask of entries.
 //! * [`weights_versions`]: when versions of weights were announced.
 //! * [`gossip`] and [`swarm`]: exchange of progress with peers, and download of weights.
 //! * [`grants`]: permission to download chunks from the origin, which bounds what it sends.
@@ -14,6 +15,7 @@
 //! * [`place`]: admission: entries request a slot at the engine before they send a request to it.
 
 pub mod app;
+pub mod entry_follow;
 pub mod feed;
 pub mod gossip;
 pub mod grants;
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -33,49 +33,77 @@
 /// Downloads announced versions, until the process stops.
 pub async fn run(app: sync::Arc<app::App>, stop: process::StopSignal) {
     tokio::spawn(run_downloads(app.clone(), stop.clone()));
-    let mut logged_at = app.clock.now();
-    let mut calls = gossip::CallSchedule::new(logged_at);
-    let mut earlier_called_at = logged_at;
+    let mut schedule = RoundSchedule::new(app.clock.now());
     let mut pause = gossip::SAMPLE_INTERVAL;
     while wait_for_work(&app, &stop, pause).await {
-        pause = gossip::SAMPLE_INTERVAL;
-        let (Some(newest), Some(service)) =
-            (app.newest_version.load_full(), app.service.load_full())
-        else {
-            continue;
-        };
-        let made = grants::make_due_grants(&app).await;
-        let is_grantor = !made.is_empty();
-        if is_grantor {
-            pause = SHORT_ROUND_INTERVAL;
-        }
-        for made in made {
-            gossip::call_receivers(&app, &sync::Arc::new(made.target), &made.grants);
-        }
-        let selected = version_to_download(&app, &newest);
-        let target = selected.map_or(newest.clone(), sync::Arc::new);
-        call_earlier_grantors(&app, &target, &mut earlier_called_at);
-        // An engine whose VM is being taken away needs no more weights.
-        if app.is_leaving(&app.own_vm) || is_complete(&app, &target) {
-            app.transfers.drop_superseded();
-            if !is_grantor {
-                pause = IDLE_ROUND_INTERVAL;
-            }
-            continue;
-        }
-        let is_opened = !is_target(&app, &target) && open_set(&app, &target, &service).await;
-        if !has_chunks(&app, &target) {
-            pause = SHORT_ROUND_INTERVAL;
-        }
-        let is_grant_used = app.is_grant_used.swap(false, atomic::Ordering::Relaxed);
-        calls.start_due(&app, &target, is_opened || is_grant_used);
-        if app.clock.now().duration_since(logged_at) >= LOG_INTERVAL {
-            logged_at = app.clock.now();
-            log_progress(&app, &target);
+        pause = run_round(&app, &mut schedule).await;
+    }
+}
+
+/// The times at which parts of a round were last due.
+struct RoundSchedule {
+    calls: gossip::CallSchedule,
+    earlier_grantors_called_at: time::Instant,
+    logged_at: time::Instant,
+}
+
+impl RoundSchedule {
+    const fn new(now: time::Instant) -> Self {
+        Self {
+            calls: gossip::CallSchedule::new(now),
+            earlier_grantors_called_at: now,
+            logged_at: now,
         }
     }
 }
 
+/// Makes the grants, calls and preparations for downloads that are due; returns the pause until the
+/// next round.
+async fn run_round(app: &sync::Arc<app::App>, schedule: &mut RoundSchedule) -> time::Duration {
+    let (Some(newest), Some(service)) = (app.newest_version.load_full(), app.service.load_full())
+    else {
+        return gossip::SAMPLE_INTERVAL;
+    };
+    let is_grantor = grant(app).await;
+    let selected = version_to_download(app, &newest);
+    let target = selected.map_or(newest.clone(), sync::Arc::new);
+    call_earlier_grantors(app, &target, &mut schedule.earlier_grantors_called_at);
+    // An engine whose VM is being taken away needs no more weights.
+    if app.is_leaving(&app.own_vm) || is_complete(app, &target) {
+        app.transfers.drop_superseded();
+        return if is_grantor {
+            SHORT_ROUND_INTERVAL
+        } else {
+            IDLE_ROUND_INTERVAL
+        };
+    }
+    let is_opened = !is_target(app, &target) && open_set(app, &target, &service).await;
+    let is_grant_used = app.is_grant_used.swap(false, atomic::Ordering::Relaxed);
+    let has_news = is_opened || is_grant_used;
+    schedule.calls.start_due(app, &target, has_news);
+    let now = app.clock.now();
+    if now.duration_since(schedule.logged_at) >= LOG_INTERVAL {
+        schedule.logged_at = now;
+        log_progress(app, &target);
+    }
+    if is_grantor || !has_chunks(app, &target) {
+        SHORT_ROUND_INTERVAL
+    } else {
+        gossip::SAMPLE_INTERVAL
+    }
+}
+
+/// Makes the grants that are due and tells them to the agents that got them; returns whether this
+/// agent is the grantor of a version.
+async fn grant(app: &sync::Arc<app::App>) -> bool {
+    let made = grants::make_due_grants(app).await;
+    let is_grantor = !made.is_empty();
+    for new in made {
+        gossip::call_receivers(app, &sync::Arc::new(new.target), &new.grants);
+    }
+    is_grantor
+}
+
 /// Waits for `pause` or until a version is announced; returns false if the process stops.
 async fn wait_for_work(app: &app::App, stop: &process::StopSignal, pause: time::Duration) -> bool {
     tokio::select! {
--- a/crates/agent/src/direct/weights_feed.rs
+++ b/crates/agent/src/direct/weights_feed.rs
@@ -8,15 +8,9 @@
 use pimentohook_core::{announcement, carryover, collection};
 use pimentohook_platform::{decode, store};
 use pimentohook_runtime::client;
-use pimentohook_wire::direct;
-use snafu::{ResultExt as _, ensure};
 use tokio::time as tokio_time;
 
-use super::{
-    app,
-    feed::{self, EntrySnafu, OldSnafu, OutdatedSnafu},
-    weights_versions,
-};
+use super::{app, entry_follow, feed, weights_versions};
 
 /// How long a watch of the store waits for an announcement.
 const STORE_WAIT: time::Duration = time::Duration::from_secs(12);
@@ -86,34 +80,19 @@
 async fn follow_entry(
     app: &app::App,
     known: &mut collection::Collection,
-) -> Result<(), feed::FeedError> {
-    let entries = feed::preferred_entries(app);
-    let entry = entries.first().ok_or(feed::FeedError::Nobody)?;
-    let request = direct::FollowRequest {
-        kind: store::Kind::Weights.to_string(),
+) -> Result<(), entry_follow::FollowError> {
+    let entries = entry_follow::preferred_entries(app);
+    let entry = entries.first().ok_or(entry_follow::FollowError::Nobody)?;
+    let question = entry_follow::Question {
+        kind: store::Kind::Weights,
         position: known.position(),
-        era: app.store.era(),
-        wait_ms: u32::try_from(ENTRY_WAIT.as_millis()).unwrap_or(u32::MAX),
+        wait: ENTRY_WAIT,
+        age_max: feed::WEIGHTS_AGE_MAX,
+        timeouts: ENTRY_TIMEOUTS,
     };
-    let call =
-        app.client
-            .call_with_timeouts(entry.peers, direct::FOLLOW_PATH, &request, ENTRY_TIMEOUTS);
-    let reply: direct::FollowReply = call.await.context(EntrySnafu)?;
-    let position = reply.delta.position;
-    app.store.record_era(position.era);
-    ensure!(position.era >= app.store.era(), OutdatedSnafu { position });
-    let age = reply.age_ms.map(time::Duration::from_millis);
-    let age_ms = reply.age_ms;
-    ensure!(
-        age.is_some_and(|age| age <= feed::WEIGHTS_AGE_MAX),
-        OldSnafu { age_ms }
-    );
-    let is_changed = known.merge(reply.delta);
-    record(
-        app,
-        known,
-        announcement::Read::fetched_ago(age, &*app.clock),
-    );
+    let (delta, read) = entry_follow::ask(app, entry, &question).await?;
+    let is_changed = known.merge(delta);
+    record(app, known, read);
     if is_changed {
         // The entry tells when the version was announced.
         feed::refresh_service(app, entry, ENTRY_TIMEOUTS.body).await?;
