--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -32,7 +32,7 @@
 const GRANT_LIFETIME: time::Duration = time::Duration::from_millis(1_400);
 /// How often backoffs are checked while the target is incomplete.
 const DOWNLOADING_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
-const IDLE_POLL_INTERVAL: time::Duration = time::Duration::from_secs(2);
+const IDLE_POLL_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// A download of a chunk from the origin.
 pub type OriginDownload = future::BoxFuture<'static, Result<Bytes, OriginError>>;
@@ -336,8 +336,9 @@
         let last = sets.len() - 1;
         sets.move_index(position, last);
         drop(sets);
-        self.target.send_replace(Some(manifest));
-        self.changed.notify_one();
+        if self.target.send_replace(Some(manifest)) != Some(manifest) {
+            self.changed.notify_one();
+        }
         true
     }
 
