--- a/crates/agent/tests/idle_transfers.rs
+++ b/crates/agent/tests/idle_transfers.rs
@@ -112,3 +112,14 @@
     assert!(transfers.is_complete(manifest(2)));
     assert!(transfers.progress_of(manifest(3)).is_some(), "under way");
 }
+
+/// The agents of the gateway mode set their target with each heartbeat, which woke their downloads
+/// each time and kept a core busy.
+#[tokio::test]
+async fn a_target_that_stays_the_same_wakes_nobody() {
+    let transfers = start_transfers();
+    open_complete(&transfers, 1);
+    assert!(returns_within_calm(&transfers).await, "a set was opened");
+    assert!(transfers.set_target(manifest(1)));
+    assert!(!returns_within_calm(&transfers).await, "it was the target");
+}
