Log what retries are paid for and each share of the fleet's burst

The logs of the incident did not tell whether entries had taken more than their share at their start, whether a restart had given back what was spent, or whether sends were not paid for. Every 2 s an entry with retries now logs by service its requests, retries by reason (an attempt failed, a move from a silent upstream, a resumed stream) and denials, and each change of its share of the burst with the number of entries that it knows. The budgets move from app.rs into a module of their own; what they decide is unchanged.

--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,8 +6,8 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    announcement, clock, engine_contact, id, idle_limit, limits, lowered_timeouts, refusal_rate,
-    routes, routing::score, shutdown, upstreams,
+    announcement, clock, engine_contact, id, idle_limit, lowered_timeouts, refusal_rate, routes,
+    routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{body, client, metrics};
@@ -15,7 +15,9 @@
 
 use strum::IntoEnumIterator as _;
 
-use super::{cache, prompt_evidence, restored, settings, upstream_limits, upstream_notices};
+use super::{
+    cache, prompt_evidence, restored, retries, settings, upstream_limits, upstream_notices,
+};
 
 /// State of an upstream that the entry tracks itself, in addition to the listed data.
 #[derive(Debug, Default)]
@@ -108,7 +110,8 @@
     /// The longest timeout that callers of each route sent, in milliseconds.
     longest_timeouts_ms: ArcSwap<IndexMap<String, sync::Arc<atomic::AtomicU64>>>,
     refusal_rates: ArcSwap<IndexMap<id::ServiceName, sync::Arc<refusal_rate::RefusalRate>>>,
-    retry_budgets: ArcSwap<IndexMap<id::ServiceName, sync::Arc<limits::RetryBudget>>>,
+    /// The retry budgets.
+    pub retries: retries::Retries,
     /// The timeouts of routes that were longer before.
     pub lowered_timeouts: ArcSwap<lowered_timeouts::LoweredTimeouts>,
     /// How long callers' idle connections are kept.
@@ -161,7 +164,7 @@
             peer_configuration: atomic::AtomicU64::new(0),
             longest_timeouts_ms: ArcSwap::default(),
             refusal_rates: ArcSwap::default(),
-            retry_budgets: ArcSwap::default(),
+            retries: retries::Retries::default(),
             lowered_timeouts: ArcSwap::default(),
             idle_limit: ArcSwap::from_pointee(idle_limit::IdleLimit::new(settings.idle_timeout)),
             shutdown: ArcSwapOption::empty(),
@@ -305,40 +308,6 @@
         }
     }
 
-    /// Returns this entry's share of the burst of retries that all entries together may send. Entries
-    /// that are not heard may be cut off and retry too, so they keep their shares for a while.
-    fn retry_burst_share(&self) -> u64 {
-        let burst = u32::try_from(self.settings.retry_burst).unwrap_or(u32::MAX);
-        u64::from(self.upstream_limits.shares().of_slots(burst))
-    }
-
-    /// Adjusts the retry budgets to the number of live entries.
-    pub fn limit_retries(&self) {
-        let burst = self.retry_burst_share();
-        for budget in self.retry_budgets.load().values() {
-            budget.set_burst(burst);
-        }
-    }
-
-    /// Returns the retry budget of a service.
-    #[must_use]
-    pub fn retry_budget(&self, service: &id::ServiceName) -> sync::Arc<limits::RetryBudget> {
-        if let Some(budget) = self.retry_budgets.load().get(service) {
-            return budget.clone();
-        }
-        let burst = self.retry_burst_share();
-        let created = limits::RetryBudget::new(self.settings.retry_percent, burst);
-        let created = sync::Arc::new(created);
-        self.retry_budgets.rcu(|retry_budgets| {
-            let mut retry_budgets = IndexMap::clone(retry_budgets);
-            retry_budgets
-                .entry(service.clone())
-                .or_insert_with(|| created.clone());
-            retry_budgets
-        });
-        created
-    }
-
     /// Records the timeout that a caller of a route sent; returns the longest one so far.
     pub fn record_caller_timeout(&self, route: &str, timeout: time::Duration) -> time::Duration {
         let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
--- a/crates/entry/src/direct/engine_silence.rs
+++ b/crates/entry/src/direct/engine_silence.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom as _;
 use tokio::time as tokio_time;
 
-use super::{app, attempt, permits, placement, proxy};
+use super::{app, attempt, permits, placement, proxy, retries};
 
 /// An agent that has not responded for this long is treated as silent.
 pub const AGENT_TIMEOUT: time::Duration = time::Duration::from_millis(60);
@@ -293,7 +293,8 @@
     tried: &[String],
 ) -> Option<placement::Placement> {
     let placement = proxy::choose(app, request, tried).await.ok()?;
-    if app.retry_budget(&request.service).try_withdraw() {
+    let budget = retries::of_service(app, &request.service);
+    if budget.try_withdraw(retries::Reason::Moved) {
         return Some(placement);
     }
     permits::give_back(app, &placement.candidate.upstream.instance);
--- a/crates/entry/src/direct/limit_gossip.rs
+++ b/crates/entry/src/direct/limit_gossip.rs
@@ -10,7 +10,7 @@
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use tokio::time as tokio_time;
 
-use super::{app, permits, upstream_limits, upstream_notices};
+use super::{app, permits, retries, upstream_limits, upstream_notices};
 
 const ROUND_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// The shortest time between two messages about changes, however often limits change.
@@ -47,6 +47,7 @@
         }
         if now >= log_at {
             upstream_limits::log_usage(&app);
+            retries::log_usage(&app);
             app.upstream_limits.remove_untracked(app.clock.now());
             upstream_notices::remove_unlisted(&app);
             log_at = now + USAGE_LOG_INTERVAL;
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -49,6 +49,7 @@
 pub mod proxy;
 pub mod request_timeout;
 pub mod restored;
+pub mod retries;
 pub mod settings;
 pub mod slot;
 pub mod stream;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -13,7 +13,7 @@
     app,
     attempt::{self, Fault, Outcome},
     ending, engine_silence, final_response, intake, limited_upstream, permits, placement,
-    prompt_admission, prompt_evidence, request_timeout, stream,
+    prompt_admission, prompt_evidence, request_timeout, retries, stream,
 };
 
 /// Subtracted from the deadline, so that a failure reaches the caller in time.
@@ -127,8 +127,8 @@
     request: &sync::Arc<ProxiedRequest>,
     history: &mut final_response::AttemptHistory,
 ) -> Response<Body> {
-    let budget = app.retry_budget(&request.service);
-    budget.deposit();
+    let budget = retries::of_service(app, &request.service);
+    budget.record_request();
     let mut next: Option<placement::Placement> = None;
     loop {
         if let Err(part) = prompt_admission::admit(app, request) {
@@ -144,7 +144,7 @@
                 Ok(placement) => placement,
                 Err(denial) => return final_response::refuse(app, request, history, denial),
             };
-            if !history.tried.is_empty() && !budget.try_withdraw() {
+            if !history.tried.is_empty() && !budget.try_withdraw(retries::Reason::Failed) {
                 permits::give_back(app, &placement.candidate.upstream.instance);
                 return final_response::fail(app, request, history, "the retry budget is spent");
             }
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -13,7 +13,7 @@
     app,
     attempt::{self, Outcome},
     ending, engine_silence, limited_upstream, open_stream, permits, placement, prompt_admission,
-    prompt_evidence, proxy, request_timeout, stream_evidence,
+    prompt_evidence, proxy, request_timeout, retries, stream_evidence,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -251,8 +251,8 @@
         let placement = placement::choose(&self.app, &placement_request)
             .await
             .map_err(|denial| Interruption::NoUpstream { denial })?;
-        let budget = self.app.retry_budget(&self.request.service);
-        if !budget.try_withdraw() {
+        let budget = retries::of_service(&self.app, &self.request.service);
+        if !budget.try_withdraw(retries::Reason::Resumed) {
             permits::give_back(&self.app, &placement.candidate.upstream.instance);
             return RetryBudgetSpentSnafu.fail();
         }
