Keep the retries of a fleet within its budget through starts, losses and cuts

Cause: the budget was a quantity of each process. An entry that starts knew no other, took the fleet's whole burst for its own share, and began with a full balance; nothing was kept of what had been sent under its name before. So 43 entries that start at once had up to 43 bursts, and a restart gave back what was spent. The class: a bound on what all do together that each process holds from its start on.

Now core::retry_budget has it. The percentage needs no agreement: an entry counts its own requests and retries in a sliding window. The burst is divided among all entries that may be running, registered ones however long they are silent. The share is nothing at the start and while the registrations were not read; a lower one counts at once, a higher one after a window and 5 s in which others hear of a start. So whatever a predecessor sent is out of the window first. A fresh entry may retry a share of its requests from the first ones on.

Weighed: a balance of 0 that grows by deposits (a restart after the burst was spent still doubles it once refilled, and an entry that knows nobody still takes the whole); a part of the burst for entries that join, growing with their age (1.1 retries at 43 entries after 10 s, for a fifth less of the burst at all others); permits of a coordinator, as for limits of upstreams (it starts with the others, and knows as little).

The settings get retry_window_s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,7 +13,7 @@
 //! Used by both modes below:
 //!
 //! * [`routing`]: which upstream receives a request, and how the request fails over.
-//! * [`limits`]: fair sharing of slots among organisations, and the retry budget.
+//! * [`limits`]: fair sharing of slots among organisations, and the retry budget of one entry.
 //! * [`burst`]: how weights spread from few copies of the origin to every VM.
 //!
 //! Gateway mode, in which entries dispatch requests to agents, which can prove that a request did
@@ -38,6 +38,7 @@
 //! * [`engine_contact`]: whether an engine whose agent does not respond is used.
 //! * [`event_stream`]: the events of a streamed response.
 //! * [`prompt_evidence`]: which parts of prompts crash engines and are kept from them.
+//! * [`retry_budget`]: the retries that all entries together may send.
 //! * [`refusal_rate`]: when refused callers should retry.
 //! * [`shutdown`]: which requests a process accepts while it is shutting down.
 //! * [`announcement`]: when versions of weights were announced.
@@ -72,6 +73,7 @@
 pub mod relay;
 pub mod report;
 pub mod response;
+pub mod retry_budget;
 pub mod rolling_update;
 pub mod routes;
 pub mod routing;
--- a/crates/core/src/upstream_limit/fleet.rs
+++ b/crates/core/src/upstream_limit/fleet.rs
@@ -138,6 +138,15 @@
         });
     }
 
+    /// Returns the number of entries that may be running, this one included. One that is registered
+    /// counts however long it has not been heard, as it may be cut off.
+    #[must_use]
+    pub fn entry_count(&self) -> u32 {
+        u32::try_from(self.others.len())
+            .unwrap_or(u32::MAX)
+            .saturating_add(1)
+    }
+
     /// Returns the shares of a limit that this entry may use.
     #[must_use]
     pub fn shares(&self, now: time::Instant) -> Shares {
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -164,7 +164,11 @@
             peer_configuration: atomic::AtomicU64::new(0),
             longest_timeouts_ms: ArcSwap::default(),
             refusal_rates: ArcSwap::default(),
-            retries: retries::Retries::default(),
+            retries: retries::Retries::new(
+                settings.retry_burst,
+                settings.retry_window,
+                clock.now(),
+            ),
             lowered_timeouts: ArcSwap::default(),
             idle_limit: ArcSwap::from_pointee(idle_limit::IdleLimit::new(settings.idle_timeout)),
             shutdown: ArcSwapOption::empty(),
--- a/crates/entry/src/direct/engine_silence.rs
+++ b/crates/entry/src/direct/engine_silence.rs
@@ -293,8 +293,7 @@
     tried: &[String],
 ) -> Option<placement::Placement> {
     let placement = proxy::choose(app, request, tried).await.ok()?;
-    let budget = retries::of_service(app, &request.service);
-    if budget.try_withdraw(retries::Reason::Moved) {
+    if retries::try_withdraw(app, &request.service, retries::Reason::Moved) {
         return Some(placement);
     }
     permits::give_back(app, &placement.candidate.upstream.instance);
--- a/crates/entry/src/direct/limit_gossip.rs
+++ b/crates/entry/src/direct/limit_gossip.rs
@@ -37,6 +37,7 @@
         let now = tokio_time::Instant::now();
         if now >= round_at {
             upstream_limits::update_fleet(&app);
+            retries::update_burst_share(&app);
             round_at = now + ROUND_INTERVAL;
         }
         if is_changed {
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -14,7 +14,7 @@
 use rand::seq::IndexedRandom as _;
 use tokio::time as tokio_time;
 
-use super::{app, prompt_evidence, retries, weights_versions};
+use super::{app, prompt_evidence, weights_versions};
 
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
@@ -71,7 +71,6 @@
         tokio_time::sleep(HEARTBEAT_INTERVAL).await;
         remove_lost(&app);
         app.limit_idle_connections();
-        retries::update_share(&app);
     }
 }
 
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -127,8 +127,7 @@
     request: &sync::Arc<ProxiedRequest>,
     history: &mut final_response::AttemptHistory,
 ) -> Response<Body> {
-    let budget = retries::of_service(app, &request.service);
-    budget.record_request();
+    retries::record_request(app, &request.service);
     let mut next: Option<placement::Placement> = None;
     loop {
         if let Err(part) = prompt_admission::admit(app, request) {
@@ -144,7 +143,9 @@
                 Ok(placement) => placement,
                 Err(denial) => return final_response::refuse(app, request, history, denial),
             };
-            if !history.tried.is_empty() && !budget.try_withdraw(retries::Reason::Failed) {
+            if !history.tried.is_empty()
+                && !retries::try_withdraw(app, &request.service, retries::Reason::Failed)
+            {
                 permits::give_back(app, &placement.candidate.upstream.instance);
                 return final_response::fail(app, request, history, "the retry budget is spent");
             }
--- a/crates/entry/src/direct/retries.rs
+++ b/crates/entry/src/direct/retries.rs
@@ -1,10 +1,11 @@
 //! The retry budgets of an entry, one for each service, and log lines on their use.
 
-use std::{sync, sync::atomic};
+use std::{sync, sync::atomic, time};
 
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
-use pimentohook_core::{id, limits};
+use pimentohook_core::{id, retry_budget};
+use pimentohook_platform::store;
 
 use super::app;
 
@@ -23,46 +24,27 @@
 /// The retry budget of a service and its use.
 #[derive(Debug)]
 pub struct ServiceRetries {
-    budget: limits::RetryBudget,
+    budget: retry_budget::RetryBudget,
     usage: Usage,
 }
 
 /// What was counted since the last log line.
 #[derive(Debug, Default)]
 struct Usage {
-    request_count: atomic::AtomicU32,
-    failed_count: atomic::AtomicU32,
-    moved_count: atomic::AtomicU32,
-    resumed_count: atomic::AtomicU32,
-    denied_count: atomic::AtomicU32,
+    requests: atomic::AtomicU32,
+    failed: atomic::AtomicU32,
+    moved: atomic::AtomicU32,
+    resumed: atomic::AtomicU32,
+    denied: atomic::AtomicU32,
 }
 
 impl ServiceRetries {
-    fn new(budget: limits::RetryBudget) -> Self {
+    fn new(budget: retry_budget::RetryBudget) -> Self {
         Self {
             budget,
             usage: Usage::default(),
         }
     }
-
-    /// Counts a caller's request.
-    pub fn record_request(&self) {
-        self.budget.deposit();
-        increment(&self.usage.request_count);
-    }
-
-    /// Pays for sending a request again; returns `false` if the budget is spent.
-    pub fn try_withdraw(&self, reason: Reason) -> bool {
-        let is_paid = self.budget.try_withdraw();
-        let usage = &self.usage;
-        increment(match reason {
-            _ if !is_paid => &usage.denied_count,
-            Reason::Failed => &usage.failed_count,
-            Reason::Moved => &usage.moved_count,
-            Reason::Resumed => &usage.resumed_count,
-        });
-        is_paid
-    }
 }
 
 fn increment(counter: &atomic::AtomicU32) {
@@ -70,21 +52,57 @@
 }
 
 /// The retry budgets of all services.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Retries {
     by_service: ArcSwap<IndexMap<id::ServiceName, sync::Arc<ServiceRetries>>>,
-    /// The share of the fleet's burst that was logged last.
-    logged_burst: atomic::AtomicU64,
+    burst_share: sync::Mutex<retry_budget::BurstShare>,
+    /// The present value of the share, for the path of a request.
+    burst_hundredths: atomic::AtomicU64,
 }
 
-/// Returns the retry budget of a service.
+impl Retries {
+    /// Creates the budgets of an entry that starts.
+    #[must_use]
+    pub fn new(burst_count: u64, window: time::Duration, started_at: time::Instant) -> Self {
+        let share = retry_budget::BurstShare::new(burst_count, window, started_at);
+        Self {
+            by_service: ArcSwap::default(),
+            burst_hundredths: atomic::AtomicU64::new(share.hundredths()),
+            burst_share: sync::Mutex::new(share),
+        }
+    }
+}
+
+/// Counts a caller's request to a service.
+pub fn record_request(app: &app::App, service: &id::ServiceName) {
+    let retries = of_service(app, service);
+    retries.budget.record_request(app.now_ms());
+    increment(&retries.usage.requests);
+}
+
+/// Pays for sending a request to a service again; returns `false` if the budget is spent.
 #[must_use]
-pub fn of_service(app: &app::App, service: &id::ServiceName) -> sync::Arc<ServiceRetries> {
+pub fn try_withdraw(app: &app::App, service: &id::ServiceName, reason: Reason) -> bool {
+    let retries = of_service(app, service);
+    let burst_hundredths = app.retries.burst_hundredths.load(atomic::Ordering::Relaxed);
+    let is_paid = retries.budget.try_withdraw(app.now_ms(), burst_hundredths);
+    let usage = &retries.usage;
+    increment(match reason {
+        _ if !is_paid => &usage.denied,
+        Reason::Failed => &usage.failed,
+        Reason::Moved => &usage.moved,
+        Reason::Resumed => &usage.resumed,
+    });
+    is_paid
+}
+
+fn of_service(app: &app::App, service: &id::ServiceName) -> sync::Arc<ServiceRetries> {
     let by_service = &app.retries.by_service;
     if let Some(retries) = by_service.load().get(service) {
         return retries.clone();
     }
-    let budget = limits::RetryBudget::new(app.settings.retry_percent, burst_share(app));
+    let settings = &app.settings;
+    let budget = retry_budget::RetryBudget::new(settings.retry_percent, settings.retry_window);
     let created = sync::Arc::new(ServiceRetries::new(budget));
     by_service.rcu(|by_service| {
         let mut by_service = IndexMap::clone(by_service);
@@ -96,25 +114,26 @@
     by_service.load().get(service).cloned().unwrap_or(created)
 }
 
-/// Returns this entry's share of the burst of retries that all entries together may send. Entries
-/// that are not heard may be cut off and retry too, so they keep their shares for a while.
-fn burst_share(app: &app::App) -> u64 {
-    let burst = u32::try_from(app.settings.retry_burst).unwrap_or(u32::MAX);
-    u64::from(app.upstream_limits.shares().of_slots(burst))
-}
-
-/// Adjusts the retry budgets to the number of live entries.
-pub fn update_share(app: &app::App) {
-    let burst = burst_share(app);
-    for retries in app.retries.by_service.load().values() {
-        retries.budget.set_burst(burst);
-    }
+/// Updates the share of the fleet's burst to the number of entries that may be running.
+pub fn update_burst_share(app: &app::App) {
+    let registrations = app.cached(store::Kind::Entries);
+    let is_fleet_known = registrations.age(app.clock.boot_now()).is_some();
+    let entry_count = is_fleet_known.then(|| app.upstream_limits.entry_count());
+    let mut share = app
+        .retries
+        .burst_share
+        .lock()
+        .unwrap_or_else(sync::PoisonError::into_inner);
+    share.update(app.clock.now(), entry_count);
+    let hundredths = share.hundredths();
+    drop(share);
     let ordering = atomic::Ordering::Relaxed;
-    if app.retries.logged_burst.swap(burst, ordering) != burst {
+    let before = app.retries.burst_hundredths.swap(hundredths, ordering);
+    if before != hundredths {
         log::info!(
-            "retry: event=share_changed burst={burst} of={} entries={}",
-            app.settings.retry_burst,
-            app.entry_count()
+            "retry: event=share_changed before_hundredths={before} hundredths={hundredths} of={} \
+             entries={entry_count:?}",
+            app.settings.retry_burst
         );
     }
 }
@@ -124,14 +143,9 @@
     for (service, retries) in app.retries.by_service.load().iter() {
         let take = |counter: &atomic::AtomicU32| counter.swap(0, atomic::Ordering::Relaxed);
         let usage = &retries.usage;
-        let request_count = take(&usage.request_count);
-        let [failed, moved, resumed, denied] = [
-            &usage.failed_count,
-            &usage.moved_count,
-            &usage.resumed_count,
-            &usage.denied_count,
-        ]
-        .map(take);
+        let request_count = take(&usage.requests);
+        let [failed, moved, resumed, denied] =
+            [&usage.failed, &usage.moved, &usage.resumed, &usage.denied].map(take);
         if failed + moved + resumed + denied > 0 {
             log::info!(
                 "retry: event=used service={service} requests={request_count} failed={failed} \
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -93,6 +93,8 @@
     pub retry_percent: u64,
     /// The burst of retries that all entries together may send on top of the percentage.
     pub retry_burst: u64,
+    /// The time in which the percentage and the burst may be sent.
+    pub retry_window: time::Duration,
     /// The address that serves metrics; `None` to serve none.
     pub metrics: Option<net::SocketAddr>,
     /// The log level.
@@ -113,6 +115,7 @@
 const MINUTE_MS: u64 = 60_000;
 const RETRY_PERCENT_DEFAULT: u64 = 12;
 const RETRY_BURST_DEFAULT: u64 = 60;
+const RETRY_WINDOW_DEFAULT_S: u64 = 10;
 const ADDRESS: &str = "an IP address and port, as in 10.0.0.1:8000";
 
 impl DirectSettings {
@@ -155,6 +158,8 @@
             .max(DRAIN_GRACE_MIN);
         let retry_percent = checker.number("retry_percent", RETRY_PERCENT_DEFAULT, 0..=100);
         let retry_burst = checker.number("retry_burst", RETRY_BURST_DEFAULT, 0..=100_000);
+        let retry_window_s = checker.number("retry_window_s", RETRY_WINDOW_DEFAULT_S, 1..=60);
+        let retry_window = time::Duration::from_secs(retry_window_s);
         let metrics = checker.optional("metrics", ADDRESS);
         let log_level = checker
             .optional("log_level", "error, warn, info, debug or trace")
@@ -186,6 +191,7 @@
                 drain_grace,
                 retry_percent,
                 retry_burst,
+                retry_window,
                 metrics,
                 log_level,
             })
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -251,8 +251,8 @@
         let placement = placement::choose(&self.app, &placement_request)
             .await
             .map_err(|denial| Interruption::NoUpstream { denial })?;
-        let budget = retries::of_service(&self.app, &self.request.service);
-        if !budget.try_withdraw(retries::Reason::Resumed) {
+        let service = &self.request.service;
+        if !retries::try_withdraw(&self.app, service, retries::Reason::Resumed) {
             permits::give_back(&self.app, &placement.candidate.upstream.instance);
             return RetryBudgetSpentSnafu.fail();
         }
--- a/crates/entry/src/direct/upstream_limits.rs
+++ b/crates/entry/src/direct/upstream_limits.rs
@@ -21,6 +21,7 @@
     coordinators: ArcSwap<Vec<String>>,
     shares: ArcSwap<fleet::Shares>,
     fleet: sync::Mutex<fleet::Fleet>,
+    entry_count: atomic::AtomicU32,
     heartbeats_answered: atomic::AtomicU32,
     heartbeats_unanswered: atomic::AtomicU32,
     /// Notified when a response changed a belief.
@@ -57,6 +58,12 @@
         **self.shares.load()
     }
 
+    /// Returns the number of entries that may be running, this one included.
+    #[must_use]
+    pub fn entry_count(&self) -> u32 {
+        self.entry_count.load(atomic::Ordering::Relaxed).max(1)
+    }
+
     /// Returns the coordinator of an upstream; `None` if no entry can be one.
     #[must_use]
     pub fn coordinator(&self, instance: &str) -> Option<String> {
@@ -125,7 +132,11 @@
         .unwrap_or_else(sync::PoisonError::into_inner);
     fleet.update(now, &heard, &registered, limits.take_heartbeats());
     let shares = fleet.shares(now);
+    let entry_count = fleet.entry_count();
     drop(fleet);
+    limits
+        .entry_count
+        .store(entry_count, atomic::Ordering::Relaxed);
     let before = limits.shares.swap(sync::Arc::new(shares));
     if *before != shares && !limits.all().is_empty() {
         log::info!(
