Log which request an upstream ended under by its path, caller and body

The line on an upstream that ended named an attempt's id and the parts of a prompt, so nothing told that attempts at several entries were the same request, which is what tells the first hypothesis of the incident from the others. It now has a fingerprint of the request, the same at all entries. It is computed only for that line.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 //! * [`engine_contact`]: whether an engine whose agent does not respond is used.
 //! * [`event_stream`]: the events of a streamed response.
 //! * [`prompt_evidence`]: which parts of prompts crash engines and are kept from them.
+//! * [`fingerprint`]: what tells that two requests are the same.
 //! * [`retry_budget`]: the retries that all entries together may send.
 //! * [`refusal_rate`]: when refused callers should retry.
 //! * [`shutdown`]: which requests a process accepts while it is shutting down.
@@ -60,6 +61,7 @@
 pub mod engine_admission;
 pub mod engine_contact;
 pub mod event_stream;
+pub mod fingerprint;
 pub mod id;
 pub mod idle_limit;
 pub mod intent;
--- a/crates/entry/src/direct/prompt_evidence.rs
+++ b/crates/entry/src/direct/prompt_evidence.rs
@@ -162,11 +162,12 @@
     app.count("upstream_ended");
     log::warn!(
         "prompt: event=upstream_ended request={} instance={} started_unix_ms={:?} \
-         progress={progress} after_ms={} parts={}",
+         progress={progress} after_ms={} fingerprint={} parts={}",
         request.id(),
         candidate.upstream.instance,
         candidate.upstream.started_unix_ms,
         request.arrived_at.elapsed().as_millis(),
+        request.fingerprint(),
         LoggedParts(&request.caller.prompt)
     );
     if !is_evidence(request) {
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, Uri, header};
-use pimentohook_core::{id, routes};
+use pimentohook_core::{fingerprint, id, routes};
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
 
@@ -59,6 +59,20 @@
         self.caller.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Returns what tells whether another request is the same.
+    #[must_use]
+    pub fn fingerprint(&self) -> fingerprint::Fingerprint {
+        let path = self.uri.path_and_query();
+        let organisation = self.organisation.as_ref();
+        let identity = fingerprint::Identity {
+            method: self.method.as_str(),
+            host: &self.host,
+            path: path.map_or("/", |path| path.as_str()),
+            organisation: organisation.map(|organisation| organisation.name.as_str()),
+        };
+        fingerprint::Fingerprint::of(&identity, &self.body)
+    }
+
     /// Returns when the caller or the route gives up on the request.
     #[must_use]
     pub fn deadline(&self) -> time::Instant {
