Keep requests that crash upstreams from them, by path, caller and body

Cause: entries knew a request by the id of its attempt alone. What crashes engines was weighed for parts of prompts only, and plain services gave no evidence at all.

Now a request's fingerprint, a hash of method, host, path, organisation and body, is weighed like a part of a prompt, at plain services too: three ends of upstreams at two moments or more, and never if it was served. What is kept is refused at once, with 503 and ten minutes, as for parts. Weighed: three moments as for parts (three upstreams that end within 150 ms twice make only two; the fourth retry would be too late), and a count for the attempt alone (others come at other entries).

--- a/crates/core/src/prompt_evidence/commands.rs
+++ b/crates/core/src/prompt_evidence/commands.rs
@@ -106,8 +106,12 @@
     pub fn merge(&mut self, report: &report::Report, now: time::Instant) -> Vec<change::Change> {
         self.settle(now);
         let standing = self.merge_ends(&report.ends, now);
-        for part in report.parts.iter().take(retention::SUSPECTS_MAX) {
-            self.merge_part(part, &standing, now);
+        for reported in report.parts.iter().take(retention::SUSPECTS_MAX) {
+            self.merge_part(reported.part, reported, &standing, now);
+        }
+        for reported in report.requests.iter().take(retention::SUSPECTS_MAX) {
+            let request = prompt::PromptPart::of_request(reported.part.into());
+            self.merge_part(request, reported, &standing, now);
         }
         if report.is_empty() {
             return self.review_if_due(now);
--- a/crates/core/src/prompt_evidence/exchange.rs
+++ b/crates/core/src/prompt_evidence/exchange.rs
@@ -34,7 +34,12 @@
             is_withdrawn || told.contains(run)
         });
         let ends = ends.map(|(run, end)| end_report(run, end, now)).collect();
-        report::Report { ends, parts }
+        let (requests, parts) = parts.into_iter().partition(|part| part.part.is_request());
+        report::Report {
+            ends,
+            parts,
+            requests,
+        }
     }
 
     fn told_parts(&self, now: time::Instant) -> Vec<(prompt::PromptPart, &suspects::Suspect)> {
@@ -97,6 +102,7 @@
 
     pub(super) fn merge_part(
         &mut self,
+        part: prompt::PromptPart,
         reported: &report::PartReport,
         standing: &IndexSet<prompt::EngineRun>,
         now: time::Instant,
@@ -108,7 +114,7 @@
         if crashes.is_empty() {
             return;
         }
-        let suspect = self.suspects.get_or_add(reported.part);
+        let suspect = self.suspects.get_or_add(part);
         for crash in crashes {
             suspect.merge_crash(crash.run, told_crash(crash), now);
         }
@@ -117,7 +123,7 @@
             .held_back_age_ms
             .and_then(|age_ms| instant(age_ms, now));
         suspect.held_back_at = later_by_a_step(suspect.held_back_at, held_back_at);
-        if let Some(served_here) = self.served.last_served_at(reported.part) {
+        if let Some(served_here) = self.served.last_served_at(part) {
             suspect.refute(&self.ends, served_here, now);
         }
     }
--- a/crates/core/src/prompt_evidence/mod.rs
+++ b/crates/core/src/prompt_evidence/mod.rs
@@ -1,4 +1,9 @@
-//! Which parts of prompts crash the engines that begin to write a response on them.
+//! Which parts of prompts crash the engines that begin to write a response on them, and which
+//! requests crash the upstreams that run them.
+//!
+//! A request is identified by its [`fingerprint`](crate::fingerprint) and weighed like a part, but that
+//! it is never accused if it was served. What is said of parts and engines below holds for requests
+//! and all upstreams.
 //!
 //! Against a part counts each distinct run of an engine that ended while a request with the part was
 //! under way there. For it count responses on it that their engine outlived: they refute all earlier
--- a/crates/core/src/prompt_evidence/prompt.rs
+++ b/crates/core/src/prompt_evidence/prompt.rs
@@ -1,4 +1,4 @@
-//! Parts of prompts, and runs of engines.
+//! Parts of prompts, fingerprints of requests, and runs of engines.
 
 use std::{fmt, num, str};
 
@@ -6,20 +6,57 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt as _, Snafu};
 
+use crate::fingerprint;
+
 /// The maximum number of parts of a prompt.
 pub const PARTS_MAX: usize = 64;
 const HEX_RADIX: u32 = 16;
 
-/// The identifier of a part of prompts, written in hexadecimal.
+/// The identifier of a part of prompts, written in hexadecimal, or the fingerprint of a request.
+///
+/// In messages it is a number; what it identifies is told beside it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct PromptPart(u64);
+#[serde(from = "u64", into = "u64")]
+pub struct PromptPart {
+    number: u64,
+    is_request: bool,
+}
 
 impl PromptPart {
-    /// Creates an identifier from a number.
+    /// Creates the identifier of a part from a number.
     #[must_use]
     pub const fn new(number: u64) -> Self {
-        Self(number)
+        Self {
+            number,
+            is_request: false,
+        }
+    }
+
+    /// Creates the identifier that stands for a whole request.
+    #[must_use]
+    pub const fn of_request(fingerprint: u64) -> Self {
+        Self {
+            number: fingerprint,
+            is_request: true,
+        }
+    }
+
+    /// Returns whether it stands for a whole request.
+    #[must_use]
+    pub const fn is_request(self) -> bool {
+        self.is_request
+    }
+}
+
+impl From<u64> for PromptPart {
+    fn from(number: u64) -> Self {
+        Self::new(number)
+    }
+}
+
+impl From<PromptPart> for u64 {
+    fn from(part: PromptPart) -> Self {
+        part.number
     }
 }
 
@@ -46,21 +83,25 @@
             return NotHexadecimalSnafu.fail();
         }
         u64::from_str_radix(text, HEX_RADIX)
-            .map(Self)
+            .map(Self::new)
             .context(NotANumberSnafu)
     }
 }
 
 impl fmt::Display for PromptPart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:x}", self.0)
+        let kind = if self.is_request { "request:" } else { "" };
+        write!(f, "{kind}{:x}", self.number)
     }
 }
 
-/// The parts of a prompt in their order: at most [`PARTS_MAX`], none of them twice. A prompt without
-/// parts is never evidence.
+/// The parts of a prompt in their order, at most [`PARTS_MAX`] and none of them twice, and the
+/// request that it belongs to. Without any of these it is never evidence.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Prompt(Vec<PromptPart>);
+pub struct Prompt {
+    parts: Vec<PromptPart>,
+    suspects: Vec<PromptPart>,
+}
 
 /// The error for parts that are not those of a prompt.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -91,20 +132,33 @@
         if distinct.len() < count {
             return RepeatedPartSnafu.fail();
         }
-        Ok(Self(parts))
+        let suspects = parts.split_last().map_or(&[][..], |(_, others)| others);
+        Ok(Self {
+            suspects: suspects.to_vec(),
+            parts,
+        })
+    }
+
+    /// Adds the request itself, as the last part.
+    #[must_use]
+    pub fn with_request(mut self, fingerprint: fingerprint::Fingerprint) -> Self {
+        let request = PromptPart::of_request(fingerprint.get());
+        self.parts.push(request);
+        self.suspects.push(request);
+        self
     }
 
-    /// Returns all parts.
+    /// Returns all parts, and the request itself.
     #[must_use]
     pub fn parts(&self) -> &[PromptPart] {
-        &self.0
+        &self.parts
     }
 
-    /// Returns the parts that may crash an engine: all but the last, which belongs to the request
-    /// itself.
+    /// Returns what may crash an upstream: all parts but the last, which belongs to the request
+    /// alone, and the request itself.
     #[must_use]
     pub fn suspects(&self) -> &[PromptPart] {
-        self.0.split_last().map_or(&[], |(_, others)| others)
+        &self.suspects
     }
 }
 
--- a/crates/core/src/prompt_evidence/report.rs
+++ b/crates/core/src/prompt_evidence/report.rs
@@ -13,13 +13,16 @@
     /// The parts that are suspected, the strongest suspicion first.
     #[serde(default)]
     pub parts: Vec<PartReport>,
+    /// The requests that are suspected, by their fingerprints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub requests: Vec<PartReport>,
 }
 
 impl Report {
     /// Returns whether the report says nothing.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.ends.is_empty() && self.parts.is_empty()
+        self.ends.is_empty() && self.parts.is_empty() && self.requests.is_empty()
     }
 }
 
--- a/crates/core/src/prompt_evidence/verdicts.rs
+++ b/crates/core/src/prompt_evidence/verdicts.rs
@@ -15,6 +15,10 @@
 const MOMENT: time::Duration = time::Duration::from_millis(150);
 /// The number of moments with crashes from which on a part is kept from engines.
 const MOMENTS_MIN: usize = 3;
+/// The number of moments and of crashes from which on a request is kept from upstreams. Fewer moments
+/// than for a part, which many sound requests may have.
+const REQUEST_MOMENTS_MIN: usize = 2;
+const REQUEST_CRASHES_MIN: usize = 3;
 /// The time within which these moments must be.
 const EVIDENCE_WINDOW: time::Duration = time::Duration::from_mins(10);
 
@@ -75,7 +79,15 @@
         let accused = others.filter_map(|(part, suspect)| {
             let crashes = self.unexplained(ends, suspect);
             let moments = moments(&crashes);
-            is_enough(&moments).then_some((part, suspect, crashes.len(), moments.len()))
+            let is_accused = if part.is_request() {
+                // A request that was ever served crashes nothing by itself.
+                !suspect.was_served
+                    && crashes.len() >= REQUEST_CRASHES_MIN
+                    && is_enough(&moments, REQUEST_MOMENTS_MIN)
+            } else {
+                is_enough(&moments, MOMENTS_MIN)
+            };
+            is_accused.then_some((part, suspect, crashes.len(), moments.len()))
         });
         let (part, _, crash_count, moment_count) =
             accused.max_by_key(|(part, suspect, crash_count, _)| {
@@ -102,10 +114,10 @@
     moments
 }
 
-fn is_enough(moments: &[time::Instant]) -> bool {
-    let mut windows = moments.windows(MOMENTS_MIN);
+fn is_enough(moments: &[time::Instant], moments_min: usize) -> bool {
+    let mut windows = moments.windows(moments_min);
     windows.any(|window| {
-        let last = window[MOMENTS_MIN - 1];
+        let last = window[moments_min - 1];
         last.saturating_duration_since(window[0]) <= EVIDENCE_WINDOW
     })
 }
--- a/crates/core/tests/prompt_evidence/messages.rs
+++ b/crates/core/tests/prompt_evidence/messages.rs
@@ -164,6 +164,7 @@
         Report {
             ends: Vec::new(),
             parts: vec![part(0..100)],
+            requests: Vec::new(),
         },
         // Ends of another age of the world.
         Report {
@@ -171,6 +172,7 @@
                 .map(|number| end(number, u64::MAX - number * 1_000, 0))
                 .collect(),
             parts: vec![part(0..5)],
+            requests: Vec::new(),
         },
         // Ends after more false ends than can be.
         Report {
@@ -178,11 +180,13 @@
                 .map(|number| end(number, number * 1_000, u32::MAX))
                 .collect(),
             parts: vec![part(0..5)],
+            requests: Vec::new(),
         },
         // The same end over and over.
         Report {
             ends: (0..5).map(|number| end(7, number * 1_000, 0)).collect(),
             parts: vec![part(7..8), part(7..8), part(7..8)],
+            requests: Vec::new(),
         },
     ];
     for report in &absurd {
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -67,7 +67,8 @@
         let id = String::from(admitted.id());
         (id, rejection(error.status(), "the body can't be read"))
     })?;
-    Ok(proxy::ProxiedRequest { body, ..admitted })
+    let request = proxy::ProxiedRequest { body, ..admitted };
+    Ok(request.with_suspects())
 }
 
 /// Returns a request, without its body, unless it is rejected for what its head says.
--- a/crates/entry/src/direct/prompt_admission.rs
+++ b/crates/entry/src/direct/prompt_admission.rs
@@ -4,11 +4,7 @@
 
 use pimentohook_core::prompt_evidence::{change::Admission, prompt};
 
-use super::{
-    app,
-    prompt_evidence::{LoggedParts, is_evidence},
-    proxy,
-};
+use super::{app, prompt_evidence::LoggedParts, proxy};
 
 /// The trial of parts on probation that a request may be.
 #[derive(Clone, Debug, Default)]
@@ -46,9 +42,6 @@
     let Some(part) = app.prompt_parts.kept().find(prompt) else {
         return Ok(());
     };
-    if !is_evidence(request) {
-        return Ok(());
-    }
     let now = app.clock.now();
     let peers = app.peers.load_full();
     let others = peers.keys().map(String::as_str);
@@ -93,7 +86,7 @@
 /// Returns the part because of which a request that was admitted may not be sent any more.
 #[must_use]
 pub fn held_back(app: &app::App, request: &proxy::ProxiedRequest) -> Option<prompt::PromptPart> {
-    let is_held_back = request.trial.0.get().is_none() && is_evidence(request);
+    let is_held_back = request.trial.0.get().is_none();
     let part = app.prompt_parts.kept().find(&request.caller.prompt);
     part.filter(|_| is_held_back)
 }
@@ -104,7 +97,7 @@
     request: &proxy::ProxiedRequest,
 ) -> prompt::PromptPart {
     let has_suspects = !request.caller.prompt.suspects().is_empty();
-    if !has_suspects || request.trial.0.get().is_some() || !is_evidence(request) {
+    if !has_suspects || request.trial.0.get().is_some() {
         return std::future::pending().await;
     }
     app.prompt_parts.until_kept(&request.caller.prompt).await
--- a/crates/entry/src/direct/prompt_evidence.rs
+++ b/crates/entry/src/direct/prompt_evidence.rs
@@ -17,7 +17,7 @@
 
 use super::{app, peers, proxy};
 
-/// The number of a prompt's parts in a log line.
+/// The number of a prompt's first parts in a log line.
 const LOGGED_PARTS_MAX: usize = 8;
 /// The shortest time between two log lines about lists of parts that can't be read.
 const INVALID_LOG_INTERVAL_MS: u64 = 1_000;
@@ -114,12 +114,18 @@
 
 impl fmt::Display for LoggedParts<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let parts = self.0.parts();
+        let all = self.0.parts().iter().copied();
+        let (requests, parts): (Vec<_>, Vec<_>) =
+            all.partition(|part: &prompt::PromptPart| part.is_request());
         for (index, part) in parts.iter().take(LOGGED_PARTS_MAX).enumerate() {
             let separator = if index == 0 { "" } else { "," };
             write!(f, "{separator}{part}")?;
         }
-        write!(f, " part_count={}", parts.len())
+        write!(f, " part_count={}", parts.len())?;
+        for request in requests {
+            write!(f, " fingerprint={request}")?;
+        }
+        Ok(())
     }
 }
 
@@ -146,12 +152,6 @@
     }
 }
 
-/// Returns whether a request runs at an engine; plain services are no evidence.
-pub(super) fn is_evidence(request: &proxy::ProxiedRequest) -> bool {
-    let service = request.table.services.get(&request.service);
-    service.is_some_and(|service| service.engine.is_some())
-}
-
 /// Records that the connection to an upstream broke while a request was under way there.
 pub fn record_ended(
     app: &app::App,
@@ -162,17 +162,13 @@
     app.count("upstream_ended");
     log::warn!(
         "prompt: event=upstream_ended request={} instance={} started_unix_ms={:?} \
-         progress={progress} after_ms={} fingerprint={} parts={}",
+         progress={progress} after_ms={} parts={}",
         request.id(),
         candidate.upstream.instance,
         candidate.upstream.started_unix_ms,
         request.arrived_at.elapsed().as_millis(),
-        request.fingerprint(),
         LoggedParts(&request.caller.prompt)
     );
-    if !is_evidence(request) {
-        return;
-    }
     let run = engine_run(candidate);
     let now = app.clock.now();
     let changes = app.prompt_parts.update(|evidence| {
@@ -230,9 +226,6 @@
     candidate: &app::Candidate,
     sent_at: time::Instant,
 ) {
-    if !is_evidence(request) {
-        return;
-    }
     let now = app.clock.now();
     let prompt = &request.caller.prompt;
     let changes = app.prompt_parts.update(|evidence| {
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, Uri, header};
-use pimentohook_core::{fingerprint, id, routes};
+use pimentohook_core::{fingerprint, id, prompt_evidence::prompt, routes};
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
 
@@ -59,9 +59,24 @@
         self.caller.request_id.as_deref().unwrap_or("-")
     }
 
-    /// Returns what tells whether another request is the same.
+    /// Adds the request itself to what may crash upstreams. Parts of prompts mean nothing to plain
+    /// services.
     #[must_use]
-    pub fn fingerprint(&self) -> fingerprint::Fingerprint {
+    pub(super) fn with_suspects(mut self) -> Self {
+        let service = self.table.services.get(&self.service);
+        let is_engine = service.is_some_and(|service| service.engine.is_some());
+        let prompt = std::mem::take(&mut self.caller.prompt);
+        let prompt = if is_engine {
+            prompt
+        } else {
+            prompt::Prompt::default()
+        };
+        self.caller.prompt = prompt.with_request(self.fingerprint());
+        self
+    }
+
+    /// Returns what tells whether another request is the same.
+    fn fingerprint(&self) -> fingerprint::Fingerprint {
         let path = self.uri.path_and_query();
         let organisation = self.organisation.as_ref();
         let identity = fingerprint::Identity {
