--- a/crates/core/tests/prompt_evidence/main.rs
+++ b/crates/core/tests/prompt_evidence/main.rs
@@ -5,5 +5,6 @@
 mod fleet;
 mod messages;
 mod orders;
+mod requests;
 mod trials;
 mod verdicts;
