Bound the time that a body in tiny pieces costs

An upstream could so hold an entry's processor with one response.

A piece of a body now counts for 128 bytes at least towards the bound on its size, so 65,536 pieces are read at most.

--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -92,13 +92,16 @@
     }
 }
 
+/// What a piece of a body counts for at least, so that one in tiny pieces costs bounded time.
+const PIECE_MIN_BYTES: usize = 128;
+
 /// Like [`read_body`], but fails as well when all responses that are being read with the same
 /// budget exceed it together.
 ///
 /// # Errors
 ///
-/// Returns [`client::ClientError`] if the body was interrupted or is larger than `max_bytes` or than what is
-/// left of the budget.
+/// Returns [`client::ClientError`] if the body was interrupted or is larger than `max_bytes`, where each
+/// piece counts for 128 bytes at least, or larger than what is left of the budget.
 pub async fn read_body_within(
     address: net::SocketAddr,
     response: Response<Incoming>,
@@ -108,12 +111,14 @@
     let mut reservation = Reservation { budget, bytes: 0 };
     let mut body = response.into_body();
     let mut read = Vec::new();
+    let mut counted_bytes: usize = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| client::ClientError::Broken { address })?;
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        let fits = read.len() + bytes.len() <= max_bytes && reservation.try_extend(bytes.len());
+        counted_bytes += bytes.len().max(PIECE_MIN_BYTES);
+        let fits = counted_bytes <= max_bytes && reservation.try_extend(bytes.len());
         if !fits {
             return Err(client::ClientError::TooLarge { address, max_bytes });
         }
