Tell a single crash of a request only by the entry that saw it

Found while reading: after a rack with many requests under way is lost, each entry would have told the requests of all others with each heartbeat, up to 128 of about 100 bytes, for 10 s. By reckoning for 43 entries that is more than the 27 Mbit/s between two regions. Now an entry tells single crashes that it saw itself; from the second crash on they are told on.

--- a/crates/core/src/prompt_evidence/commands.rs
+++ b/crates/core/src/prompt_evidence/commands.rs
@@ -152,6 +152,7 @@
             position: u8::try_from(position).unwrap_or(u8::MAX),
             is_refuted: false,
             is_trial,
+            is_own: true,
         };
         suspect.merge_crash(run, crash, now);
         if let Some(served_here) = served_here {
--- a/crates/core/src/prompt_evidence/exchange.rs
+++ b/crates/core/src/prompt_evidence/exchange.rs
@@ -154,6 +154,7 @@
         position: report.position,
         is_refuted: report.is_refuted,
         is_trial: report.is_trial,
+        is_own: false,
     }
 }
 
--- a/crates/core/src/prompt_evidence/retention.rs
+++ b/crates/core/src/prompt_evidence/retention.rs
@@ -16,8 +16,8 @@
 const EVIDENCE_RETENTION: time::Duration = time::Duration::from_mins(10);
 /// How long a part is kept from engines, or on probation, after it was last seen.
 pub(super) const KEPT_RETENTION: time::Duration = time::Duration::from_hours(24);
-/// How long a single crash is told as evidence against a request. Sound requests that were under way
-/// are many, and each is seldom seen again.
+/// How long a single crash is told as evidence against a request, by the entry that saw it. Sound
+/// requests that were under way are many, and each is seldom seen again.
 const SINGLE_CRASH_TOLD: time::Duration = time::Duration::from_secs(10);
 /// Evidence is told for this share of the time for which it is kept, so that entries which forget it
 /// don't hear it again from one that learned it later.
@@ -31,14 +31,24 @@
         part: prompt::PromptPart,
         now: time::Instant,
     ) -> bool {
-        let is_single = part.is_request() && suspect.standing_crashes(&self.ends).count() < 2;
-        let told_for = if is_single {
-            SINGLE_CRASH_TOLD
-        } else {
-            self.retention(part) / TOLD_DIVISOR
-        };
         let last = self.last_needed_at(part, suspect);
-        last.is_some_and(|at| now.saturating_duration_since(at) <= told_for)
+        let told_for = self.told_for(suspect, part);
+        last.zip(told_for)
+            .is_some_and(|(at, told_for)| now.saturating_duration_since(at) <= told_for)
+    }
+
+    /// Returns for how long evidence is told; `None` if it is left to other entries.
+    fn told_for(
+        &self,
+        suspect: &suspects::Suspect,
+        part: prompt::PromptPart,
+    ) -> Option<time::Duration> {
+        let is_single = suspect.standing_crashes(&self.ends).count() < 2;
+        if !part.is_request() || !is_single {
+            return Some(self.retention(part) / TOLD_DIVISOR);
+        }
+        let is_own = suspect.crashes.values().any(|crash| crash.is_own);
+        is_own.then_some(SINGLE_CRASH_TOLD)
     }
 
     /// Returns whether an end is young enough to be told for its own sake.
--- a/crates/core/src/prompt_evidence/suspects.rs
+++ b/crates/core/src/prompt_evidence/suspects.rs
@@ -15,6 +15,8 @@
     pub is_refuted: bool,
     /// Whether the part was on probation.
     pub is_trial: bool,
+    /// Whether this entry saw it, which is not told.
+    pub is_own: bool,
 }
 
 impl Crash {
@@ -24,6 +26,7 @@
             position: self.position.max(other.position),
             is_refuted: self.is_refuted || other.is_refuted,
             is_trial: self.is_trial || other.is_trial,
+            is_own: self.is_own || other.is_own,
         }
     }
 }
