--- a/crates/entry/src/direct/retries.rs
+++ b/crates/entry/src/direct/retries.rs
@@ -10,8 +10,7 @@
 use super::app;
 
 /// Why a request is sent to an upstream again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
     /// An attempt failed or was rejected.
     Failed,
@@ -23,7 +22,7 @@
 
 /// The retry budget of a service and its use.
 #[derive(Debug)]
-pub struct ServiceRetries {
+struct ServiceRetries {
     budget: retry_budget::RetryBudget,
     usage: Usage,
 }
