Let an entry that has just started retry its first requests

An entry now uses an eighth of its settled share as soon as it has read who is registered, and four fifths of its equal share once that counts, so that a window holds what was sent before and what two starts add. The number of entries comes from the same update as the registrations, so that a fleet which starts is not taken for one entry.

--- a/crates/core/src/retry_budget/burst_share.rs
+++ b/crates/core/src/retry_budget/burst_share.rs
@@ -6,10 +6,15 @@
 
 /// The time within which all entries hear of one that starts, and lower their shares.
 const NOTICE_MAX: time::Duration = time::Duration::from_secs(5);
+/// What an entry may use of its equal share once that counts. With what two starts add, a window
+/// holds the whole.
+const SETTLED_PERCENT: u64 = 80;
+/// What an entry may use of its equal share from its start on: the settled share divided by this.
+const START_DIVISOR: u64 = 8;
 
 /// An equal share of the burst of retries that all entries together may send in a window.
 ///
-/// A lower share counts at once. A higher one counts after a window and the time within which others
+/// As soon as the fleet is known, an entry may use a small part of it. A lower share counts at once. A higher one counts after a window and the time within which others
 /// hear of an entry, so that what was sent under the earlier shares, or by a process that ran under
 /// the same name before, is no longer in the window.
 #[derive(Clone, Debug)]
@@ -22,7 +27,7 @@
 }
 
 impl BurstShare {
-    /// Creates the share of an entry that starts, which is nothing yet.
+    /// Creates the share of an entry that starts, which is nothing while the fleet is not known.
     #[must_use]
     pub fn new(burst_count: u64, window: time::Duration, started_at: time::Instant) -> Self {
         Self {
@@ -36,7 +41,8 @@
     /// included, or `None` while they are not known.
     pub fn update(&mut self, now: time::Instant, entry_count: Option<u32>) {
         let share = entry_count.map_or(0, |count| {
-            self.burst_count * HUNDREDTHS / u64::from(count.max(1))
+            let settled_hundredths = self.burst_count * HUNDREDTHS * SETTLED_PERCENT / 100;
+            settled_hundredths / u64::from(count.max(1))
         });
         if self.observed.back().is_none_or(|(_, last)| *last != share) {
             self.observed.push_back((now, share));
@@ -52,6 +58,7 @@
     #[must_use]
     pub fn hundredths(&self) -> u64 {
         let shares = self.observed.iter().map(|(_, share)| *share);
-        shares.min().unwrap_or(0)
+        let newest = self.observed.back().map_or(0, |(_, share)| *share);
+        shares.min().unwrap_or(0).max(newest / START_DIVISOR)
     }
 }
--- a/crates/core/src/retry_budget/mod.rs
+++ b/crates/core/src/retry_budget/mod.rs
@@ -4,7 +4,8 @@
 //! to the upstreams of a service beyond the first attempts. The percentage needs no agreement: each
 //! entry counts its own requests, in [`RetryBudget`]. The burst is divided among the entries, in
 //! [`BurstShare`]. An entry can't know what was sent under its name before it started, so its share
-//! is nothing at first, and a larger one counts only after a whole window.
+//! is small at first, and a larger one counts only after a whole window. Two starts within a window
+//! are allowed for; what more of them add is small beside the percentage that is not used.
 //!
 //! The load that this answers: all VMs lose power and start again at full traffic, and upstreams
 //! reject what is sent by an old list.
--- a/crates/entry/src/direct/retries.rs
+++ b/crates/entry/src/direct/retries.rs
@@ -5,9 +5,8 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use pimentohook_core::{id, retry_budget};
-use pimentohook_platform::store;
 
-use super::app;
+use super::{app, upstream_limits};
 
 /// Why a request is sent to an upstream again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,7 +82,7 @@
 #[must_use]
 pub fn try_withdraw(app: &app::App, service: &id::ServiceName, reason: Reason) -> bool {
     let retries = of_service(app, service);
-    let burst_hundredths = app.retries.burst_hundredths.load(atomic::Ordering::Relaxed);
+    let burst_hundredths = burst_hundredths(app);
     let is_paid = retries.budget.try_withdraw(app.now_ms(), burst_hundredths);
     let usage = &retries.usage;
     increment(match reason {
@@ -95,6 +94,17 @@
     is_paid
 }
 
+/// Returns this entry's share of the burst. An entry that has just started may have read the
+/// registrations after the last update.
+fn burst_hundredths(app: &app::App) -> u64 {
+    let share = &app.retries.burst_hundredths;
+    if share.load(atomic::Ordering::Relaxed) == 0 && !app.is_settled() {
+        upstream_limits::update_fleet(app);
+        update_burst_share(app);
+    }
+    share.load(atomic::Ordering::Relaxed)
+}
+
 fn of_service(app: &app::App, service: &id::ServiceName) -> sync::Arc<ServiceRetries> {
     let by_service = &app.retries.by_service;
     if let Some(retries) = by_service.load().get(service) {
@@ -115,9 +125,7 @@
 
 /// Updates the share of the fleet's burst to the number of entries that may be running.
 pub fn update_burst_share(app: &app::App) {
-    let registrations = app.cached(store::Kind::Entries);
-    let is_fleet_known = registrations.age(app.clock.boot_now()).is_some();
-    let entry_count = is_fleet_known.then(|| app.upstream_limits.entry_count());
+    let entry_count = app.upstream_limits.entry_count();
     let mut share = app
         .retries
         .burst_share
--- a/crates/entry/src/direct/upstream_limits.rs
+++ b/crates/entry/src/direct/upstream_limits.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::upstream_limit::{belief, fleet, rate};
+use pimentohook_platform::store;
 use pimentohook_wire::direct;
 
 use super::{app, limited_upstream::LimitedUpstream, restored};
@@ -21,6 +22,7 @@
     coordinators: ArcSwap<Vec<String>>,
     shares: ArcSwap<fleet::Shares>,
     fleet: sync::Mutex<fleet::Fleet>,
+    /// 0 while the registrations have not been read.
     entry_count: atomic::AtomicU32,
     heartbeats_answered: atomic::AtomicU32,
     heartbeats_unanswered: atomic::AtomicU32,
@@ -58,10 +60,12 @@
         **self.shares.load()
     }
 
-    /// Returns the number of entries that may be running, this one included.
+    /// Returns the number of entries that may be running, this one included; `None` while the
+    /// registrations have not been read.
     #[must_use]
-    pub fn entry_count(&self) -> u32 {
-        self.entry_count.load(atomic::Ordering::Relaxed).max(1)
+    pub fn entry_count(&self) -> Option<u32> {
+        let count = self.entry_count.load(atomic::Ordering::Relaxed);
+        (count > 0).then_some(count)
     }
 
     /// Returns the coordinator of an upstream; `None` if no entry can be one.
@@ -123,6 +127,10 @@
     let now = app.clock.now();
     let peers = app.peers.load();
     let heard: IndexSet<String> = peers.keys().cloned().collect();
+    let is_fleet_known = app
+        .cached(store::Kind::Entries)
+        .age(app.clock.boot_now())
+        .is_some();
     let mut registered = restored::registered_entries(app);
     registered.shift_remove(&app.settings.entry);
     let limits = &app.upstream_limits;
@@ -132,7 +140,11 @@
         .unwrap_or_else(sync::PoisonError::into_inner);
     fleet.update(now, &heard, &registered, limits.take_heartbeats());
     let shares = fleet.shares(now);
-    let entry_count = fleet.entry_count();
+    let entry_count = if is_fleet_known {
+        fleet.entry_count()
+    } else {
+        0
+    };
     drop(fleet);
     limits
         .entry_count
