Date an announcement that is read after a standstill by when the process last ran

Cause: an entry took the moment at which it read an announcement for that of the announcement. Where it did not run meanwhile and its clocks went on (not scheduled, its VM frozen), the reply waited in a socket; only a suspended VM, whose clocks differ, was noticed. Others that run tell it the earlier moment, but if all entries stand still together nobody does, since agents follow announcements through entries. The same for the age of a copy that a relay's reply states: it was counted from when the reply was read. Why it works: a process that runs ticks every 100 ms (core::standstill). What is read within half a second of a gap of more than 200 ms may have arrived at any time in it, so it is a bound from the gap's beginning, not an observation; one that ran all the while replaces it. Ages of copies count from the request. The error that is left is 0.2 s and what holds a reply back in the network. The suspended case of an_announcement_is_observed_only_if_a_watch_was_under_way_all_the_time now expects the last tick before the suspension in place of the watch's start, which is closer, and a case of a standstill is added.

--- a/crates/agent/src/direct/entry_follow.rs
+++ b/crates/agent/src/direct/entry_follow.rs
@@ -73,6 +73,7 @@
         era: app.store.era(),
         wait_ms: u32::try_from(question.wait.as_millis()).unwrap_or(u32::MAX),
     };
+    let requested_at = app.clock.boot_now();
     let call = app.client.call_with_timeouts(
         entry.peers,
         direct::FOLLOW_PATH,
@@ -89,6 +90,6 @@
         age.is_some_and(|age| age <= question.age_max),
         OldSnafu { age_ms }
     );
-    let read = announcement::Read::fetched_ago(age, &*app.clock);
+    let read = announcement::Read::fetched_ago(age, requested_at);
     Ok((reply.delta, read))
 }
--- a/crates/core/src/announcement/mod.rs
+++ b/crates/core/src/announcement/mod.rs
@@ -171,13 +171,15 @@
     /// Records all announced versions as the process has read them; returns those that are newer
     /// than all known ones.
     ///
-    /// A change that was pushed was made just now, one that was fetched since the last read.
+    /// A change that was pushed was made just now, or while the process stood still; one that was
+    /// fetched since the last read.
     pub fn record_read<V>(&mut self, announced: V, read: Read) -> Vec<(String, u64)>
     where
         V: IntoIterator<Item = (String, u64)>,
     {
         let moment = match (read, self.read_at) {
             (Read::Pushed(at), _) => Moment::Observed(at),
+            (Read::PushedSince(at), _) => Moment::NotBefore(at),
             (Read::Fetched(_), Some(before)) => Moment::NotBefore(before),
             (Read::Fetched(_), None) => Moment::Unknown,
         };
@@ -198,7 +200,7 @@
 
     /// Records that the process has read that nothing changed.
     pub fn confirm_read(&mut self, read: Read) {
-        let (Read::Pushed(at) | Read::Fetched(at)) = read;
+        let (Read::Pushed(at) | Read::PushedSince(at) | Read::Fetched(at)) = read;
         self.read_at = self.read_at.max(Some(at));
     }
 
--- a/crates/core/src/announcement/watch.rs
+++ b/crates/core/src/announcement/watch.rs
@@ -3,23 +3,29 @@
 use std::time;
 
 use super::Announcements;
-use crate::clock;
+use crate::{clock, standstill};
 
 /// How a process read the announced versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Read {
     /// The source reported a change at this instant, as soon as it was made.
     Pushed(clock::BootInstant),
+    /// The source reported a change at this instant or later; the process stood still and read it
+    /// when it went on.
+    PushedSince(clock::BootInstant),
     /// The source was asked, and stated what held at this instant or later.
     Fetched(clock::BootInstant),
 }
 
 impl Read {
-    /// Describes the read of what a source stated to have held `age` ago; `None` if it never knew.
+    /// Describes the read of what a source stated, in a reply to a request sent at `requested_at`, to
+    /// have held `age` ago; `None` if it never knew.
+    ///
+    /// The reply may have been on its way for any time since the request.
     #[must_use]
-    pub fn fetched_ago(age: Option<time::Duration>, clock: &dyn clock::Clock) -> Self {
+    pub fn fetched_ago(age: Option<time::Duration>, requested_at: clock::BootInstant) -> Self {
         let age = age.unwrap_or(time::Duration::MAX);
-        Self::Fetched(clock.boot_now().saturating_sub(age))
+        Self::Fetched(requested_at.saturating_sub(age))
     }
 }
 
@@ -27,14 +33,10 @@
 /// in between.
 const PUSH_GAP_MAX: time::Duration = time::Duration::from_millis(250);
 
-/// In a process that was not suspended, the clocks differ by less than this.
-const SUSPENSION_MIN: time::Duration = time::Duration::from_millis(50);
-
 /// The span of a watch of the announced versions, which tells how what it reports was read.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchSpan {
-    started_at: time::Instant,
-    started_boot_at: clock::BootInstant,
+    started_at: clock::BootInstant,
     /// Whether the versions were read right before.
     is_continued: bool,
 }
@@ -43,49 +45,47 @@
     /// Starts the span of a watch that continues what was read last.
     #[must_use]
     pub fn start(clock: &dyn clock::Clock, announcements: &Announcements) -> Self {
-        let started_boot_at = clock.boot_now();
+        let started_at = clock.boot_now();
         let is_recent = |read_at| {
-            let gap = started_boot_at.saturating_duration_since(read_at);
+            let gap = started_at.saturating_duration_since(read_at);
             gap <= PUSH_GAP_MAX
         };
         Self {
-            started_at: clock.now(),
-            started_boot_at,
+            started_at,
             is_continued: announcements.read_at.is_some_and(is_recent),
         }
     }
 
     /// Ends the span when the watch responds, after `transfer` from the first byte to the last.
     #[must_use]
-    pub fn end(self, clock: &dyn clock::Clock, transfer: time::Duration) -> Read {
-        if self.is_continued && !self.is_suspended(clock) {
-            Read::Pushed(clock.boot_now().saturating_sub(transfer))
-        } else {
-            Read::Fetched(self.started_boot_at)
+    pub fn end(
+        self,
+        clock: &dyn clock::Clock,
+        standstills: &standstill::Monitor,
+        transfer: time::Duration,
+    ) -> Read {
+        let now = clock.boot_now();
+        match standstills.backlog_since(now) {
+            _ if !self.is_continued => Read::Fetched(self.started_at),
+            Some(since) => Read::PushedSince(since.max(self.started_at)),
+            None => Read::Pushed(now.saturating_sub(transfer)),
         }
     }
 
     /// Returns an instant at or after which the response was made.
     ///
-    /// What was received while the VM was suspended may have been sent any time before.
+    /// What was received while the process stood still may have been sent any time before.
     #[must_use]
     pub fn responded_at(
         self,
         clock: &dyn clock::Clock,
+        standstills: &standstill::Monitor,
         transfer: time::Duration,
     ) -> clock::BootInstant {
-        if self.is_suspended(clock) {
-            self.started_boot_at
-        } else {
-            clock.boot_now().saturating_sub(transfer)
+        let now = clock.boot_now();
+        match standstills.backlog_since(now) {
+            Some(since) => since.max(self.started_at),
+            None => now.saturating_sub(transfer),
         }
     }
-
-    fn is_suspended(self, clock: &dyn clock::Clock) -> bool {
-        let elapsed = clock.now().duration_since(self.started_at);
-        let boot_elapsed = clock
-            .boot_now()
-            .saturating_duration_since(self.started_boot_at);
-        boot_elapsed.saturating_sub(elapsed) > SUSPENSION_MIN
-    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod routing;
 pub mod shutdown;
 pub mod size;
+pub mod standstill;
 pub mod upstream_limit;
 pub mod upstream_notice;
 pub mod upstreams;
--- a/crates/core/tests/announcement.rs
+++ b/crates/core/tests/announcement.rs
@@ -7,6 +7,7 @@
         Announcement, Announcements, Heard, Moment, Read, Report, Statement, WatchSpan,
     },
     clock::{self, BootInstant, Clock as _},
+    standstill,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -28,12 +29,14 @@
     known.map(|known| known.moment)
 }
 
-/// The clocks of a process, which differ by the time for which its VM was suspended.
+/// The clocks of a process, which differ by the time for which its VM was suspended, and its monitor,
+/// which is ticked while it runs.
 #[derive(Clone, Copy)]
 struct TestClock {
     started_at: time::Instant,
     running: time::Duration,
     suspended: time::Duration,
+    standstills: standstill::Monitor,
 }
 
 impl clock::Clock for TestClock {
@@ -52,10 +55,22 @@
             started_at: time::Instant::now(),
             running: time::Duration::ZERO,
             suspended: time::Duration::ZERO,
+            standstills: standstill::Monitor::new(at(0)),
         }
     }
 
     fn run(&mut self, ms: u64) {
+        let mut remaining = time::Duration::from_millis(ms);
+        while !remaining.is_zero() {
+            let step = remaining.min(standstill::TICK_INTERVAL);
+            self.running += step;
+            remaining -= step;
+            self.standstills.tick(self.boot_now());
+        }
+    }
+
+    /// Lets the clocks go on while the process does not run.
+    fn stand_still(&mut self, ms: u64) {
         self.running += time::Duration::from_millis(ms);
     }
 
@@ -87,7 +102,7 @@
     announcements.record_read(announced(1), Read::Fetched(clock.boot_now()));
     let span = WatchSpan::start(&clock, &announcements);
     clock.run(1_000);
-    let read = span.end(&clock, time::Duration::ZERO);
+    let read = span.end(&clock, &clock.standstills, time::Duration::ZERO);
     announcements.record_read(announced(2), read);
     clock.run(1_000);
     clock.suspend(7_000);
@@ -96,13 +111,15 @@
 }
 
 #[rstest]
-#[case::during_the_watch(100, 1_000, 0, Read::Pushed(at(1_100)))]
-#[case::while_the_vm_was_suspended(100, 1_000, 3_000, Read::Fetched(at(100)))]
-#[case::before_a_watch_that_started_late(900, 10, 0, Read::Fetched(at(900)))]
+#[case::during_the_watch(100, 1_000, 0, 0, Read::Pushed(at(1_100)))]
+#[case::while_the_vm_was_suspended(100, 1_000, 3_000, 0, Read::PushedSince(at(1_100)))]
+#[case::while_the_process_stood_still(100, 1_000, 0, 3_000, Read::PushedSince(at(1_100)))]
+#[case::before_a_watch_that_started_late(900, 10, 0, 0, Read::Fetched(at(900)))]
 fn an_announcement_is_observed_only_if_a_watch_was_under_way_all_the_time(
     #[case] gap_ms: u64,
     #[case] wait_ms: u64,
     #[case] suspended_ms: u64,
+    #[case] still_ms: u64,
     #[case] expected: Read,
 ) {
     let mut clock = TestClock::new();
@@ -112,15 +129,39 @@
     let span = WatchSpan::start(&clock, &announcements);
     clock.run(wait_ms);
     clock.suspend(suspended_ms);
-    let read = span.end(&clock, time::Duration::ZERO);
+    clock.stand_still(still_ms);
+    let read = span.end(&clock, &clock.standstills, time::Duration::ZERO);
     assert_eq!(read, expected);
-    let responded_at = span.responded_at(&clock, time::Duration::ZERO);
-    let made_at = if suspended_ms == 0 {
-        at(gap_ms + wait_ms)
-    } else {
-        at(gap_ms)
-    };
-    assert_eq!(responded_at, made_at);
+    let responded_at = span.responded_at(&clock, &clock.standstills, time::Duration::ZERO);
+    assert_eq!(responded_at, at(gap_ms + wait_ms));
+}
+
+/// The ticks may go on before what has waited is read.
+#[test]
+fn what_is_read_shortly_after_a_standstill_is_not_dated_after_it() {
+    let mut clock = TestClock::new();
+    let mut announcements = Announcements::default();
+    announcements.record_read(announced(1), Read::Fetched(clock.boot_now()));
+    let span = WatchSpan::start(&clock, &announcements);
+    clock.run(1_000);
+    clock.stand_still(2_000);
+    clock.run(300);
+    let read = span.end(&clock, &clock.standstills, time::Duration::ZERO);
+    announcements.record_read(announced(2), read);
+    assert_eq!(
+        moment_of(&announcements, 2),
+        Some(Moment::NotBefore(at(1_000)))
+    );
+}
+
+#[test]
+fn a_reply_that_waited_is_not_taken_for_what_held_when_it_was_read() {
+    let requested_at = at(1_000);
+    let age = time::Duration::from_millis(300);
+    assert_eq!(
+        Read::fetched_ago(Some(age), requested_at),
+        Read::Fetched(at(700))
+    );
 }
 
 #[test]
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -10,7 +10,7 @@
     routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
-use pimentohook_runtime::{body, client, metrics};
+use pimentohook_runtime::{body, client, metrics, standstill};
 use pimentohook_wire::direct;
 
 use strum::IntoEnumIterator as _;
@@ -88,6 +88,8 @@
     pub candidates: ArcSwap<Candidates>,
     /// The announced versions of weights.
     pub announced: ArcSwap<announcement::Announcements>,
+    /// When this process did not run.
+    pub standstills: standstill::Standstills,
     /// The other entries, by name.
     pub peers: ArcSwap<IndexMap<String, Peer>>,
     /// Notified when an engine has become silent.
@@ -152,6 +154,7 @@
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
             announced: ArcSwap::default(),
+            standstills: standstill::Standstills::new(clock.clone()),
             peers: ArcSwap::default(),
             silence_changed: tokio::sync::Notify::new(),
             upstream_limits: upstream_limits::UpstreamLimits::default(),
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -127,6 +127,8 @@
 
 /// Spawns the tasks that follow each kind of objects, until the process exits.
 pub fn start(app: &sync::Arc<app::App>) {
+    let watched = app.clone();
+    tokio::spawn(async move { watched.standstills.run().await });
     for kind in FOLLOWED {
         tokio::spawn(follow(app.clone(), kind));
     }
@@ -278,7 +280,10 @@
         }
         result => result.context(StoreSnafu)?,
     };
-    let responded_at = span.responded_at(&*app.clock, changes.cost.transfer);
+    let standstills = app.standstills.monitor();
+    let transfer = changes.cost.transfer;
+    let responded_at = span.responded_at(&*app.clock, &standstills, transfer);
+    let read = span.end(&*app.clock, &standstills, transfer);
     app.count_read("store", kind, changes.cost.body_bytes);
     let is_changed = !changes.changes.is_empty();
     if is_changed {
@@ -292,12 +297,7 @@
     }
     cache.update(|collection| collection.apply(changes.position, changes.changes) && is_changed);
     cache.confirm(responded_at);
-    apply(
-        app,
-        kind,
-        is_changed,
-        span.end(&*app.clock, changes.cost.transfer),
-    );
+    apply(app, kind, is_changed, read);
     Ok(is_changed)
 }
 
@@ -341,6 +341,7 @@
         head: timing.follow_wait + REPLY_MARGIN,
         body: REPLY_BODY_TIMEOUT,
     };
+    let requested_at = app.clock.boot_now();
     let call =
         app.internal
             .call_with_timeouts(peer.state.peers, direct::FOLLOW_PATH, &request, timeouts);
@@ -352,7 +353,8 @@
         OutdatedSnafu { name, position }
     );
     let age = reply.age_ms.map(time::Duration::from_millis);
-    let is_changed = merge_delta(app, kind, name, reply.delta, age);
+    let read = announcement::Read::fetched_ago(age, requested_at);
+    let is_changed = merge_delta(app, kind, name, reply.delta, read);
     let age = age.filter(|age| *age <= timing.age_max);
     let confirmed_at = age.map(|age| app.clock.boot_now().saturating_sub(age));
     let age_ms = reply.age_ms;
@@ -365,7 +367,7 @@
     kind: store::Kind,
     name: &str,
     delta: collection::Delta,
-    age: Option<time::Duration>,
+    read: announcement::Read,
 ) -> bool {
     let body_bytes = delta.content_bytes();
     app.count_read("peers", kind, body_bytes);
@@ -379,7 +381,6 @@
              bytes={body_bytes}"
         );
     }
-    let read = announcement::Read::fetched_ago(age, &*app.clock);
     apply(app, kind, is_changed, read);
     is_changed
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`settings`]: YAML settings files that are validated as a whole.
 //! * [`program`]: the main function of programs with a settings file.
 //! * [`rate_limiter`]: a rate limiter for bytes.
+//! * [`standstill`]: finds out when the process did not run.
 //! * [`logs`], [`metrics`], [`process`]: logging, metrics and signal handling.
 
 pub mod body;
@@ -18,3 +19,4 @@
 pub mod rate_limiter;
 pub mod server;
 pub mod settings;
+pub mod standstill;
