Let a process observe announcements again after a watch that started late

Cause: a watch that doesn't continue the last read was confirmed as of its start, up to 12 s before its reply; the next one then didn't continue it either, and so on. Such a process never observed an announcement again, only bounded it, until another one's report helped. Why it works: a watch that has replied, with or without a change, says what holds when it replies.

--- a/crates/agent/src/direct/weights_feed.rs
+++ b/crates/agent/src/direct/weights_feed.rs
@@ -76,9 +76,11 @@
         changes = watch => changes?,
         never = standstills.run() => match never {},
     };
-    let read = span.end(&*app.clock, &standstills.monitor(), changes.cost.transfer);
+    let (standstills, transfer) = (standstills.monitor(), changes.cost.transfer);
+    let read = span.end(&*app.clock, &standstills, transfer);
     known.apply(changes.position, changes.changes);
     record(app, known, read);
+    weights_versions::confirm_watch(app, span, &standstills, transfer);
     Ok(())
 }
 
--- a/crates/agent/src/direct/weights_versions.rs
+++ b/crates/agent/src/direct/weights_versions.rs
@@ -5,7 +5,7 @@
 
 use std::time;
 
-use pimentohook_core::{announcement, rolling_update};
+use pimentohook_core::{announcement, rolling_update, standstill};
 
 use super::app;
 
@@ -19,6 +19,18 @@
     }
 }
 
+/// Records that the response to a watch has been read, whatever it reported.
+pub fn confirm_watch(
+    app: &app::App,
+    span: announcement::WatchSpan,
+    standstills: &standstill::Monitor,
+    transfer: time::Duration,
+) {
+    update(app, |announcements| {
+        announcements.confirm_watch(span, &*app.clock, standstills, transfer);
+    });
+}
+
 /// Records what an entry reported of announced versions.
 pub fn merge(app: &app::App, report: &announcement::Report, heard: announcement::Heard) {
     update(app, |announcements| {
--- a/crates/core/src/announcement/mod.rs
+++ b/crates/core/src/announcement/mod.rs
@@ -24,7 +24,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::clock;
+use crate::{clock, standstill};
 
 mod watch;
 
@@ -204,6 +204,18 @@
         self.read_at = self.read_at.max(Some(at));
     }
 
+    /// Records that the response to a watch has been read, whatever it reported.
+    pub fn confirm_watch(
+        &mut self,
+        span: WatchSpan,
+        clock: &dyn clock::Clock,
+        standstills: &standstill::Monitor,
+        transfer: time::Duration,
+    ) {
+        let responded_at = span.responded_at(clock, standstills, transfer);
+        self.confirm_read(Read::Fetched(responded_at));
+    }
+
     /// Records what another process has reported; returns whether any version is newer than all
     /// known ones.
     ///
--- a/crates/core/tests/announcement.rs
+++ b/crates/core/tests/announcement.rs
@@ -150,6 +150,22 @@
     assert_eq!(moment_of(&announcements, 2), Some(Moment::NotBefore(at(0))));
 }
 
+/// A watch that had not continued the last read was followed by others that didn't either.
+#[test]
+fn an_announcement_is_observed_again_after_a_watch_that_started_late() {
+    let mut clock = TestClock::new();
+    let mut announcements = Announcements::default();
+    announcements.record_read(announced(1), Read::Fetched(clock.boot_now()));
+    clock.run(2_000);
+    let span = WatchSpan::start(&clock, &announcements);
+    clock.run(12_000);
+    announcements.confirm_watch(span, &clock, &clock.standstills, time::Duration::ZERO);
+    let span = WatchSpan::start(&clock, &announcements);
+    clock.run(1_000);
+    let read = span.end(&clock, &clock.standstills, time::Duration::ZERO);
+    assert_eq!(read, Read::Pushed(at(15_000)));
+}
+
 /// The ticks may go on before what has waited is read.
 #[test]
 fn what_is_read_shortly_after_a_standstill_is_not_dated_after_it() {
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -298,6 +298,9 @@
     cache.update(|collection| collection.apply(changes.position, changes.changes) && is_changed);
     cache.confirm(responded_at);
     apply(app, kind, is_changed, read);
+    if kind == store::Kind::Weights {
+        weights_versions::confirm_watch(app, span, &standstills, transfer);
+    }
     Ok(is_changed)
 }
 
--- a/crates/entry/src/direct/weights_versions.rs
+++ b/crates/entry/src/direct/weights_versions.rs
@@ -6,7 +6,7 @@
 use std::{fmt, sync, time};
 
 use hyper::http;
-use pimentohook_core::{announcement, rolling_update};
+use pimentohook_core::{announcement, rolling_update, standstill};
 use pimentohook_platform::request;
 
 use super::{app, placement, proxy};
@@ -30,6 +30,18 @@
     update(app, |announcements| announcements.confirm_read(read));
 }
 
+/// Records that the response to a watch has been read, whatever it reported.
+pub fn confirm_watch(
+    app: &app::App,
+    span: announcement::WatchSpan,
+    standstills: &standstill::Monitor,
+    transfer: time::Duration,
+) {
+    update(app, |announcements| {
+        announcements.confirm_watch(span, &*app.clock, standstills, transfer);
+    });
+}
+
 /// Records what another entry or an agent reported of announced versions.
 pub fn merge(
     app: &app::App,
