Count only recent standstills, also where one follows the other

A reviewer who had not seen the work found that ticks which come late again and again were one standstill without end (a trial: 60 s of ticks 250 ms apart count from 0). Now each standstill counts for half a second of running after its end, by itself.

--- a/crates/core/src/standstill.rs
+++ b/crates/core/src/standstill.rs
@@ -17,7 +17,7 @@
 //! assert_eq!(monitor.backlog_since(at(3_000)), Some(at(100)));
 //! ```
 
-use std::time;
+use std::{collections::VecDeque, time};
 
 use crate::clock;
 
@@ -37,11 +37,12 @@
     until: clock::BootInstant,
 }
 
-/// What a process knows of its last standstill.
-#[derive(Clone, Copy, Debug)]
+/// What a process knows of its recent standstills.
+#[derive(Clone, Debug)]
 pub struct Monitor {
     last_tick_at: clock::BootInstant,
-    last: Option<Standstill>,
+    /// Those that ended within [`BACKLOG_TIME_MAX`] before the last tick, the oldest first.
+    recent: VecDeque<Standstill>,
 }
 
 impl Monitor {
@@ -50,13 +51,17 @@
     pub const fn new(now: clock::BootInstant) -> Self {
         Self {
             last_tick_at: now,
-            last: None,
+            recent: VecDeque::new(),
         }
     }
 
     /// Records that the process runs at `now`.
     pub fn tick(&mut self, now: clock::BootInstant) {
-        self.last = self.standstill_at(now);
+        let current = self.current(now);
+        let ran_until = current.map_or(now, |standstill| standstill.from);
+        self.recent
+            .retain(|standstill| is_recent(standstill, ran_until));
+        self.recent.extend(current);
         self.last_tick_at = now;
     }
 
@@ -64,27 +69,23 @@
     /// run all the while.
     #[must_use]
     pub fn backlog_since(&self, now: clock::BootInstant) -> Option<clock::BootInstant> {
-        let standstill = self.standstill_at(now)?;
-        let elapsed = now.saturating_duration_since(standstill.until);
-        (elapsed <= BACKLOG_TIME_MAX).then_some(standstill.from)
+        let current = self.current(now);
+        let ran_until = current.map_or(now, |standstill| standstill.from);
+        let mut earlier = self.recent.iter().copied();
+        let earliest = earlier.find(|standstill| is_recent(standstill, ran_until));
+        earliest.or(current).map(|standstill| standstill.from)
     }
 
-    /// Returns the last standstill, which may have ended just now. Two that follow each other closely
-    /// count as one.
-    fn standstill_at(&self, now: clock::BootInstant) -> Option<Standstill> {
-        if now.saturating_duration_since(self.last_tick_at) <= TICK_GAP_MAX {
-            return self.last;
-        }
-        let before = self.backlog_of_last(self.last_tick_at);
-        Some(Standstill {
-            from: before.unwrap_or(self.last_tick_at),
+    /// Returns the standstill that ends at `now`, before which there was no tick.
+    fn current(&self, now: clock::BootInstant) -> Option<Standstill> {
+        let is_late = now.saturating_duration_since(self.last_tick_at) > TICK_GAP_MAX;
+        is_late.then_some(Standstill {
+            from: self.last_tick_at,
             until: now,
         })
     }
+}
 
-    fn backlog_of_last(&self, at: clock::BootInstant) -> Option<clock::BootInstant> {
-        let last = self.last?;
-        let elapsed = at.saturating_duration_since(last.until);
-        (elapsed <= BACKLOG_TIME_MAX).then_some(last.from)
-    }
+fn is_recent(standstill: &Standstill, now: clock::BootInstant) -> bool {
+    now.saturating_duration_since(standstill.until) <= BACKLOG_TIME_MAX
 }
--- a/crates/runtime/src/standstill.rs
+++ b/crates/runtime/src/standstill.rs
@@ -30,10 +30,10 @@
         }
     }
 
-    /// Returns what is known of the last standstill.
+    /// Returns what is known of recent standstills.
     #[must_use]
     pub fn monitor(&self) -> standstill::Monitor {
-        *self.lock()
+        self.lock().clone()
     }
 
     /// Ticks the monitor until it is dropped.
