--- a/crates/core/src/collection.rs
+++ b/crates/core/src/collection.rs
@@ -35,7 +35,7 @@
     pub name: String,
     /// The revision of the last change, in the era in which the object was read.
     pub position: Position,
-    /// The content as JSON text.
+    /// The content, which is JSON text if its writer kept to the published form.
     pub content: String,
 }
 
