Check a ledger of grants against its manifest, and recover one that is lost

Each agent that took over as grantor would have ended in turn. A ledger that was overwritten during a download kept the version from its agents.

Cause: the number of chunks was taken from the ledger, and a counter was allocated for each. An unreadable ledger was replaced by an empty one without the grants that the agent had recorded itself, because it took its own knowledge for complete.

Change: a ledger that has another number of chunks than the manifest counts as unreadable. What replaces an unreadable or missing one has the grants that this agent and the others know, as after a restore of the store.

That other numbers of chunks (0, 1, 65) did harm before was not run by itself.

Why it works: the manifest is checked against the origin's digests, so its number of chunks is the right one, and a number in the store is only compared with it.

--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -187,10 +187,13 @@
     }
     let name = ledger_name(target);
     let stored = app.store.get(store::Kind::Grants, &name).await?;
-    let mut extended = stored
-        .as_ref()
-        .and_then(decode_ledger)
-        .unwrap_or_else(|| ledger::Ledger::new(manifest.chunk_count(), app.settings.policy));
+    let chunk_count = manifest.chunk_count();
+    let decode = |object| decode_ledger(object, chunk_count);
+    let decoded = stored.as_ref().and_then(decode);
+    // An object that has been overwritten or removed has lost what was recorded in it.
+    let is_complete = is_complete && decoded.is_some();
+    let new_ledger = || ledger::Ledger::new(chunk_count, app.settings.policy);
+    let mut extended = decoded.unwrap_or_else(new_ledger);
     if app.store.era() != era {
         return Ok(Vec::new());
     }
@@ -263,9 +266,18 @@
     format!("{}-{}", target.model, target.version)
 }
 
-fn decode_ledger(object: &collection::Object) -> Option<ledger::Ledger> {
-    match serde_json::from_str(&object.content) {
-        Ok(ledger) => Some(ledger),
+/// Decodes a ledger; one that can't be decoded or has another number of chunks is logged.
+fn decode_ledger(object: &collection::Object, chunk_count: u32) -> Option<ledger::Ledger> {
+    match serde_json::from_str::<ledger::Ledger>(&object.content) {
+        Ok(ledger) if ledger.chunk_count() == chunk_count => Some(ledger),
+        Ok(ledger) => {
+            log::warn!(
+                "grants: event=record_misfit name={} chunks={} expected={chunk_count}",
+                object.name,
+                ledger.chunk_count()
+            );
+            None
+        }
         Err(error) => {
             log::warn!(
                 "grants: event=record_unreadable name={} error={error:?}",
--- a/crates/core/src/burst/ledger.rs
+++ b/crates/core/src/burst/ledger.rs
@@ -114,6 +114,12 @@
         }
     }
 
+    /// Returns the number of chunks of the manifest.
+    #[must_use]
+    pub const fn chunk_count(&self) -> u32 {
+        self.chunk_count
+    }
+
     /// Returns all grants, oldest first.
     #[must_use]
     pub fn grants(&self) -> &[Grant] {
