Bound the estimates of engines, whatever figures the configuration has

What callers saw: nothing yet; looked for after operators reported odd entries with numbers that are too large. An agent that knows a configuration with such a figure for its engines panicked in each estimate, so it would have granted no slot.

Cause: mean token counts that are added as u32 overflow (in builds that check), and so does the share of Slots; Duration::from_secs_f64 and mul_f64 panic above 2^64 s, which step_ms of 1e300 reaches.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -40,7 +40,9 @@
     /// Returns the duration of a pass while `decoding_count` requests are decoding.
     #[must_use]
     pub fn pass_duration(&self, decoding_count: u32) -> time::Duration {
-        let context_k = f64::from(self.prompt_mean_tokens + self.answer_mean_tokens / 2) / 1_000.0;
+        let context_tokens =
+            f64::from(self.prompt_mean_tokens) + f64::from(self.answer_mean_tokens / 2);
+        let context_k = context_tokens / 1_000.0;
         let per_request_ms = self.per_request_ms + self.per_context_k_ms * context_k;
         let step_ms = self.step_ms + per_request_ms * f64::from(decoding_count);
         millis(step_ms * f64::from(self.steps_per_pass.max(1)))
@@ -52,7 +54,7 @@
     pub fn decode_duration(&self, decoding_count: u32, answer_tokens: u32) -> time::Duration {
         let passes = f64::from(answer_tokens) / f64::from(self.steps_per_pass.max(1));
         let pass = self.pass_duration(decoding_count);
-        pass.mul_f64(passes * PREFILL_SLOWDOWN)
+        scaled(pass, passes * PREFILL_SLOWDOWN)
     }
 
     /// Returns the time to prefill a prompt.
@@ -65,8 +67,17 @@
 /// Factor by which prefills between passes lengthen decoding.
 const PREFILL_SLOWDOWN: f64 = 1.4;
 
+/// The longest estimate, so that estimates of any profile can be added to each other and to an
+/// instant.
+const ESTIMATE_MAX: time::Duration = time::Duration::from_secs(86_400);
+
 fn millis(value_ms: f64) -> time::Duration {
-    time::Duration::from_secs_f64(value_ms.max(0.0) / 1_000.0)
+    let duration = time::Duration::try_from_secs_f64(value_ms.max(0.0) / 1_000.0);
+    duration.unwrap_or(ESTIMATE_MAX).min(ESTIMATE_MAX)
+}
+
+fn scaled(duration: time::Duration, factor: f64) -> time::Duration {
+    millis(duration.as_secs_f64() * 1_000.0 * factor)
 }
 
 /// An estimate of the prompts that were admitted at one engine but not prefilled yet.
@@ -106,7 +117,7 @@
             0.5 + (tokens / chunk_tokens).floor()
         };
         profile.prefill_duration(tokens)
-            + pass.mul_f64(passes)
+            + scaled(pass, passes)
             + profile.pass_duration(1) / profile.steps_per_pass.max(1)
     }
 
--- a/crates/core/src/engine_admission.rs
+++ b/crates/core/src/engine_admission.rs
@@ -87,7 +87,8 @@
 /// Returns the number of occupied slots from which on a request is refused.
 const fn slot_limit(profile: &engine::EngineProfile, request: &AdmissionRequest<'_>) -> u32 {
     if request.spare_only {
-        profile.slot_count * SPARE_ONLY_SLOTS_PERCENT / 100
+        profile.slot_count / 100 * SPARE_ONLY_SLOTS_PERCENT
+            + profile.slot_count % 100 * SPARE_ONLY_SLOTS_PERCENT / 100
     } else {
         profile.slot_count
     }
