Log and count what is skipped once per change, not on every reading

Odd registrations of entries were logged for debugging only. Nothing was counted.

Cause: all objects of a kind are decoded anew after each change of one.

The gauge objects_skipped of entries and agents counts these.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -221,6 +221,12 @@
         metrics::Registry::count(&self.metrics, event);
     }
 
+    /// Reports how many objects of the store were skipped, each counted once per change.
+    pub fn report_skipped(&self) {
+        let count = self.store.skipped().count();
+        metrics::Registry::set(&self.metrics, "objects_skipped", count);
+    }
+
     /// Returns whether the platform is taking a VM away, or the engine on this VM says that it is
     /// leaving.
     #[must_use]
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 use pimentohook_core::{announcement, carryover, collection, routes, upstreams};
-use pimentohook_platform::{decode, store};
+use pimentohook_platform::{decode, skipped, store};
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
 use snafu::ResultExt as _;
@@ -102,6 +102,7 @@
             refresh_from_store(&app, &mut caches).await;
         }
         expire_lost(&app, &mut caches);
+        app.report_skipped();
         let pause = if app.service.load().is_none() {
             RETRY_DELAY
         } else if app.transfers.is_downloading() {
@@ -243,7 +244,15 @@
     for object in listing.objects {
         match decode::route_table(&object.content) {
             Ok(table) => apply_table(app, &table),
-            Err(error) => log::error!("feed: event=configuration_unreadable error={error:?}"),
+            Err(error) => {
+                if app.store.skipped().record(kind, &object.name, &object) {
+                    log::error!(
+                        "feed: event=configuration_unreadable name={} error={}",
+                        object.name,
+                        skipped::shortened(&error)
+                    );
+                }
+            }
         }
     }
 }
@@ -284,7 +293,7 @@
     let now = app.clock.now();
     match kind {
         RefreshedKind::Upstreams => {
-            let listed = decode::upstreams(&objects);
+            let listed = decode::upstreams(&objects, app.store.skipped());
             let lost = &mut caches.lost_upstreams;
             apply_upstreams(app, &upstreams::with_lost(lost, era, listed, now));
         }
@@ -356,10 +365,14 @@
         match state {
             Ok(state) => Some(state),
             Err(error) => {
-                log::debug!(
-                    "feed: event=entry_unreadable name={} error={error:?}",
-                    object.name
-                );
+                let kind = store::Kind::Entries;
+                if app.store.skipped().record(kind, &object.name, object) {
+                    log::warn!(
+                        "feed: event=entry_unreadable name={} error={}",
+                        object.name,
+                        skipped::shortened(&error)
+                    );
+                }
                 None
             }
         }
--- a/crates/agent/src/direct/weights_feed.rs
+++ b/crates/agent/src/direct/weights_feed.rs
@@ -113,7 +113,7 @@
         let service = service.as_ref();
         service.is_none_or(|service| service.figures.models.contains(model))
     };
-    let announced = decode::announced_versions(objects).into_iter();
+    let announced = decode::announced_versions(objects, app.store.skipped()).into_iter();
     let announced: Vec<_> = announced.filter(is_own_model).collect();
     weights_versions::record_read(app, &announced, read);
 }
--- a/crates/core/src/collection.rs
+++ b/crates/core/src/collection.rs
@@ -29,7 +29,7 @@
 use crate::position::Position;
 
 /// An object of the platform.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Object {
     /// The name, unique within the kind.
     pub name: String,
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -69,7 +69,7 @@
 
 /// The longest estimate, so that estimates of any profile can be added to each other and to an
 /// instant.
-const ESTIMATE_MAX: time::Duration = time::Duration::from_secs(86_400);
+const ESTIMATE_MAX: time::Duration = time::Duration::from_hours(24);
 
 fn millis(value_ms: f64) -> time::Duration {
     let duration = time::Duration::try_from_secs_f64(value_ms.max(0.0) / 1_000.0);
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -183,6 +183,12 @@
         metrics::Registry::count(&self.metrics, event);
     }
 
+    /// Reports how many objects of the store were skipped, each counted once per change.
+    pub fn report_skipped(&self) {
+        let count = self.store.skipped().count();
+        metrics::Registry::set(&self.metrics, "objects_skipped", count);
+    }
+
     /// Counts the bytes of a kind of objects that were read from `place`, which is `store` or
     /// `peers`.
     pub fn count_read(&self, place: &str, kind: store::Kind, body_bytes: usize) {
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode};
 use indexmap::IndexMap;
 use pimentohook_core::{announcement, carryover, collection, id, position, relay};
-use pimentohook_platform::{decode, store};
+use pimentohook_platform::{decode, skipped, store};
 use pimentohook_runtime::{client, server};
 use pimentohook_wire::direct;
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
@@ -422,10 +422,12 @@
         store::Kind::Configuration => apply_configuration(app, objects),
         store::Kind::Upstreams => restored::set_listed_upstreams(app),
         store::Kind::Weights => {
-            weights_versions::record_read(app, &decode::announced_versions(objects), read);
+            let announced = decode::announced_versions(objects, app.store.skipped());
+            weights_versions::record_read(app, &announced, read);
         }
         store::Kind::Entries | store::Kind::Grants => {}
     }
+    app.report_skipped();
 }
 
 /// Applies the newest configuration; an older one never replaces it.
@@ -434,10 +436,14 @@
         let table = match decode::route_table(&object.content) {
             Ok(table) => table,
             Err(error) => {
-                log::error!(
-                    "feed: event=configuration_unreadable name={} error={error:?}",
-                    object.name
-                );
+                let kind = store::Kind::Configuration;
+                if app.store.skipped().record(kind, &object.name, object) {
+                    log::error!(
+                        "feed: event=configuration_unreadable name={} error={}",
+                        object.name,
+                        skipped::shortened(&error)
+                    );
+                }
                 continue;
             }
         };
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -8,7 +8,7 @@
 use hyper::Response;
 use indexmap::IndexMap;
 use pimentohook_core::{announcement, carryover, id};
-use pimentohook_platform::store;
+use pimentohook_platform::{skipped, store};
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 use rand::seq::IndexedRandom as _;
@@ -159,7 +159,16 @@
                 addresses.insert(state.peers);
             }
             Err(error) => {
-                log::debug!("peers: event=entry_unreadable name={name} error={error:?}");
+                if app
+                    .store
+                    .skipped()
+                    .record(store::Kind::Entries, name, object)
+                {
+                    log::warn!(
+                        "peers: event=entry_unreadable name={name} error={}",
+                        skipped::shortened(&error)
+                    );
+                }
             }
         }
     }
--- a/crates/entry/src/direct/restored.rs
+++ b/crates/entry/src/direct/restored.rs
@@ -63,7 +63,7 @@
     let mut lost = lock(&app.lost.upstreams);
     let collection = app.cached(store::Kind::Upstreams).collection();
     let era = collection.position().era;
-    let listed = decode::upstreams(collection.objects());
+    let listed = decode::upstreams(collection.objects(), app.store.skipped());
     let combined = upstreams::with_lost(&mut lost, era, listed, app.clock.now());
     app.set_upstreams(combined);
 }
