--- a/crates/core/src/collection.rs
+++ b/crates/core/src/collection.rs
@@ -29,13 +29,13 @@
 use crate::position::Position;
 
 /// An object of the platform.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Object {
     /// The name, unique within the kind.
     pub name: String,
     /// The revision of the last change, in the era in which the object was read.
     pub position: Position,
-    /// The content as JSON text.
+    /// The content, which is JSON text if its writer kept to the published form.
     pub content: String,
 }
 
