Round up the age of a bound that is told to others

Cause: ages were cut to whole milliseconds, and of two bounds the later one counts, so a bound became later by up to a millisecond with each exchange. Bounds decide where nobody observed an announcement.

--- a/crates/core/src/announcement/mod.rs
+++ b/crates/core/src/announcement/mod.rs
@@ -364,25 +364,34 @@
         let read_age = self.read_at.map(|at| now.saturating_duration_since(at));
         Report {
             statements: self.statements(now),
-            read_age_ms: read_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            read_age_ms: read_age.map(rounded_up_ms),
         }
     }
 
     fn statements(&self, now: clock::BootInstant) -> Vec<Statement> {
         let all = self.models.iter().flat_map(|(model, of_model)| {
             of_model.versions.iter().map(|known| {
-                let age = known
-                    .moment
-                    .counted_from()
-                    .map(|at| now.saturating_duration_since(at).as_millis());
+                let counted_from = known.moment.counted_from();
+                let age = counted_from.map(|at| now.saturating_duration_since(at));
+                let is_observed = known.is_observed();
+                let in_ms = if is_observed { whole_ms } else { rounded_up_ms };
                 Statement {
                     model: model.clone(),
                     version: known.version,
-                    age_ms: age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
-                    is_observed: known.is_observed(),
+                    age_ms: age.map(in_ms),
+                    is_observed,
                 }
             })
         });
         all.collect()
     }
 }
+
+fn whole_ms(age: time::Duration) -> u64 {
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns an age of a bound, which must not become later on its way.
+fn rounded_up_ms(age: time::Duration) -> u64 {
+    u64::try_from(age.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
+}
--- a/crates/core/tests/announcement.rs
+++ b/crates/core/tests/announcement.rs
@@ -166,6 +166,31 @@
     assert_eq!(read, Read::Pushed(at(15_000)));
 }
 
+/// Ages were cut to whole milliseconds, and of two bounds the later one counts.
+#[test]
+fn a_bound_that_is_told_to_and_fro_does_not_become_later() {
+    let announced_at = at(1_000);
+    let bound = Moment::NotBefore(announced_at);
+    let mut processes = [Announcements::default(), Announcements::default()];
+    processes[0].record(MODEL, 2, bound);
+    let mut now = announced_at;
+    for exchange in 0..1_000 {
+        now = now + time::Duration::from_micros(10_700);
+        let report = processes[exchange % 2].report(now);
+        let heard = Heard::InReply {
+            requested_at: now,
+            now,
+        };
+        processes[(exchange + 1) % 2].merge(&report, heard);
+    }
+    for process in &processes {
+        let Some(Moment::NotBefore(counted_from)) = moment_of(process, 2) else {
+            panic!("no bound");
+        };
+        assert!(counted_from <= announced_at, "{counted_from:?}");
+    }
+}
+
 /// The ticks may go on before what has waited is read.
 #[test]
 fn what_is_read_shortly_after_a_standstill_is_not_dated_after_it() {
