Withdraw requests from engines early enough for a pass that is under way

What callers may see: a request that begins on older weights after their time. An engine notices a closed connection between two passes. Not covered: engines more than four times slower, an engine that stands still when the withdrawal comes, and the estimate itself, which does not read the pace in the report.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -48,6 +48,15 @@
         millis(step_ms * f64::from(self.steps_per_pass.max(1)))
     }
 
+    /// Returns how long the engine may be at work before it notices that a connection was closed,
+    /// also if it has turned slow.
+    #[must_use]
+    pub fn pass_max(&self) -> time::Duration {
+        let prefill = self.prefill_duration(f64::from(self.read_chunk_tokens));
+        let pass = self.pass_duration(self.slot_count) + prefill;
+        scaled(pass, SLOWDOWN_MAX)
+    }
+
     /// Returns the time to decode a response of `answer_tokens` while `decoding_count` requests are
     /// decoding, including the prefills that run between its passes.
     #[must_use]
@@ -64,6 +73,9 @@
     }
 }
 
+/// How many times slower than its profile a sound engine may turn.
+const SLOWDOWN_MAX: f64 = 4.0;
+
 /// Factor by which prefills between passes lengthen decoding.
 const PREFILL_SLOWDOWN: f64 = 1.4;
 
--- a/crates/core/src/rolling_update.rs
+++ b/crates/core/src/rolling_update.rs
@@ -54,11 +54,16 @@
 
 /// Returns how long after the announcement of a newer version a request that has not started on an
 /// older one is withdrawn.
+///
+/// `pass_max` is how long the engine may be at work, and start the request, before it notices.
 #[must_use]
-pub const fn withdrawal_delay(grace: time::Duration) -> time::Duration {
-    grace
+pub fn withdrawal_delay(grace: time::Duration, pass_max: time::Duration) -> time::Duration {
+    let delay = grace
         .saturating_sub(START_ERROR_MAX)
         .saturating_sub(WITHDRAWAL_TIME_MAX)
+        .saturating_sub(pass_max);
+    // Later, what was just sent would be withdrawn at once.
+    delay.max(previous_version_lifetime(grace))
 }
 
 /// The number of downloaded chunks that an estimate requires.
--- a/crates/entry/src/direct/engine_placement.rs
+++ b/crates/entry/src/direct/engine_placement.rs
@@ -218,7 +218,9 @@
 ) -> Option<placement::Placement> {
     let served = candidate.served_version(model);
     let allowed = weights_versions::allowed(app, model);
-    let weights = weights_versions::SelectedWeights::new(app, model, served, allowed);
+    let pass_max = request.profile.map(engine::EngineProfile::pass_max);
+    let pass_max = pass_max.unwrap_or_default();
+    let weights = weights_versions::SelectedWeights::new(app, model, served, allowed, pass_max);
     let placement = placement::Placement {
         candidate: candidate.clone(),
         weights: Some(weights),
--- a/crates/entry/src/direct/weights_versions.rs
+++ b/crates/entry/src/direct/weights_versions.rs
@@ -133,10 +133,17 @@
 }
 
 impl SelectedWeights {
-    /// Describes the selection of an engine that serves a version of a model.
+    /// Describes the selection of an engine that serves a version of a model and works for up to
+    /// `pass_max` before it notices a withdrawal.
     #[must_use]
-    pub fn new(app: &app::App, model: &str, served: Option<u64>, allowed: AllowedVersions) -> Self {
-        let delay = rolling_update::withdrawal_delay(app.settings.weights_grace);
+    pub fn new(
+        app: &app::App,
+        model: &str,
+        served: Option<u64>,
+        allowed: AllowedVersions,
+        pass_max: time::Duration,
+    ) -> Self {
+        let delay = rolling_update::withdrawal_delay(app.settings.weights_grace, pass_max);
         let now = app.clock.boot_now();
         let remaining = |served| allowed.announced.remaining(model, served, delay, now);
         Self {
