Take a response for a request's only if it echoes the request's id

What callers saw (reported by operators of systems like ours): "not run, try again" for requests that an upstream ran (REFUSED), or a request that isn't idempotent ran at a second upstream (TWICE).

Cause: an upstream that writes an earlier refusal again on a kept connection, just as the next request goes out, is answering nobody. A 421 was classified before the echoed id was compared, and a response that echoes no id, or the request's id first of several, passed for that of any request. Such a response also named limits, leaving and back-offs, marked its upstream as replaced, and was a sign of life.

What is certain of none is Foreign and proves nothing. Responses to this request that are not as an upstream makes them (no stamp, encoded, a 429 or 503 without the header) are Invalid now and treated as before.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -89,12 +89,11 @@
             return send_failed(app, state, &error);
         }
     };
+    let class = request::classify_response(response.status(), response.headers(), &request.headers);
+    if class == request::ResponseClass::Foreign {
+        return discard(app, request, &placement.candidate, &response);
+    }
     record_sign(app, &placement.candidate);
-    let class = request::classify_response(
-        response.status(),
-        response.headers(),
-        request.caller.request_id.as_deref(),
-    );
     record_limit(app, &upstream.instance, class, &response, started_at);
     let statement = request::upstream_statement(response.status(), response.headers(), class);
     upstream_notices::record_response(app, request.id(), upstream, &statement);
@@ -112,7 +111,7 @@
             }
             return Outcome::Fault(Fault::NotRun);
         }
-        request::ResponseClass::Foreign => {
+        request::ResponseClass::Invalid | request::ResponseClass::Foreign => {
             state.stats.record_failure(app.now_ms());
             return Outcome::Fault(Fault::MayHaveRun);
         }
@@ -128,6 +127,23 @@
     upstream_response.read(app, request, placement).await
 }
 
+/// Discards a response that does not certainly belong to the request, which may be running.
+fn discard(
+    app: &app::App,
+    request: &proxy::ProxiedRequest,
+    candidate: &app::Candidate,
+    response: &Response<Incoming>,
+) -> Outcome {
+    candidate.state.stats.record_failure(app.now_ms());
+    log::info!(
+        "attempt: event=foreign_response request={} instance={} status={}",
+        request.id(),
+        candidate.upstream.instance,
+        response.status()
+    );
+    Outcome::Fault(Fault::MayHaveRun)
+}
+
 /// Records that something has come from an upstream.
 pub(super) fn record_sign(app: &app::App, candidate: &app::Candidate) {
     let change = candidate.state.contact.record_sign(app.now_ms());
@@ -149,7 +165,8 @@
 
 /// Records what a response states about the limit of the upstream.
 ///
-/// If the response may not be from this instance or not to this request, it can't withdraw a limit.
+/// If the response may not be from this instance, it is ignored; if it is not made as by an upstream,
+/// it can't withdraw a limit.
 fn record_limit(
     app: &app::App,
     instance: &str,
@@ -161,8 +178,8 @@
     let is_unlimited = statement == belief::Statement::Unlimited;
     let is_ignored = match class {
         request::ResponseClass::Answer | request::ResponseClass::NotRun => false,
-        request::ResponseClass::OtherInstance => true,
-        request::ResponseClass::Foreign => is_unlimited,
+        request::ResponseClass::OtherInstance | request::ResponseClass::Foreign => true,
+        request::ResponseClass::Invalid => is_unlimited,
     };
     if is_ignored {
         return;
