Close the connection of a response that belongs to no certain request

What callers saw: after an earlier response was written again on a kept connection, the next request on it failed with 502 too, and so on, as each met the response to the one before.

Cause: a response that is discarded was dropped, and with a length of 0 its connection was idle at once and went back to the pool, though the response to the request that runs there was still to come.

Change: the client can close the connection on which a response came. It cuts it off as it does for informational responses without end, and now wakes the connection's task as well, so that an idle connection ends without waiting for bytes. A request that gets this connection in between is either not written, which is known, or is answered 502: the id tells the responses apart.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -134,6 +134,8 @@
     candidate: &app::Candidate,
     response: &Response<Incoming>,
 ) -> Outcome {
+    // The response to this request may still come, and would meet the next one.
+    client::close_connection(response);
     candidate.state.stats.record_failure(app.now_ms());
     log::info!(
         "attempt: event=foreign_response request={} instance={} status={}",
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -271,6 +271,11 @@
     with_timeout(address, timeout, call).await
 }
 
+/// Closes the connection on which a response came, so that no other request is sent on it.
+pub fn close_connection<B>(response: &Response<B>) {
+    connector::cut_off(response.extensions());
+}
+
 /// Returns whether the request was canceled, which happens only before it has been written.
 fn is_canceled(error: &legacy::Error) -> bool {
     let source = std::error::Error::source(error);
--- a/crates/runtime/src/connector.rs
+++ b/crates/runtime/src/connector.rs
@@ -1,8 +1,8 @@
-//! Connects a client's connection pool, and lets a request cut off the connection that it is on.
+//! Connects a client's connection pool, and lets requests cut off the connections that they are on.
 //!
 //! The task of a connection reads as much as its peer sends for as long as it runs, so dropping a
-//! request ends its connection only once that task runs again. [`cut_off_after`] takes effect with
-//! the next read instead.
+//! request ends its connection only once that task runs again. [`cut_off_after`] and [`cut_off`] take
+//! effect with the next read instead, and wake the task for it.
 
 use std::{
     io, net, pin,
@@ -10,8 +10,8 @@
     task, time,
 };
 
-use futures_util::future;
-use hyper::{Request, Uri, rt};
+use futures_util::{future, task::AtomicWaker};
+use hyper::{Request, Uri, http, rt};
 use hyper_util::{
     client::legacy::connect::{self, Connected, Connection, HttpConnector},
     rt::TokioIo,
@@ -72,16 +72,24 @@
 /// Whether a connection is cut off.
 #[derive(Clone, Debug, Default)]
 struct CutOff {
-    is_set: sync::Arc<atomic::AtomicBool>,
+    state: sync::Arc<CutOffState>,
+}
+
+#[derive(Debug, Default)]
+struct CutOffState {
+    is_set: atomic::AtomicBool,
+    /// Wakes the task of the connection.
+    reader: AtomicWaker,
 }
 
 impl CutOff {
     fn set(&self) {
-        self.is_set.store(true, atomic::Ordering::Relaxed);
+        self.state.is_set.store(true, atomic::Ordering::Release);
+        self.state.reader.wake();
     }
 
     fn is_set(&self) -> bool {
-        self.is_set.load(atomic::Ordering::Relaxed)
+        self.state.is_set.load(atomic::Ordering::Acquire)
     }
 }
 
@@ -104,6 +112,7 @@
         context: &mut task::Context<'_>,
         buffer: rt::ReadBufCursor<'_>,
     ) -> task::Poll<io::Result<()>> {
+        self.is_cut_off.state.reader.register(context.waker());
         if self.is_cut_off.is_set() {
             return task::Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
@@ -156,13 +165,18 @@
         if count.fetch_add(1, atomic::Ordering::Relaxed) < informational_max {
             return;
         }
-        let mut extensions = hyper::http::Extensions::new();
+        let mut extensions = http::Extensions::new();
         if let Some(connected) = captured.connection_metadata().as_ref() {
             connected.get_extras(&mut extensions);
         }
-        match extensions.get::<CutOff>() {
-            Some(cut_off) => cut_off.set(),
-            None => log::warn!("client: event=connection_not_cut_off reason=unknown_connection"),
-        }
+        cut_off(&extensions);
     });
 }
+
+/// Cuts off the connection that is named in the extensions of a response.
+pub fn cut_off(extensions: &http::Extensions) {
+    match extensions.get::<CutOff>() {
+        Some(cut_off) => cut_off.set(),
+        None => log::warn!("client: event=connection_not_cut_off reason=unknown_connection"),
+    }
+}
