Take lines that are no fields of an event for the break of a stream

What callers saw: the head of an error in the middle of their stream, at times in one that ended as complete: an upstream that had begun an event wrote a response's head into the same body. "id: 4\ndata: pie" and "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\n...\r\n\r\n" are one event up to the next empty line, with a valid id.

Cause: an event was checked for its id only.

Why it works: a line of an event is a comment or one of id, data, event, retry; other names (the line of the weights' version) begin with "x-" and come before those. A head's first line has no such name, and its other lines come too late. The event isn't passed on, and the stream goes on elsewhere. Text without a line end that is written into a line of data can't be told from data.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -15,6 +15,11 @@
 /// The maximum length of a stream.
 const STREAM_MAX_BYTES: usize = 8 << 20;
 
+/// The fields of an event.
+const FIELDS: [&str; 4] = ["id", "data", "event", "retry"];
+/// What the names of other fields begin with; they come before all of [`FIELDS`].
+const EXTENSION_PREFIX: &str = "x-";
+
 /// Why a stream is not valid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -23,6 +28,8 @@
     EventTooLong,
     /// The stream is longer than allowed.
     StreamTooLong,
+    /// A line is not one of an event.
+    NotAnEvent,
     /// An event has no id, although earlier ones have.
     IdMissing,
     /// The id of an event is not greater than that of the event before.
@@ -134,6 +141,9 @@
 fn check_event(event: &[u8], last_id: Option<u64>) -> Result<Option<u64>, Violation> {
     let text = String::from_utf8_lossy(event);
     let mut lines = text.lines().filter(|line| !line.is_empty());
+    if !has_only_fields(lines.clone()) {
+        return Err(Violation::NotAnEvent);
+    }
     let id = text.lines().find_map(|line| line.strip_prefix("id:"));
     let id: Option<u64> = id.and_then(|id| id.trim().parse().ok());
     match (id, last_id) {
@@ -143,3 +153,15 @@
         (None, last_id) => Ok(last_id),
     }
 }
+
+/// Returns whether all lines are fields or comments, as those of the head of a response are not.
+fn has_only_fields<'a, L>(lines: L) -> bool
+where
+    L: Iterator<Item = &'a str>,
+{
+    let names = lines.map(|line| line.split_once(':').map_or(line, |(name, _)| name));
+    let mut fields = names
+        .filter(|name| !name.is_empty())
+        .skip_while(|name| name.starts_with(EXTENSION_PREFIX));
+    fields.all(|name| FIELDS.contains(&name))
+}
--- a/crates/core/tests/event_stream.rs
+++ b/crates/core/tests/event_stream.rs
@@ -38,6 +38,19 @@
 #[case::earlier_id(event(1), Violation::IdNotIncreasing)]
 #[case::no_id(String::from("data: a\n\n"), Violation::IdMissing)]
 #[case::no_number(String::from("id: x\ndata: a\n\n"), Violation::IdMissing)]
+#[case::text(String::from("upstream failed\n\n"), Violation::NotAnEvent)]
+#[case::head(
+    String::from("HTTP/1.1 503 Busy\r\nServer: a\r\n\r\n"),
+    Violation::NotAnEvent
+)]
+#[case::head_in_an_event(
+    String::from("id: 3\ndata: aHTTP/1.1 503 Busy\r\nserver: a\r\n\r\n"),
+    Violation::NotAnEvent
+)]
+#[case::extension_after_a_field(
+    String::from("id: 3\ndata: aHTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n\r\n"),
+    Violation::NotAnEvent
+)]
 #[case::long_event("a".repeat(300 << 10), Violation::EventTooLong)]
 #[case::long_comments(": a\n\n".repeat(2 << 20), Violation::StreamTooLong)]
 fn nothing_is_forwarded_from_where_a_stream_is_not_valid(
@@ -59,6 +72,7 @@
 #[case::line_feeds("id: 1\ndata: a\n\n")]
 #[case::carriage_returns("id: 1\r\ndata: a\r\n\r\n")]
 #[case::version_first("x-weight-versions: 2\nid: 1\ndata: a\n\n")]
+#[case::all_fields(": comment\nevent: a\nid: 1\nretry: 10\ndata: a\ndata\n\n")]
 #[case::comment("id: 1\ndata: a\n\n: comment\n\n")]
 #[case::without_ids("data: a\n\ndata: b\n\n")]
 fn valid_events_are_forwarded_unchanged(#[case] text: &str) {
