Let only an event stream with status 200 go on with a broken stream

What callers saw: a stream that ended as if it were complete after its third event of six, when the next upstream answered 204 or 202, or 200 with an empty body of text/plain, application/json or no type; and events under status 206 or as text/plain were joined to it. A stream was held up until its deadline by an error whose body did not end.

Cause: any 2xx on a streaming route was read as events, and one that resumed a stream could be empty. An error's body was read to its end although it is not passed on.

Why it works: what resumes a stream is judged by its head, before a byte of its body is read: status 200 and the media type of event streams (in any case, with parameters), beside the stamp and the id that are asked for already. Anything else is a failed attempt, and the next upstream is asked if there may be one. First responses are read as before, but that text/event-streams is no event stream.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http_body_util::Full;
-use hyper::{Request, Response, Uri, body::Incoming, header, http};
+use hyper::{Request, Response, StatusCode, Uri, body::Incoming, header, http};
 use pimentohook_core::{event_stream, upstream_limit::belief};
 use pimentohook_platform::request;
 use pimentohook_runtime::{body, client, server};
@@ -125,6 +125,10 @@
         start_timeout: start_timeout.saturating_sub(started_at.elapsed()),
         last_event_id,
     };
+    let is_resumed = reason == limited_upstream::SendReason::Resume;
+    if is_resumed && !upstream_response.may_go_on() {
+        return upstream_response.leave(app, request, placement);
+    }
     upstream_response.read(app, request, placement).await
 }
 
@@ -231,19 +235,46 @@
 }
 
 impl UpstreamResponse {
+    fn is_event_stream(&self) -> bool {
+        let content_type = self.response.headers().get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let media_type = content_type.and_then(|value| value.split(';').next());
+        media_type.is_some_and(|value| value.trim().eq_ignore_ascii_case(EVENT_STREAM))
+    }
+
+    /// Returns whether the body may follow the events of another upstream.
+    fn may_go_on(&self) -> bool {
+        self.response.status() == StatusCode::OK && self.is_event_stream()
+    }
+
+    /// Leaves a response that can't go on with a stream, whose body is not waited for.
+    fn leave(
+        self,
+        app: &app::App,
+        request: &proxy::ProxiedRequest,
+        placement: &placement::Placement,
+    ) -> Outcome {
+        let status = self.response.status();
+        log::warn!(
+            "attempt: event=not_a_stream request={} instance={} status={}",
+            request.id(),
+            placement.candidate.upstream.instance,
+            status.as_u16()
+        );
+        if !status.is_client_error() {
+            placement.candidate.state.stats.record_failure(app.now_ms());
+        }
+        Outcome::Fault(Fault::MayHaveRun)
+    }
+
     async fn read(
         self,
         app: &app::App,
         request: &proxy::ProxiedRequest,
         placement: &placement::Placement,
     ) -> Outcome {
-        let is_events = self
-            .response
-            .headers()
-            .get(header::CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok())
-            .is_some_and(|value| value.starts_with(EVENT_STREAM));
-        if self.response.status().is_success() && (is_events || request.route.streaming) {
+        let is_stream = self.is_event_stream() || request.route.streaming;
+        if self.response.status().is_success() && is_stream {
             return self.read_stream(app, request, placement).await;
         }
         self.read_complete(app, request, placement).await
