Complete no stream by a connection that closes before an event

What callers saw: a stream that ended as if it were complete after its third event of six: the next upstream sent a head with neither a length nor chunks, at most a comment, and closed its connection, as one that is killed does.

Cause: a resumed stream could be empty whether or not its end was marked, and a comment counted as an event.

Why it works: a body without a marked end completes a stream only after an event of its own, at its boundary. Length 0 and the final chunk still say that nothing is left. An upstream without either that has nothing left can't be told from one that was killed; such a stream breaks off visibly, or goes on at a third upstream.

The bound on what callers are owed is the same: a stream that has an event left goes on at an upstream without a length.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -44,6 +44,8 @@
     /// Complete events that have not been taken.
     complete: Vec<u8>,
     last_id: Option<u64>,
+    /// Whether there was an event that is more than comments.
+    has_begun: bool,
     total_bytes: usize,
     violation: Option<Violation>,
 }
@@ -76,6 +78,7 @@
         while let Some(length) = event_length(&self.partial[start..]) {
             let event = &self.partial[start..start + length];
             self.last_id = check_event(event, self.last_id)?;
+            self.has_begun |= !is_comment(event);
             self.complete.extend_from_slice(event);
             start += length;
         }
@@ -95,6 +98,12 @@
         !self.complete.is_empty()
     }
 
+    /// Returns whether there was an event, also if it has been taken; comments are none.
+    #[must_use]
+    pub const fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
     /// Removes the complete events and returns them.
     pub fn take(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.complete)
@@ -140,8 +149,7 @@
 /// Streams whose events have no numeric ids are not checked, nor are events that are only comments.
 fn check_event(event: &[u8], last_id: Option<u64>) -> Result<Option<u64>, Violation> {
     let text = String::from_utf8_lossy(event);
-    let mut lines = text.lines().filter(|line| !line.is_empty());
-    if !has_only_fields(lines.clone()) {
+    if !has_only_fields(text.lines()) {
         return Err(Violation::NotAnEvent);
     }
     let id = text.lines().find_map(|line| line.strip_prefix("id:"));
@@ -149,11 +157,17 @@
     match (id, last_id) {
         (Some(id), Some(last_id)) if id <= last_id => Err(Violation::IdNotIncreasing),
         (Some(id), _) => Ok(Some(id)),
-        (None, Some(_)) if lines.any(|line| !line.starts_with(':')) => Err(Violation::IdMissing),
+        (None, Some(_)) if !is_comment(event) => Err(Violation::IdMissing),
         (None, last_id) => Ok(last_id),
     }
 }
 
+/// Returns whether all lines are comments or empty.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line.first(), None | Some(b':' | b'\r')))
+}
+
 /// Returns whether all lines are fields or comments, as those of the head of a response are not.
 fn has_only_fields<'a, L>(lines: L) -> bool
 where
--- a/crates/core/tests/event_stream.rs
+++ b/crates/core/tests/event_stream.rs
@@ -89,3 +89,18 @@
     assert_eq!(reader.take(), event(6).as_bytes());
     assert_eq!(reader.violation(), Some(Violation::IdNotIncreasing));
 }
+
+/// A stream of comments that was closed looked whole.
+#[rstest]
+#[case::nothing("", false)]
+#[case::empty_lines("\n\r\n\r\n", false)]
+#[case::comments(": a\n\n:\r\n: b\r\n\r\n", false)]
+#[case::part_of_an_event("id: 6\ndata: a\n", false)]
+#[case::event("id: 6\ndata: a\n\n", true)]
+#[case::event_after_a_comment(": a\n\nid: 6\ndata: a\n\n", true)]
+fn only_an_event_begins_a_stream(#[case] text: &str, #[case] expected: bool) {
+    let mut reader = EventReader::new(Some(5));
+    reader.push(text.as_bytes());
+    reader.take();
+    assert_eq!(reader.has_begun(), expected);
+}
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -321,12 +321,12 @@
         request: &proxy::ProxiedRequest,
         placement: &placement::Placement,
     ) -> Outcome {
-        // Only a resumed stream may have nothing left before its connection closes.
-        let may_be_empty = self.last_event_id.is_some() || body::has_marked_end(&self.response);
+        let has_marked_end = body::has_marked_end(&self.response);
         let (head, body) = self.response.into_parts();
         let mut open = open_stream::OpenStream {
             head,
             body,
+            has_marked_end,
             events: event_stream::EventReader::new(self.last_event_id),
             body_state: open_stream::BodyState::Open,
             candidate: placement.candidate.clone(),
@@ -338,7 +338,7 @@
             app.count("withdrawn");
             return Outcome::Fault(Fault::MayHaveRun);
         }
-        let has_begun = matches!(first, Ok(true)) && (may_be_empty || open.events.has_events());
+        let has_begun = matches!(first, Ok(true));
         if first.is_ok() && !has_begun {
             let progress = prompt_evidence::Progress::Begun;
             stream_evidence::record_cut(app, request, &open, progress);
--- a/crates/entry/src/direct/open_stream.rs
+++ b/crates/entry/src/direct/open_stream.rs
@@ -14,7 +14,7 @@
 pub enum BodyState {
     /// More may come.
     Open,
-    /// It has ended after a complete event.
+    /// It has ended after a complete event, or with a mark that there is none.
     Ended,
     /// It was cut off or is not valid, which stays so: a body ends after its error.
     Broken,
@@ -27,6 +27,8 @@
     pub head: http::response::Parts,
     /// The remaining body.
     pub body: Incoming,
+    /// Whether the end of the body can be told from the end of its connection.
+    pub has_marked_end: bool,
     /// The events that have been read.
     pub events: event_stream::EventReader,
     /// How far the body has been read.
@@ -62,8 +64,13 @@
                 }
             }
             Some(Err(error)) => self.record_break("stream_cut_off", &error),
-            None if self.events.is_at_boundary() => self.body_state = BodyState::Ended,
-            None => self.record_break("stream_cut_off", &"ended within an event"),
+            None if !self.events.is_at_boundary() => {
+                self.record_break("stream_cut_off", &"ended within an event");
+            }
+            None if !self.has_marked_end && !self.events.has_begun() => {
+                self.record_break("stream_cut_off", &"ended before an event");
+            }
+            None => self.body_state = BodyState::Ended,
         }
         if let Some(violation) = self.events.violation() {
             self.record_break("stream_not_valid", &violation);
