Take a transfer encoding for a marked end only if it is chunked

What callers saw: a stream that ended as if it were complete after its third event of six: the next upstream answered with 'Transfer-Encoding: identity', also beside a length of 0, and closed its connection.

Cause: any transfer encoding counted as a marked end; one whose last coding isn't chunked ends with its connection (RFC 9112, 6.3), and so the client reads it.

Evidence: the cases not_in_chunks and not_in_chunks_with_length of an_end_that_is_not_marked_completes_no_stream_without_an_event failed before ('falsely complete: (Chunks, CloseBetween) stream.example: body: "id: 1... id: 3\ndata: piece-3\n\n", is_complete: true') and pass, with the tests of marked ends (9 of 9).

Why it works: the mark is read as the client reads it: the last transfer coding, and a length only without one.

--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -12,6 +12,9 @@
 
 use crate::client;
 
+/// The transfer encoding with which a body marks its end.
+const CHUNKED: &str = "chunked";
+
 /// Reads the complete body of a response.
 ///
 /// # Errors
@@ -36,9 +39,14 @@
 /// was closed too early.
 #[must_use]
 pub fn has_marked_end(response: &Response<Incoming>) -> bool {
-    response.body().is_end_stream()
-        || response.headers().contains_key(header::CONTENT_LENGTH)
-        || response.headers().contains_key(header::TRANSFER_ENCODING)
+    let transfer_encodings = response.headers().get_all(header::TRANSFER_ENCODING);
+    let last = transfer_encodings.iter().next_back();
+    let Some(last) = last else {
+        return response.body().size_hint().exact().is_some();
+    };
+    // A body whose last encoding is another one ends with its connection, also if it has a length.
+    let last = last.to_str().unwrap_or_default().rsplit(',').next();
+    last.is_some_and(|last| last.trim().eq_ignore_ascii_case(CHUNKED))
 }
 
 /// A bound on the memory of all responses that are read at the same time.
