Don't run a stream without ids again after it has broken off

What callers saw: all events of their stream twice, and an end as if it were complete: the first upstream sent events without numeric ids and broke off.

Why it works: a stream goes on elsewhere only if each event so far had an id, or nothing but comments has come.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -46,6 +46,8 @@
     last_id: Option<u64>,
     /// Whether there was an event that is more than comments.
     has_begun: bool,
+    /// Whether there was such an event without a numeric id.
+    has_unnumbered: bool,
     total_bytes: usize,
     violation: Option<Violation>,
 }
@@ -78,7 +80,9 @@
         while let Some(length) = event_length(&self.partial[start..]) {
             let event = &self.partial[start..start + length];
             self.last_id = check_event(event, self.last_id)?;
-            self.has_begun |= !is_comment(event);
+            let is_event = !is_comment(event);
+            self.has_begun |= is_event;
+            self.has_unnumbered |= is_event && self.last_id.is_none();
             self.complete.extend_from_slice(event);
             start += length;
         }
@@ -121,6 +125,12 @@
         self.violation
     }
 
+    /// Returns whether [`EventReader::last_id`] says after which event the stream goes on.
+    #[must_use]
+    pub const fn is_resumable(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Returns the id of the last complete event that has one.
     #[must_use]
     pub const fn last_id(&self) -> Option<u64> {
--- a/crates/core/tests/event_stream.rs
+++ b/crates/core/tests/event_stream.rs
@@ -104,3 +104,17 @@
     reader.take();
     assert_eq!(reader.has_begun(), expected);
 }
+
+/// A stream without ids was resumed from its start.
+#[rstest]
+#[case::nothing("", true)]
+#[case::comment(": a\n\n", true)]
+#[case::ids("id: 1\ndata: a\n\n: a\n\nid: 2\ndata: a\n\n", true)]
+#[case::no_id("data: a\n\n", false)]
+#[case::no_number("id: x\ndata: a\n\n", false)]
+#[case::no_id_at_first("data: a\n\nid: 1\ndata: a\n\n", false)]
+fn a_stream_is_resumable_if_its_events_have_ids(#[case] text: &str, #[case] expected: bool) {
+    let mut reader = EventReader::new(None);
+    reader.push(text.as_bytes());
+    assert_eq!(reader.is_resumable(), expected);
+}
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -232,7 +232,8 @@
         excluded: &mut Vec<String>,
     ) -> Result<(), Interruption> {
         let route = &self.request.route;
-        snafu::ensure!(route.resumable, NotResumableSnafu);
+        let is_resumable = route.resumable && self.open.events.is_resumable();
+        snafu::ensure!(is_resumable, NotResumableSnafu);
         snafu::ensure!(self.run_count < route.attempts_max, AttemptsSpentSnafu);
         let may_resume = prompt_admission::may_resume(&self.app, &self.request, is_open);
         snafu::ensure!(may_resume, HeldBackSnafu);
