--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -15,6 +15,11 @@
 /// The maximum length of a stream.
 const STREAM_MAX_BYTES: usize = 8 << 20;
 
+/// The fields of an event.
+const FIELDS: [&str; 4] = ["id", "data", "event", "retry"];
+/// What the names of other fields begin with; they come before all of [`FIELDS`].
+const EXTENSION_PREFIX: &str = "x-";
+
 /// Why a stream is not valid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -23,6 +28,8 @@
     EventTooLong,
     /// The stream is longer than allowed.
     StreamTooLong,
+    /// A line is not one of an event.
+    NotAnEvent,
     /// An event has no id, although earlier ones have.
     IdMissing,
     /// The id of an event is not greater than that of the event before.
@@ -37,6 +44,10 @@
     /// Complete events that have not been taken.
     complete: Vec<u8>,
     last_id: Option<u64>,
+    /// Whether there was an event that is more than comments.
+    has_begun: bool,
+    /// Whether there was such an event without a numeric id.
+    has_unnumbered: bool,
     total_bytes: usize,
     violation: Option<Violation>,
 }
@@ -69,6 +80,9 @@
         while let Some(length) = event_length(&self.partial[start..]) {
             let event = &self.partial[start..start + length];
             self.last_id = check_event(event, self.last_id)?;
+            let is_event = !is_comment(event);
+            self.has_begun |= is_event;
+            self.has_unnumbered |= is_event && self.last_id.is_none();
             self.complete.extend_from_slice(event);
             start += length;
         }
@@ -88,6 +102,12 @@
         !self.complete.is_empty()
     }
 
+    /// Returns whether there was an event, also if it has been taken; comments are none.
+    #[must_use]
+    pub const fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
     /// Removes the complete events and returns them.
     pub fn take(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.complete)
@@ -105,6 +125,12 @@
         self.violation
     }
 
+    /// Returns whether [`EventReader::last_id`] says after which event the stream goes on.
+    #[must_use]
+    pub const fn is_resumable(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Returns the id of the last complete event that has one.
     #[must_use]
     pub const fn last_id(&self) -> Option<u64> {
@@ -133,13 +159,33 @@
 /// Streams whose events have no numeric ids are not checked, nor are events that are only comments.
 fn check_event(event: &[u8], last_id: Option<u64>) -> Result<Option<u64>, Violation> {
     let text = String::from_utf8_lossy(event);
-    let mut lines = text.lines().filter(|line| !line.is_empty());
+    if !has_only_fields(text.lines()) {
+        return Err(Violation::NotAnEvent);
+    }
     let id = text.lines().find_map(|line| line.strip_prefix("id:"));
     let id: Option<u64> = id.and_then(|id| id.trim().parse().ok());
     match (id, last_id) {
         (Some(id), Some(last_id)) if id <= last_id => Err(Violation::IdNotIncreasing),
         (Some(id), _) => Ok(Some(id)),
-        (None, Some(_)) if lines.any(|line| !line.starts_with(':')) => Err(Violation::IdMissing),
+        (None, Some(_)) if !is_comment(event) => Err(Violation::IdMissing),
         (None, last_id) => Ok(last_id),
     }
 }
+
+/// Returns whether all lines are comments or empty.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line.first(), None | Some(b':' | b'\r')))
+}
+
+/// Returns whether all lines are fields or comments, as those of the head of a response are not.
+fn has_only_fields<'a, L>(lines: L) -> bool
+where
+    L: Iterator<Item = &'a str>,
+{
+    let names = lines.map(|line| line.split_once(':').map_or(line, |(name, _)| name));
+    let mut fields = names
+        .filter(|name| !name.is_empty())
+        .skip_while(|name| name.starts_with(EXTENSION_PREFIX));
+    fields.all(|name| FIELDS.contains(&name))
+}
