Tell a stream that ends within an event as its framing says from one whose upstream ended

What callers saw: a stream that was not resumed, though another upstream could. Cause: an upstream that sends its last chunk within an event was booked as one that ended under its request; where requests are the same by path, caller and body, from the second such end on none of them is sent again. Traced for a listed test.

--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -298,7 +298,7 @@
         let pass = profile.pass_duration(12) + profile.prefill_duration(2_048.0);
         let pass = pass.mul_f64(slowdown);
         let withdrawn_at = rolling_update::withdrawal_delay(grace, profile.pass_max());
-        let begins_at = withdrawn_at + pass - pass * begun_before_percent / 100;
+        let begins_at = withdrawn_at + pass * (100 - begun_before_percent) / 100;
         // The moment of the announcement may be late, and the withdrawal takes a while.
         prop_assert!(begins_at + Duration::from_millis(400) <= grace);
         prop_assert!(withdrawn_at >= rolling_update::previous_version_lifetime(grace));
--- a/crates/entry/src/direct/open_stream.rs
+++ b/crates/entry/src/direct/open_stream.rs
@@ -18,6 +18,8 @@
     Ended,
     /// It was cut off or is not valid, which stays so: a body ends after its error.
     Broken,
+    /// It has ended as its framing says, but within an event, so its upstream has not crashed.
+    Incomplete,
 }
 
 /// An event stream whose first event has been received.
@@ -49,7 +51,7 @@
             match self.body_state {
                 BodyState::Open => self.read_frame(app).await,
                 BodyState::Ended => return true,
-                BodyState::Broken => return false,
+                BodyState::Broken | BodyState::Incomplete => return false,
             }
         }
         true
@@ -66,6 +68,9 @@
             Some(Err(error)) => self.record_break("stream_cut_off", &error),
             None if !self.events.is_at_boundary() => {
                 self.record_break("stream_cut_off", &"ended within an event");
+                if self.has_marked_end {
+                    self.body_state = BodyState::Incomplete;
+                }
             }
             None if !self.has_marked_end && !self.events.has_begun() => {
                 self.record_break("stream_cut_off", &"ended before an event");
--- a/crates/entry/src/direct/stream_evidence.rs
+++ b/crates/entry/src/direct/stream_evidence.rs
@@ -45,14 +45,15 @@
     prompt_evidence::record_served(app, request, &open.candidate, evidence.sent_at);
 }
 
-/// Records that a body was cut off, unless its bytes are not valid.
+/// Records that a body was cut off, unless its bytes are not valid or it has ended as its framing says.
 pub fn record_cut(
     app: &app::App,
     request: &proxy::ProxiedRequest,
     open: &open_stream::OpenStream,
     progress: prompt_evidence::Progress,
 ) {
-    if open.events.violation().is_none() {
+    let is_cut_off = open.body_state != open_stream::BodyState::Incomplete;
+    if is_cut_off && open.events.violation().is_none() {
         prompt_evidence::record_ended(app, request, &open.candidate, progress);
     }
 }
