--- a/crates/core/src/rolling_update.rs
+++ b/crates/core/src/rolling_update.rs
@@ -62,7 +62,7 @@
         .saturating_sub(START_ERROR_MAX)
         .saturating_sub(WITHDRAWAL_TIME_MAX)
         .saturating_sub(pass_max);
-    // Later, what was just sent would be withdrawn at once.
+    // An earlier one would withdraw what has just been sent.
     delay.max(previous_version_lifetime(grace))
 }
 
