Keep a connection that is cut off from the next request at once

What callers saw: a stream that was not resumed though a third upstream could, a request refused by nobody's fault. Cause: the connection of a response that belongs to no certain request was cut off by its next read, but stayed in the pool until its task ran; the next request there took it, was not sent, and counted the upstream as tried. A first guess, that such requests were held back as crashing, was wrong: the counter was 0.

--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -256,9 +256,10 @@
     mut request: Request<Full<Bytes>>,
     timeout: time::Duration,
 ) -> Result<Response<Incoming>, ClientError> {
-    connector::cut_off_after(&mut request, INFORMATIONAL_MAX);
+    let connection = connector::cut_off_after(&mut request, INFORMATIONAL_MAX);
     let call = async {
-        pool.request(request).await.map_err(|error| {
+        let response = pool.request(request).await;
+        response.map_err(|error| {
             if error.is_connect() {
                 ClientError::Connect { address }
             } else if is_canceled(&error) {
@@ -268,12 +269,17 @@
             }
         })
     };
-    with_timeout(address, timeout, call).await
+    let mut response = with_timeout(address, timeout, call).await?;
+    response.extensions_mut().insert(connection);
+    Ok(response)
 }
 
 /// Closes the connection on which a response came, so that no other request is sent on it.
 pub fn close_connection<B>(response: &Response<B>) {
-    connector::cut_off(response.extensions());
+    let connection: Option<&connector::RequestConnection> = response.extensions().get();
+    if let Some(connection) = connection {
+        connection.cut_off();
+    }
 }
 
 /// Returns whether the request was canceled, which happens only before it has been written.
--- a/crates/runtime/src/connector.rs
+++ b/crates/runtime/src/connector.rs
@@ -1,8 +1,8 @@
 //! Connects a client's connection pool, and lets requests cut off the connections that they are on.
 //!
 //! The task of a connection reads as much as its peer sends for as long as it runs, so dropping a
-//! request ends its connection only once that task runs again. [`cut_off_after`] and [`cut_off`] take
-//! effect with the next read instead, and wake the task for it.
+//! request ends its connection only once that task runs again. [`cut_off_after`] and
+//! [`RequestConnection::cut_off`] take effect with the next read instead, and wake the task for it.
 
 use std::{
     io, net, pin,
@@ -156,27 +156,37 @@
     }
 }
 
-/// Cuts off the connection of a request once it has got more than `informational_max` informational
-/// responses, with a status below 200.
-pub fn cut_off_after<B>(request: &mut Request<B>, informational_max: u32) {
-    let captured = connect::capture_connection(request);
-    let count = atomic::AtomicU32::new(0);
-    hyper::ext::on_informational(request, move |_| {
-        if count.fetch_add(1, atomic::Ordering::Relaxed) < informational_max {
-            return;
-        }
+/// The connection of a request, once it has one.
+#[derive(Clone)]
+pub struct RequestConnection(sync::Arc<connect::CaptureConnection>);
+
+impl RequestConnection {
+    /// Cuts off the connection, and keeps it from other requests at once: its task may not have run
+    /// yet when the next one is sent.
+    pub fn cut_off(&self) {
+        let metadata = self.0.connection_metadata();
         let mut extensions = http::Extensions::new();
-        if let Some(connected) = captured.connection_metadata().as_ref() {
+        if let Some(connected) = metadata.as_ref() {
+            connected.poison();
             connected.get_extras(&mut extensions);
         }
-        cut_off(&extensions);
-    });
+        match extensions.get::<CutOff>() {
+            Some(cut_off) => cut_off.set(),
+            None => log::warn!("client: event=connection_not_cut_off reason=unknown_connection"),
+        }
+    }
 }
 
-/// Cuts off the connection that is named in the extensions of a response.
-pub fn cut_off(extensions: &http::Extensions) {
-    match extensions.get::<CutOff>() {
-        Some(cut_off) => cut_off.set(),
-        None => log::warn!("client: event=connection_not_cut_off reason=unknown_connection"),
-    }
+/// Cuts off the connection of a request once it has got more than `informational_max` informational
+/// responses, with a status below 200; returns the connection.
+pub fn cut_off_after<B>(request: &mut Request<B>, informational_max: u32) -> RequestConnection {
+    let connection = RequestConnection(sync::Arc::new(connect::capture_connection(request)));
+    let count = atomic::AtomicU32::new(0);
+    let captured = connection.clone();
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, atomic::Ordering::Relaxed) >= informational_max {
+            captured.cut_off();
+        }
+    });
+    connection
 }
