Read what changes between the pages of a list

Cause: each page of a list is of its own position, and StoreClient::list took that of the last page. A change after an earlier page and before the last is on no page, and in no watch from that position.

Fix: core::paged_list keeps the earliest page's position until all changes after it are applied; the client reads these with one watch. Dropped history: the list is read again. A list of one page needs no further call. Starting the watch earlier was not enough: deltas between entries need copies of exactly one position.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod limits;
 pub mod lowered_timeouts;
 pub mod membership;
+pub mod paged_list;
 pub mod position;
 pub mod refusal_rate;
 pub mod relay;
