Admit nobody by key when no key is left

Cause: the decoder kept the keys and forgot the organisations, and intake took an empty map of keys for a configuration that asks for no keys.

Fix: routes::Access says whether a configuration names organisations at all; RouteTable::admission decides in core, and refuses by default.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -109,6 +109,26 @@
     pub name: String,
 }
 
+/// Who may send requests on routes that are not public.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// Everybody: the configuration names no organisations.
+    Open,
+    /// Callers with the API key of an organisation; nobody if no organisation has a key.
+    ByKey(IndexMap<String, Organisation>),
+}
+
+/// How a caller is admitted to a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission<'a> {
+    /// The caller sent the API key of this organisation.
+    Organisation(&'a Organisation),
+    /// The caller needs no API key.
+    Anonymous,
+    /// The caller needs the API key of an organisation and did not send one.
+    Denied,
+}
+
 /// Divisor of an instance's maximum number of connections; the quotient is the number of idle
 /// connections that all entries together may keep to the instance.
 ///
@@ -126,7 +146,7 @@
 }
 
 /// One version of the configuration for callers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RouteTable {
     /// The version; it only increases.
     pub version: id::ConfigVersion,
@@ -134,15 +154,43 @@
     pub hosts: IndexMap<String, Vec<Route>>,
     /// Services by name.
     pub services: IndexMap<id::ServiceName, Service>,
-    /// Organisations by API key; if there are none, requests need no key.
-    pub keys: IndexMap<String, Organisation>,
+    /// Who may send requests.
+    pub access: Access,
     /// How long a caller's connection may stay idle.
     pub idle_timeout: Option<time::Duration>,
     /// Maximum size of a request body, in bytes.
     pub body_max_bytes: Option<usize>,
 }
 
+impl Default for RouteTable {
+    /// Returns a table without routes, which admits nobody.
+    fn default() -> Self {
+        Self {
+            version: id::ConfigVersion::default(),
+            hosts: IndexMap::new(),
+            services: IndexMap::new(),
+            access: Access::ByKey(IndexMap::new()),
+            idle_timeout: None,
+            body_max_bytes: None,
+        }
+    }
+}
+
 impl RouteTable {
+    /// Returns how a caller that sent `key`, if any, is admitted to a route.
+    #[must_use]
+    pub fn admission(&self, route: &Route, key: Option<&str>) -> Admission<'_> {
+        let organisation = match &self.access {
+            Access::Open => return Admission::Anonymous,
+            Access::ByKey(organisations) => key.and_then(|key| organisations.get(key)),
+        };
+        match organisation {
+            Some(organisation) => Admission::Organisation(organisation),
+            None if route.public => Admission::Anonymous,
+            None => Admission::Denied,
+        }
+    }
+
     /// Inserts a route so that longer prefixes come first.
     pub fn insert(&mut self, host: String, route: Route) {
         let routes = self.hosts.entry(host).or_default();
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -88,6 +88,54 @@
     assert!(table.select("other", path).is_none());
 }
 
+fn organisation() -> routes::Organisation {
+    routes::Organisation {
+        name: String::from("org-1"),
+    }
+}
+
+fn by_key(keys: &[&str]) -> routes::Access {
+    let keys = keys.iter();
+    routes::Access::ByKey(
+        keys.map(|key| (String::from(*key), organisation()))
+            .collect(),
+    )
+}
+
+/// Guards against an empty list of keys being taken for a configuration without keys.
+#[rstest]
+#[case::known(by_key(&["key"]), false, Some("key"), "org-1")]
+#[case::known_public(by_key(&["key"]), true, Some("key"), "org-1")]
+#[case::unknown(by_key(&["key"]), false, Some("other"), "denied")]
+#[case::none_sent(by_key(&["key"]), false, None, "denied")]
+#[case::public(by_key(&["key"]), true, None, "anonymous")]
+#[case::no_key_left(by_key(&[]), false, Some("key"), "denied")]
+#[case::no_key_left_none_sent(by_key(&[]), false, None, "denied")]
+#[case::no_key_left_public(by_key(&[]), true, None, "anonymous")]
+#[case::open(routes::Access::Open, false, None, "anonymous")]
+#[case::before_any_configuration(routes::RouteTable::default().access, false, None, "denied")]
+fn callers_are_admitted_by_key_unless_no_key_is_asked_for(
+    #[case] access: routes::Access,
+    #[case] public: bool,
+    #[case] key: Option<&str>,
+    #[case] expected: &str,
+) {
+    let table = routes::RouteTable {
+        access,
+        ..routes::RouteTable::default()
+    };
+    let route = routes::Route {
+        public,
+        ..route("/a/", &[1])
+    };
+    let admitted = match table.admission(&route, key) {
+        routes::Admission::Organisation(organisation) => organisation.name.as_str(),
+        routes::Admission::Anonymous => "anonymous",
+        routes::Admission::Denied => "denied",
+    };
+    assert_eq!(admitted, expected);
+}
+
 proptest! {
     #[test]
     fn a_split_route_distributes_requests_by_weight(draw in any::<u32>()) {
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -173,9 +173,10 @@
     route: &routes::Route,
     caller: &request::CallerHeaders,
 ) -> Result<Option<routes::Organisation>, Rejection> {
-    let organisation = caller.key.as_ref().and_then(|key| table.keys.get(key));
-    if organisation.is_some() || route.public || table.keys.is_empty() {
-        return Ok(organisation.cloned());
+    match table.admission(route, caller.key.as_deref()) {
+        routes::Admission::Organisation(organisation) => return Ok(Some(organisation.clone())),
+        routes::Admission::Anonymous => return Ok(None),
+        routes::Admission::Denied => {}
     }
     if app.is_stale() {
         return Err(unavailable("the configuration may be out of date"));
