Notice one lost answer of the store within the grace period

Cause: a watch whose answer is lost looks like one without changes until it is given up, after 4 s of waiting and 2 s for the answer, both constants. The rule allows 2 s, or 3 s from the loss.

The same fault was in the watch of the configuration: its wait is a share of the grace period, the time for the answer and the backoff were not; a_configuration_is_noticed_though_an_answer_is_lost failed too.

Fix: core::follow_timing divides the grace period of the settings among the pause after a change, the wait, the time for the answer and the backoff; a test adds them up. A watch that confirms may take longer (a slow store), and a body that has begun keeps its 2 s, so large configurations are not cut off.

Tests: all four cases of lost_answers.rs failed on the code before (the entry read after more than 2 s). Price: one watch each 0.8 s in place of 4 s at entries that have no followers.

--- a/crates/agent/src/direct/weights_feed.rs
+++ b/crates/agent/src/direct/weights_feed.rs
@@ -13,7 +13,10 @@
 use super::{app, entry_follow, feed, weights_versions};
 
 /// How long a watch of the store waits for an announcement.
-const STORE_WAIT: time::Duration = time::Duration::from_secs(12);
+const STORE_WATCH: store::WatchTiming = store::WatchTiming {
+    wait: time::Duration::from_secs(12),
+    answer_timeout: time::Duration::from_secs(2),
+};
 /// How long an entry waits for an announcement before it replies that there was none.
 const ENTRY_WAIT: time::Duration = time::Duration::from_secs(4);
 /// How long an entry may take to reply beyond that wait.
@@ -69,7 +72,7 @@
         return Ok(());
     }
     let span = app.announcements.start_watch();
-    let changes = app.store.watch(kind, known.position(), STORE_WAIT).await?;
+    let changes = app.store.watch(kind, known.position(), STORE_WATCH).await?;
     let (standstills, transfer) = (app.standstills.monitor(), changes.cost.transfer);
     let read = span.end(&*app.clock, &standstills, transfer);
     known.apply(changes.position, changes.changes);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod engine_contact;
 pub mod event_stream;
 pub mod fingerprint;
+pub mod follow_timing;
 pub mod id;
 pub mod idle_limit;
 pub mod intent;
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -30,7 +30,8 @@
 /// The number of other entries that are tried when neither the relays nor the store respond.
 const FALLBACK_ENTRIES_MAX: usize = 4;
 const BACKOFF_MIN: time::Duration = time::Duration::from_millis(150);
-const BACKOFF_MAX: time::Duration = time::Duration::from_millis(2_400);
+/// The longest backoff of a source, unless what is read from it has to be noticed sooner.
+pub const BACKOFF_MAX: time::Duration = time::Duration::from_millis(2_400);
 
 /// An entry that can be a relay.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -87,14 +88,6 @@
     sources
 }
 
-/// Returns whether other entries of the region may follow `me`, so that its copies have to be
-/// recent.
-#[must_use]
-pub fn may_have_followers(me: &RelayCandidate, others: &[RelayCandidate]) -> bool {
-    let same_region = others.iter().filter(|other| other.region == me.region);
-    same_region.count() >= RELAY_COUNT
-}
-
 /// Orders candidates by rendezvous hashing with the name of `me`, which balances followers among
 /// them.
 fn sort_for(me: &RelayCandidate, candidates: &mut [&RelayCandidate]) {
@@ -108,17 +101,35 @@
 }
 
 /// Sources that failed, each with an exponential backoff.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Failures {
     by_source: IndexMap<Source, Failure>,
     entry_failed_last: bool,
+    backoff_max: time::Duration,
+}
+
+impl Default for Failures {
+    fn default() -> Self {
+        Self::with_backoff_max(BACKOFF_MAX)
+    }
 }
 
 impl Failures {
+    /// Creates an empty record whose backoffs are at most `backoff_max`.
+    #[must_use]
+    pub fn with_backoff_max(backoff_max: time::Duration) -> Self {
+        Self {
+            by_source: IndexMap::new(),
+            entry_failed_last: false,
+            backoff_max,
+        }
+    }
+
     /// Records that a source failed.
     pub fn record_failure(&mut self, source: &Source, now: time::Instant) {
         let before = self.by_source.get(source);
-        let backoff = before.map_or(BACKOFF_MIN, |before| (before.backoff * 2).min(BACKOFF_MAX));
+        let backoff = before.map_or(BACKOFF_MIN, |before| before.backoff * 2);
+        let backoff = backoff.min(self.backoff_max);
         let until = now + backoff;
         self.entry_failed_last = *source != Source::Store;
         self.by_source
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -31,7 +31,8 @@
 }
 
 async fn follow(app: sync::Arc<app::App>, kind: store::Kind) {
-    let mut failures = relay::Failures::default();
+    let timing = timing::follow_timing(&app, kind);
+    let mut failures = relay::Failures::with_backoff_max(timing.backoff_max);
     let mut current_source = None;
     sources::wait_for_peers(&app).await;
     loop {
@@ -51,7 +52,7 @@
                     restored::expire_lost_upstreams(&app);
                 }
                 if is_changed {
-                    tokio_time::sleep(timing::coalesce_delay(kind)).await;
+                    tokio_time::sleep(timing::coalesce_delay(&app, kind)).await;
                 }
             }
             Err(error) => {
--- a/crates/entry/src/direct/feed/fetch.rs
+++ b/crates/entry/src/direct/feed/fetch.rs
@@ -12,7 +12,7 @@
 use super::{apply, timing};
 use crate::direct::app;
 
-const REVALIDATION_WAIT: time::Duration = time::Duration::from_millis(1);
+const CONFIRMATION_WAIT: time::Duration = time::Duration::from_millis(1);
 /// How long another entry may take to reply beyond the requested wait.
 const REPLY_MARGIN: time::Duration = time::Duration::from_millis(450);
 /// How long a large reply from another entry may take from its head to its end.
@@ -80,9 +80,9 @@
 async fn watch(app: &app::App, kind: store::Kind) -> Result<bool, FeedError> {
     let cache = app.cached(kind);
     let position = cache.collection().position();
-    let wait = watch_wait(app, kind);
+    let timing = watch_timing(app, kind);
     let span = app.announced.start_watch();
-    let changes = match app.store.watch(kind, position, wait).await {
+    let changes = match app.store.watch(kind, position, timing).await {
         Err(store::StoreError::Compacted { .. }) => {
             log::info!("feed: event=history_gone kind={kind} position={position}");
             spread_list(app, kind, position.era).await;
@@ -125,13 +125,19 @@
 
 /// Returns how long a watch may wait; if the cache is old, the watch returns almost immediately to
 /// confirm it.
-fn watch_wait(app: &app::App, kind: store::Kind) -> time::Duration {
-    let wait = timing::follow_timing(app, kind).watch_wait;
+fn watch_timing(app: &app::App, kind: store::Kind) -> store::WatchTiming {
+    let timing = timing::follow_timing(app, kind);
     let age = app.cached(kind).age(app.clock.boot_now());
-    if age.is_some_and(|age| age <= wait / 2) {
-        wait
+    if age.is_some_and(|age| age <= timing.watch_wait / 2) {
+        store::WatchTiming {
+            wait: timing.watch_wait,
+            answer_timeout: timing.answer_timeout,
+        }
     } else {
-        REVALIDATION_WAIT
+        store::WatchTiming {
+            wait: CONFIRMATION_WAIT,
+            answer_timeout: timing.confirmation_timeout,
+        }
     }
 }
 
--- a/crates/entry/src/direct/feed/sources.rs
+++ b/crates/entry/src/direct/feed/sources.rs
@@ -34,11 +34,6 @@
     ready.map(|peer| relay_candidate(&peer.state)).collect()
 }
 
-/// Returns whether other entries may follow this one.
-pub(super) fn has_followers(app: &app::App) -> bool {
-    relay::may_have_followers(&relay_candidate(&app.peer_state()), &ready_peers(app))
-}
-
 /// Returns whether this entry follows the store rather than a relay.
 pub(super) fn is_relay(app: &app::App) -> bool {
     let order = relay::source_order(&relay_candidate(&app.peer_state()), &ready_peers(app));
