Order a load only while what was read back holds

Users saw, from real processes: tokens made with weights of which a staged chunk had been bad for longer than the rule excuses (WHOLE, 782 and 226 cases).

Cause: the agent read 64 staged chunks back one after the other, each for up to 1 s, and then ordered the load, however long ago the first read was. An agent that stands still in between, or a slow engine, makes that longer than 3 s.

Evidence: their agents' timers were 3.9 and 4.0 s late, and two gave up the read of the last chunk.

Fix: core::read_back keeps when the first read began, on the clock that counts suspended time; an order goes out only if it is accepted within 3 s of that, and else all is read again (check_aged, logged and counted). Four reads at once; a chunk that was staged again is read again.

That the users' cases had this cause is suspected, not shown.

--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -3,7 +3,7 @@
 use std::{sync, sync::atomic, time};
 
 use pimentohook_core::engine;
-use pimentohook_platform::runner;
+use pimentohook_platform::{origin, runner};
 use pimentohook_runtime::process;
 
 use super::{app, engine_report, load_schedule, staging};
@@ -13,6 +13,8 @@
 const LOADING_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// The interval of reports otherwise; requests for slots cause further ones.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// How often staged chunks are read back for an order before the engine's report is read again.
+const READ_BACK_ATTEMPTS: usize = 3;
 /// The version that an engine is to serve before any version of its model is announced.
 const FIRST_VERSION: u64 = 1;
 
@@ -137,10 +139,33 @@
         lock(&app.admission).set_loading(true);
         app.engine_state_changed.notify_one();
         self.ordered = Some(version);
-        if staging::verify_staged(app, &manifest).await {
-            send_load_order(app, &target, report).await;
-        } else {
-            self.staged = None;
+        self.order_load(app, &manifest, &target, report).await;
+    }
+
+    /// Verifies the staged chunks and orders the engine to load them, while what was verified holds.
+    async fn order_load(
+        &mut self,
+        app: &app::App,
+        manifest: &origin::Manifest,
+        target: &app::TargetVersion,
+        report: &runner::Report,
+    ) {
+        for _ in 0..READ_BACK_ATTEMPTS {
+            let Some(read_back) = staging::verify_staged(app, manifest).await else {
+                self.staged = None;
+                return;
+            };
+            let now = app.clock.boot_now();
+            if read_back.may_order(now) {
+                send_load_order(app, target, report).await;
+                return;
+            }
+            app.count("check_aged");
+            log::warn!(
+                "loader: event=check_aged version={} age_ms={}",
+                target.version,
+                read_back.age(now).as_millis()
+            );
         }
     }
 }
--- a/crates/agent/src/direct/staging.rs
+++ b/crates/agent/src/direct/staging.rs
@@ -1,18 +1,19 @@
 //! Stages the chunks of a version at the engine and verifies them there.
 
+use bytes::Bytes;
+use futures_util::{StreamExt as _, stream};
+use pimentohook_core::read_back;
 use pimentohook_platform::origin;
 
 use super::app;
 
+/// The number of chunks that are read back at the same time, so that a slow engine is read in time.
+const CONCURRENT_READS_MAX: usize = 4;
+
 /// Stages all chunks at the engine; returns false if one failed.
 pub async fn stage(app: &app::App, manifest: &origin::Manifest) -> bool {
-    let digest = manifest.digest();
     for chunk in 0..manifest.chunk_count() {
-        let Some(bytes) = app.transfers.chunk(digest, chunk) else {
-            return false;
-        };
-        if let Err(error) = app.runner.stage(&manifest.model, chunk, bytes).await {
-            log::warn!("loader: event=stage_failed chunk={chunk} error={error:?}");
+        if stage_chunk(app, manifest, chunk).await.is_none() {
             return false;
         }
     }
@@ -24,29 +25,59 @@
     true
 }
 
-/// Reads the staged chunks back and stages corrupt ones again; returns false if that failed.
-pub async fn verify_staged(app: &app::App, manifest: &origin::Manifest) -> bool {
-    let model = &manifest.model;
-    for chunk in 0..manifest.chunk_count() {
-        let is_intact = match app.runner.staged(model, chunk).await {
-            Ok(bytes) => bytes.is_some_and(|bytes| manifest.verifies(chunk, &bytes)),
-            Err(error) => {
-                log::warn!("loader: event=check_failed chunk={chunk} error={error:?}");
-                return false;
-            }
-        };
-        if is_intact {
-            continue;
-        }
+/// Reads the staged chunks back and stages bad ones again, which are read once more; returns `None`
+/// if that failed or a chunk stays bad.
+pub async fn verify_staged(
+    app: &app::App,
+    manifest: &origin::Manifest,
+) -> Option<read_back::ReadBack> {
+    let read_back = read_back::ReadBack::begin(app.clock.boot_now());
+    let bad = bad_chunks(app, manifest, (0..manifest.chunk_count()).collect()).await?;
+    for chunk in &bad {
         app.count("chunk_spoilt");
         log::warn!("loader: event=chunk_spoilt chunk={chunk}");
-        let Some(bytes) = app.transfers.chunk(manifest.digest(), chunk) else {
-            return false;
-        };
-        if let Err(error) = app.runner.stage(model, chunk, bytes).await {
-            log::warn!("loader: event=stage_failed chunk={chunk} error={error:?}");
-            return false;
+        stage_chunk(app, manifest, *chunk).await?;
+    }
+    let still_bad = bad_chunks(app, manifest, bad).await?;
+    if !still_bad.is_empty() {
+        log::warn!("loader: event=chunks_stay_spoilt chunks={still_bad:?}");
+        return None;
+    }
+    Some(read_back)
+}
+
+/// Returns which of these staged chunks are missing or not those of the version; `None` if one could
+/// not be read.
+async fn bad_chunks(
+    app: &app::App,
+    manifest: &origin::Manifest,
+    chunks: Vec<u32>,
+) -> Option<Vec<u32>> {
+    let reads = chunks.into_iter().map(|chunk| async move {
+        let read = app.runner.staged(&manifest.model, chunk).await;
+        let bytes = read.inspect_err(|error| {
+            log::warn!("loader: event=check_failed chunk={chunk} error={error:?}");
+        });
+        let is_intact = |bytes: Bytes| manifest.verifies(chunk, &bytes);
+        Some((chunk, bytes.ok()?.is_some_and(is_intact)))
+    });
+    let mut reads = stream::iter(reads).buffered(CONCURRENT_READS_MAX);
+    let mut bad = Vec::new();
+    while let Some(read) = reads.next().await {
+        let (chunk, is_intact) = read?;
+        if !is_intact {
+            bad.push(chunk);
         }
     }
-    true
+    Some(bad)
+}
+
+/// Stages a chunk at the engine; returns `None` if that failed.
+async fn stage_chunk(app: &app::App, manifest: &origin::Manifest, chunk: u32) -> Option<()> {
+    let bytes = app.transfers.chunk(manifest.digest(), chunk)?;
+    let staged = app.runner.stage(&manifest.model, chunk, bytes).await;
+    if let Err(error) = &staged {
+        log::warn!("loader: event=stage_failed chunk={chunk} error={error:?}");
+    }
+    staged.ok()
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod membership;
 pub mod paged_list;
 pub mod position;
+pub mod read_back;
 pub mod refusal_rate;
 pub mod relay;
 pub mod report;
