Bound the bodies of all requests of an entry together

Cause: read_body_until bounded each body; nothing bounded all of them, and a body that came in pieces was copied.

Fix: BudgetedBody reserves room before a body is read and frees it with the last copy. An eighth of the 48 MiB is kept for small bodies. What finds no room is refused at once with 503 and has not run.

--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -79,6 +79,8 @@
     pub upstreams: client::Client,
     /// Bounds the memory of responses from upstreams.
     pub response_budget: body::BodyBudget,
+    /// The memory for the bodies of requests, until they have their final response.
+    pub request_budget: sync::Arc<body::BodyBudget>,
     /// The client for agents and entries.
     pub internal: client::Client,
     /// The client for the object store.
@@ -135,6 +137,8 @@
 const STALE_AFTER_PERCENT: u32 = 85;
 /// The maximum size of all responses that are being read, a part of an entry VM's memory.
 const RESPONSES_MAX_BYTES: usize = 48 << 20;
+/// The maximum size of the bodies of all requests that are being read or handled.
+const REQUESTS_MAX_BYTES: usize = 48 << 20;
 /// An entry that has run for this long has discovered the others of its region.
 const SETTLING_TIME: time::Duration = time::Duration::from_secs(2);
 
@@ -152,6 +156,7 @@
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::new(local_ip),
             response_budget: body::BodyBudget::new(RESPONSES_MAX_BYTES),
+            request_budget: sync::Arc::new(body::BodyBudget::new(REQUESTS_MAX_BYTES)),
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -68,12 +68,16 @@
         }
     };
     let body_max = admitted.table.body_max_bytes.unwrap_or(BODY_MAX_BYTES);
-    let body = call.read_body_until(body_max, admitted.until_over()).await;
-    let body = body.map_err(|error| {
-        let rejection = if admitted.is_cut_short() {
-            leaving()
-        } else {
-            rejection(error.status(), "the body can't be read")
+    let budget = &app.request_budget;
+    let body = call.read_body_within(body_max, budget, admitted.until_over());
+    let body = body.await.map_err(|error| {
+        let rejection = match error {
+            _ if admitted.is_cut_short() => leaving(),
+            server::BodyError::NoRoom => {
+                app.count("no_room");
+                unavailable("there is no room for the body")
+            }
+            error => rejection(error.status(), "the body can't be read"),
         };
         (String::from(admitted.id()), rejection)
     })?;
--- a/crates/runtime/src/server/call.rs
+++ b/crates/runtime/src/server/call.rs
@@ -1,15 +1,17 @@
 //! A request as it is passed to handlers, and how its body is read.
 
-use std::{future, net, time};
+use std::{net, sync, time};
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http_body_util::BodyExt as _;
 use hyper::{HeaderMap, Method, StatusCode, Uri, header};
 use serde::de;
-use snafu::Snafu;
+use snafu::{Snafu, ensure};
 use tokio::time as tokio_time;
 
+use crate::body;
+
 const BODY_READ_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
 /// An error from reading a request body.
@@ -24,6 +26,9 @@
     /// The body was interrupted, or was not complete within the timeout.
     #[snafu(display("body did not come whole within {} s", BODY_READ_TIMEOUT.as_secs()))]
     Incomplete,
+    /// There is no room for the body beside the others that are being read or handled.
+    #[snafu(display("there is no room for the body"))]
+    NoRoom,
     /// The body can't be decoded.
     #[snafu(display("body can't be read: {reason}"))]
     Malformed {
@@ -39,6 +44,7 @@
         match self {
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed { .. } => StatusCode::BAD_REQUEST,
         }
     }
@@ -83,35 +89,58 @@
     /// Returns [`BodyError`] if the body is larger than `max_bytes`, is interrupted or takes too
     /// long.
     pub async fn read_body(self, max_bytes: usize) -> Result<Bytes, BodyError> {
-        self.read_body_until(max_bytes, future::pending()).await
+        let limited = http_body_util::Limited::new(self.body, max_bytes);
+        match tokio_time::timeout(BODY_READ_TIMEOUT, limited.collect()).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) => Err(body_error(&*error, max_bytes)),
+            Err(_) => IncompleteSnafu.fail(),
+        }
     }
 
     /// Like [`Call::read_body`], but the rest of the body is discarded in the background once `over`
-    /// has completed.
+    /// has completed, and if the budget has no room for it. A body whose length is announced gets its
+    /// room, or is refused, before it is read.
     ///
     /// # Errors
     ///
-    /// Returns [`BodyError`] as [`Call::read_body`] does, and if the body is not complete by then.
-    pub async fn read_body_until<F>(self, max_bytes: usize, over: F) -> Result<Bytes, BodyError>
+    /// Returns [`BodyError`] as [`Call::read_body`] does, if the body is not complete by then, and if
+    /// there is no room.
+    pub async fn read_body_within<F>(
+        self,
+        max_bytes: usize,
+        budget: &sync::Arc<body::BodyBudget>,
+        over: F,
+    ) -> Result<Bytes, BodyError>
     where
         F: Future<Output = ()> + Send,
     {
+        let announced = hyper::body::Body::size_hint(&self.body)
+            .exact()
+            .unwrap_or(0);
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
         let mut limited = http_body_util::Limited::new(self.body, max_bytes);
-        let read = tokio::select! {
+        if announced > max_bytes {
+            return TooLargeSnafu { max_bytes }.fail();
+        }
+        let Some(mut read) = body::BudgetedBody::reserve(budget, announced) else {
+            discard(limited);
+            return NoRoomSnafu.fail();
+        };
+        let reading = collect(&mut limited, &mut read, max_bytes);
+        let result = tokio::select! {
             biased;
-            read = tokio_time::timeout(BODY_READ_TIMEOUT, (&mut limited).collect()) => read,
+            result = tokio_time::timeout(BODY_READ_TIMEOUT, reading) => {
+                result.unwrap_or_else(|_| IncompleteSnafu.fail())
+            }
             () = over => {
                 discard(limited);
                 return IncompleteSnafu.fail();
             }
         };
-        match read {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                TooLargeSnafu { max_bytes }.fail()
-            }
-            Ok(Err(_)) | Err(_) => IncompleteSnafu.fail(),
+        if matches!(result, Err(BodyError::NoRoom)) {
+            discard(limited);
         }
+        result.map(|()| read.into_bytes())
     }
 
     /// Reads the body to its end in the background and discards it, so that the response can be sent
@@ -165,6 +194,28 @@
     }
 }
 
+/// Reads a body to its end.
+async fn collect(
+    body: &mut http_body_util::Limited<Body>,
+    read: &mut body::BudgetedBody,
+    max_bytes: usize,
+) -> Result<(), BodyError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| body_error(&*error, max_bytes))?;
+        let has_room = frame.data_ref().is_none_or(|piece| read.push(piece));
+        ensure!(has_room, NoRoomSnafu);
+    }
+    Ok(())
+}
+
+fn body_error(error: &(dyn std::error::Error + 'static), max_bytes: usize) -> BodyError {
+    if error.is::<http_body_util::LengthLimitError>() {
+        BodyError::TooLarge { max_bytes }
+    } else {
+        BodyError::Incomplete
+    }
+}
+
 /// Reads a body to its end in the background.
 fn discard(mut body: http_body_util::Limited<Body>) {
     tokio::spawn(tokio_time::timeout(BODY_READ_TIMEOUT, async move {
--- a/crates/runtime/tests/body_budget.rs
+++ b/crates/runtime/tests/body_budget.rs
@@ -1,12 +1,12 @@
 //! Tests that the bodies of responses that are read at the same time share a bound.
 
-use std::{net, time};
+use std::{net, sync, time};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use pimentohook_runtime::{
-    body::{BodyBudget, read_body_within},
+    body::{BodyBudget, BudgetedBody, read_body_within},
     client::{Client, ClientError},
 };
 use rstest::rstest;
@@ -77,3 +77,48 @@
     assert!(read(complete, &budget).await.is_ok());
     assert_eq!(budget.free_bytes(), max_bytes);
 }
+
+/// A body uses its room until nobody holds a copy of it, also one that is sent on.
+#[test]
+fn a_body_uses_the_budget_until_its_last_copy_is_dropped() {
+    let budget = sync::Arc::new(BodyBudget::new(BODY_BYTES));
+    let mut body = BudgetedBody::reserve(&budget, 0).expect("room");
+    assert!(body.push(&[0; 1_000]));
+    let bytes = body.into_bytes();
+    let copy = bytes.slice(10..20);
+    drop(bytes);
+    assert_eq!(budget.free_bytes(), BODY_BYTES - 1_000);
+    drop(copy);
+    assert_eq!(budget.free_bytes(), BODY_BYTES);
+}
+
+/// Large bodies never use all of the budget, and one that is refused leaves nothing reserved.
+#[test]
+fn small_bodies_find_room_beside_as_many_large_ones_as_fit() {
+    const LARGE_BYTES: usize = 4 << 20;
+    const SMALL_BYTES: usize = 600;
+    let budget = sync::Arc::new(BodyBudget::new(48 << 20));
+    let large = || BudgetedBody::reserve(&budget, LARGE_BYTES);
+    let held: Vec<_> = std::iter::from_fn(large).collect();
+    assert_eq!(held.len(), 10);
+    let free_bytes = budget.free_bytes();
+    assert!(large().is_none());
+    assert_eq!(budget.free_bytes(), free_bytes);
+    let small: Vec<_> = (0..10_000)
+        .map_while(|_| BudgetedBody::reserve(&budget, SMALL_BYTES))
+        .collect();
+    assert_eq!(small.len(), 10_000);
+    drop((held, small));
+    assert_eq!(budget.free_bytes(), 48 << 20);
+}
+
+/// A body whose length is not announced gets its room as it comes.
+#[test]
+fn a_body_that_grows_beyond_the_budget_does_not_fit() {
+    let budget = sync::Arc::new(BodyBudget::new(1 << 20));
+    let mut body = BudgetedBody::reserve(&budget, 0).expect("room");
+    let pieces = (0..1_000).take_while(|_| body.push(&[0; 4_096])).count();
+    assert_eq!(pieces, (1 << 20) * 7 / 8 / 4_096);
+    drop(body);
+    assert_eq!(budget.free_bytes(), 1 << 20);
+}
