--- a/crates/core/src/follow_timing.rs
+++ b/crates/core/src/follow_timing.rs
@@ -28,9 +28,9 @@
 const FOLLOW_PERCENT: u32 = 20;
 const AGE_MAX_PERCENT: u32 = 60;
 
-/// How long an answer may take where no grace period depends on it.
+/// How long an answer may take with the relaxed timing.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
-/// The longest pause after a change where no grace period depends on it.
+/// The longest pause after a change with the relaxed timing.
 const PAUSE_MAX: time::Duration = time::Duration::from_secs(1);
 
 /// The timing with which a kind of objects is followed.
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Returns the timing for what no grace period depends on.
+    /// Returns the timing for what may be noticed seconds later, or is heard from others sooner.
     #[must_use]
     pub const fn relaxed(
         watch_wait: time::Duration,
--- a/crates/core/src/read_back.rs
+++ b/crates/core/src/read_back.rs
@@ -19,13 +19,13 @@
 
 use crate::clock;
 
-/// A chunk that has turned bad no longer ago than this may be loaded: nobody can read it back later
-/// than the engine takes it.
+/// A chunk that has turned bad no longer ago than this may be loaded, as some time always passes
+/// between reading it back and the load.
 const TOLERANCE: time::Duration = time::Duration::from_secs(3);
 /// How long an order may take until the engine accepts it. One that is answered later may have been
 /// accepted later.
 pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-/// How much later than they were read from the clock instants may be.
+/// How much an instant may be off, as it is read from the clock before or after what it dates.
 const CLOCK_MARGIN: time::Duration = time::Duration::from_millis(250);
 
 /// The reading back of all staged chunks of a version.
--- a/crates/runtime/src/server/call.rs
+++ b/crates/runtime/src/server/call.rs
@@ -126,7 +126,7 @@
             discard(limited);
             return NoRoomSnafu.fail();
         };
-        let reading = collect(&mut limited, &mut read, max_bytes);
+        let reading = read_to_end(&mut limited, &mut read, max_bytes);
         let result = tokio::select! {
             biased;
             result = tokio_time::timeout(BODY_READ_TIMEOUT, reading) => {
@@ -194,8 +194,8 @@
     }
 }
 
-/// Reads a body to its end.
-async fn collect(
+/// Reads a body to its end, as far as there is room.
+async fn read_to_end(
     body: &mut http_body_util::Limited<Body>,
     read: &mut body::BudgetedBody,
     max_bytes: usize,
