Let one budget be held in one way

Reservation was generic over how its budget is held, for the two ways in which the budgets of answers and of requests were; both are shared now.

--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -78,7 +78,7 @@
     /// The client for upstreams.
     pub upstreams: client::Client,
     /// Bounds the memory of responses from upstreams.
-    pub response_budget: body::BodyBudget,
+    pub response_budget: sync::Arc<body::BodyBudget>,
     /// The memory for the bodies of requests, until they have their final response.
     pub request_budget: sync::Arc<body::BodyBudget>,
     /// The client for agents and entries.
@@ -155,7 +155,7 @@
             metrics_registry,
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::new(local_ip),
-            response_budget: body::BodyBudget::new(RESPONSES_MAX_BYTES),
+            response_budget: sync::Arc::new(body::BodyBudget::new(RESPONSES_MAX_BYTES)),
             request_budget: sync::Arc::new(body::BodyBudget::new(REQUESTS_MAX_BYTES)),
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -1,6 +1,6 @@
 //! Reads bodies, which have a bounded size, each and all together.
 
-use std::{net, ops, sync, sync::atomic};
+use std::{net, sync, sync::atomic};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -87,20 +87,17 @@
 
 /// The bytes of a budget that one body has reserved; they are free again when it is dropped.
 #[derive(Debug)]
-struct Reservation<B>
-where
-    B: ops::Deref<Target = BodyBudget>,
-{
-    budget: B,
+struct Reservation {
+    budget: sync::Arc<BodyBudget>,
     bytes: usize,
 }
 
-impl<B> Reservation<B>
-where
-    B: ops::Deref<Target = BodyBudget>,
-{
-    const fn new(budget: B) -> Self {
-        Self { budget, bytes: 0 }
+impl Reservation {
+    fn new(budget: &sync::Arc<BodyBudget>) -> Self {
+        Self {
+            budget: budget.clone(),
+            bytes: 0,
+        }
     }
 
     fn try_extend(&mut self, bytes: usize, kept_bytes: usize) -> bool {
@@ -110,10 +107,7 @@
     }
 }
 
-impl<B> Drop for Reservation<B>
-where
-    B: ops::Deref<Target = BodyBudget>,
-{
+impl Drop for Reservation {
     fn drop(&mut self) {
         let ordering = atomic::Ordering::Relaxed;
         self.budget.free_bytes.fetch_add(self.bytes, ordering);
@@ -129,7 +123,7 @@
 #[derive(Debug)]
 pub struct BudgetedBody {
     bytes: Vec<u8>,
-    reservation: Reservation<sync::Arc<BodyBudget>>,
+    reservation: Reservation,
 }
 
 impl AsRef<[u8]> for BudgetedBody {
@@ -146,7 +140,7 @@
     pub fn reserve(budget: &sync::Arc<BodyBudget>, expected_bytes: usize) -> Option<Self> {
         let mut body = Self {
             bytes: Vec::new(),
-            reservation: Reservation::new(budget.clone()),
+            reservation: Reservation::new(budget),
         };
         if !body.make_room(expected_bytes) {
             return None;
@@ -196,7 +190,7 @@
     address: net::SocketAddr,
     response: Response<Incoming>,
     max_bytes: usize,
-    budget: &BodyBudget,
+    budget: &sync::Arc<BodyBudget>,
 ) -> Result<Bytes, client_error::ClientError> {
     let mut reservation = Reservation::new(budget);
     let mut body = response.into_body();
--- a/crates/runtime/tests/body_budget.rs
+++ b/crates/runtime/tests/body_budget.rs
@@ -42,7 +42,10 @@
     address
 }
 
-async fn read(address: net::SocketAddr, budget: &BodyBudget) -> Result<Bytes, ClientError> {
+async fn read(
+    address: net::SocketAddr,
+    budget: &sync::Arc<BodyBudget>,
+) -> Result<Bytes, ClientError> {
     let client = Client::new(address.ip());
     let request = Request::get(format!("http://{address}/")).body(Full::default());
     let response = client.send(address, request.expect("a request"), TIMEOUT);
@@ -55,7 +58,7 @@
 #[case::exceeds(BODY_BYTES - 1, false)]
 #[tokio::test]
 async fn a_body_is_read_if_the_budget_has_room(#[case] max_bytes: usize, #[case] expected: bool) {
-    let budget = BodyBudget::new(max_bytes);
+    let budget = sync::Arc::new(BodyBudget::new(max_bytes));
     let address = start_server(true).await;
     assert_eq!(read(address, &budget).await.is_ok(), expected);
     assert_eq!(budget.free_bytes(), max_bytes, "the bytes are free again");
@@ -64,7 +67,7 @@
 #[tokio::test]
 async fn bodies_that_are_read_at_the_same_time_share_the_budget() {
     let max_bytes = BODY_BYTES + BODY_BYTES / 4;
-    let budget = BodyBudget::new(max_bytes);
+    let budget = sync::Arc::new(BodyBudget::new(max_bytes));
     let stuck = start_server(false).await;
     let complete = start_server(true).await;
     let mut pending = Box::pin(read(stuck, &budget));
