--- a/crates/core/src/collection.rs
+++ b/crates/core/src/collection.rs
@@ -48,6 +48,19 @@
     pub removed: bool,
 }
 
+impl Change {
+    /// Applies the change to objects by name; returns the name if it is a removal.
+    pub(crate) fn apply_to(self, objects: &mut IndexMap<String, Object>) -> Option<String> {
+        let object = self.object;
+        if self.removed {
+            objects.shift_remove(&object.name);
+            return Some(object.name);
+        }
+        objects.insert(object.name.clone(), object);
+        None
+    }
+}
+
 /// The changes that bring a copy from an earlier position to a newer one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
@@ -187,12 +200,8 @@
             return false;
         }
         for change in changes {
-            let object = change.object;
-            if change.removed {
-                self.objects.shift_remove(&object.name);
-                self.record_removal(position, object.name);
-            } else {
-                self.objects.insert(object.name.clone(), object);
+            if let Some(removed) = change.apply_to(&mut self.objects) {
+                self.record_removal(position, removed);
             }
         }
         self.position = self.position.max(position);
--- a/crates/core/src/paged_list.rs
+++ b/crates/core/src/paged_list.rs
@@ -59,12 +59,7 @@
     /// Applies all changes between [`Self::changes_needed_after`] and `position`, oldest first.
     pub fn apply(&mut self, position: Position, changes: Vec<Change>) {
         for change in changes {
-            let object = change.object;
-            if change.removed {
-                self.objects.shift_remove(&object.name);
-            } else {
-                self.objects.insert(object.name.clone(), object);
-            }
+            change.apply_to(&mut self.objects);
         }
         self.complete_until = self.complete_until.max(Some(position));
     }
--- a/crates/core/tests/paged_list.rs
+++ b/crates/core/tests/paged_list.rs
@@ -24,43 +24,51 @@
 /// A store that keeps all of its history.
 #[derive(Default)]
 struct Store {
-    revision: u64,
     objects: IndexMap<String, Object>,
-    history: Vec<(u64, Change)>,
+    history: Vec<Change>,
+    /// The objects after each change of the history.
+    states: Vec<IndexMap<String, Object>>,
 }
 
 impl Store {
+    fn revision(&self) -> u64 {
+        u64::try_from(self.history.len()).expect("a few changes")
+    }
+
     /// Writes an object, or removes it, which is no change if it does not exist.
     fn change(&mut self, name: u8, removed: bool) {
         let name = format!("object-{name}");
         let changed = if removed {
             self.objects.shift_remove(&name)
         } else {
-            let object = object(&name, self.revision + 1);
+            let object = object(&name, self.revision() + 1);
             self.objects.insert(name, object.clone());
             Some(object)
         };
         if let Some(object) = changed {
-            self.revision += 1;
-            self.history
-                .push((self.revision, Change { object, removed }));
+            self.history.push(Change { object, removed });
+            self.states.push(self.objects.clone());
         }
     }
 
+    /// Returns the objects at a position, by name.
+    fn state_at(&self, position: Position) -> Vec<Object> {
+        let index = usize::try_from(position.revision).expect("a small revision") - 1;
+        sorted(self.states[index].values().cloned().collect())
+    }
+
     /// Returns the page of at most `count` objects after a name, and whether it is the last.
     fn page(&self, after: &str, count: usize) -> (Vec<Object>, bool) {
-        let mut rest: Vec<Object> = self.objects.values().cloned().collect();
+        let mut rest = sorted(self.objects.values().cloned().collect());
         rest.retain(|object| object.name.as_str() > after);
-        rest.sort_by(|left, right| left.name.cmp(&right.name));
         let is_last = rest.len() <= count;
         rest.truncate(count);
         (rest, is_last)
     }
 
     fn changes_after(&self, position: Position) -> Vec<Change> {
-        let is_after = |entry: &&(u64, Change)| entry.0 > position.revision;
-        let changes = self.history.iter().filter(is_after);
-        changes.map(|(_, change)| change.clone()).collect()
+        let after = usize::try_from(position.revision).expect("a small revision");
+        self.history[after..].to_vec()
     }
 }
 
@@ -133,7 +141,7 @@
         loop {
             let (objects, is_last) = store.page(&after, page_objects);
             after = objects.last().map_or(after, |object| object.name.clone());
-            list.add_page(at(store.revision), objects);
+            list.add_page(at(store.revision()), objects);
             if is_last {
                 break;
             }
@@ -148,20 +156,11 @@
         let position = list.position();
         let is_exact = list.changes_needed_after().is_none();
         if let Some(after) = list.changes_needed_after() {
-            list.apply(at(store.revision), store.changes_after(after));
+            list.apply(at(store.revision()), store.changes_after(after));
         }
         prop_assert_eq!(list.changes_needed_after(), None);
-        let mut expected = Store::default();
-        let until = if is_exact { position.revision } else { store.revision };
-        for (_, change) in store.history.iter().filter(|(revision, _)| *revision <= until) {
-            if change.removed {
-                expected.objects.shift_remove(&change.object.name);
-            } else {
-                expected.objects.insert(change.object.name.clone(), change.object.clone());
-            }
-        }
-        prop_assert_eq!(list.position(), at(until));
-        let expected: Vec<Object> = expected.objects.into_values().collect();
-        prop_assert_eq!(sorted(list.into_objects()), sorted(expected));
+        let until = if is_exact { position } else { at(store.revision()) };
+        prop_assert_eq!(list.position(), until);
+        prop_assert_eq!(sorted(list.into_objects()), store.state_at(until));
     }
 }
