Decode ranks, regions, pause goals and what a cold instance bears

Nothing decides by these fields yet; the parts for the two new customers build on them.

Routes and organisations now have their rank and the regions that they allow, routes the longest pause of a stream that is in time, services what a cold instance bears, and upstreams how long they stay cold. A field that can't be read never opens or raises anything: regions then allow nothing, a rank is the last. Fields that are missing change nothing for the earlier deployments.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,8 @@
 //! Direct mode, in which entries send requests to upstreams without an agent in between:
 //!
 //! * [`routes`]: which service a request goes to, and how it may be handled.
+//! * [`regions`]: where a request may be served.
+//! * [`rank`]: how urgent a request is.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
@@ -77,8 +79,10 @@
 pub mod membership;
 pub mod paged_list;
 pub mod position;
+pub mod rank;
 pub mod read_back;
 pub mod refusal_rate;
+pub mod regions;
 pub mod relay;
 pub mod report;
 pub mod response;
--- /dev/null
+++ b/crates/core/src/regions.rs
@@ -0,0 +1,67 @@
+//! The regions in which a request may be served, sent and kept.
+//!
+//! ```
+//! use pimentohook_core::regions::AllowedRegions;
+//!
+//! let route = AllowedRegions::only(["north", "south"]);
+//! let organisation = AllowedRegions::only(["south"]);
+//! let both = route.and(&organisation);
+//! assert!(both.allows(Some("south")));
+//! assert!(!both.allows(Some("north")));
+//! ```
+
+use indexmap::IndexSet;
+
+/// The regions that a route or an organisation allows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum AllowedRegions {
+    /// Any region, also one that is not known.
+    #[default]
+    Anywhere,
+    /// Only these regions; none if the set is empty.
+    Only(IndexSet<String>),
+}
+
+impl AllowedRegions {
+    /// Allows only these regions.
+    #[must_use]
+    pub fn only<I, T>(regions: I) -> Self
+    where
+        I: IntoIterator<Item = T>,
+        T: Into<String>,
+    {
+        Self::Only(regions.into_iter().map(Into::into).collect())
+    }
+
+    /// Allows no region, because what is allowed can't be read.
+    #[must_use]
+    pub fn nowhere() -> Self {
+        Self::Only(IndexSet::new())
+    }
+
+    /// Returns whether requests may go to a region; `None` stands for one that is not known.
+    #[must_use]
+    pub fn allows(&self, region: Option<&str>) -> bool {
+        match self {
+            Self::Anywhere => true,
+            Self::Only(regions) => region.is_some_and(|region| regions.contains(region)),
+        }
+    }
+
+    /// Returns the regions that both allow.
+    #[must_use]
+    pub fn and(&self, other: &Self) -> Self {
+        match (self, other) {
+            (Self::Anywhere, regions) | (regions, Self::Anywhere) => regions.clone(),
+            (Self::Only(regions), Self::Only(others)) => {
+                Self::Only(regions.intersection(others).cloned().collect())
+            }
+        }
+    }
+
+    /// Returns whether some region is not allowed.
+    #[must_use]
+    pub const fn is_restricted(&self) -> bool {
+        matches!(self, Self::Only(_))
+    }
+}
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -14,7 +14,7 @@
 
 use indexmap::IndexMap;
 
-use crate::{engine, id};
+use crate::{engine, id, rank, regions};
 
 /// Whether a route's requests may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -59,6 +59,12 @@
     pub attempts_max: u32,
     /// Whether requests need no API key.
     pub public: bool,
+    /// How urgent its requests are in comparison with other routes of their service.
+    pub rank: rank::Rank,
+    /// The regions in which its requests may be served; those of the organisation bind too.
+    pub regions: regions::AllowedRegions,
+    /// The longest pause between two events of a stream that is still in time; `None` for any.
+    pub pause_goal: Option<time::Duration>,
 }
 
 impl Route {
@@ -100,6 +106,17 @@
     pub origin: Option<std::net::SocketAddr>,
     /// Maximum number of connections that an instance accepts from all callers together.
     pub connections_max: Option<u32>,
+    /// What a cold instance bears; `None` if its instances are never cold.
+    pub cold: Option<ColdLimit>,
+}
+
+/// What an instance bears that has just started, or has become cold again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// How long an instance is cold after its start.
+    pub duration: time::Duration,
+    /// The number of requests that a cold instance bears in a second, from all entries together.
+    pub requests_per_s: f64,
 }
 
 /// An organisation whose keys are accepted.
@@ -107,6 +124,10 @@
 pub struct Organisation {
     /// Its name, which is sent to upstreams.
     pub name: String,
+    /// How urgent its requests are; goes before the rank of the route.
+    pub rank: rank::Rank,
+    /// The regions in which its requests may be served; those of the route bind too.
+    pub regions: regions::AllowedRegions,
 }
 
 /// Who may send requests on routes that are not public.
--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -39,6 +39,8 @@
     pub state: State,
     /// The versions of the models that it serves completely, by model.
     pub weights: IndexMap<String, u64>,
+    /// How much longer it was cold when it registered this.
+    pub cold_remaining: time::Duration,
 }
 
 impl Upstream {
--- a/crates/core/tests/carryover.rs
+++ b/crates/core/tests/carryover.rs
@@ -24,6 +24,7 @@
         slot_count: 1,
         state,
         weights: IndexMap::new(),
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use pimentohook_core::{engine, engine_admission, rolling_update, routes, shutdown};
+use pimentohook_core::{engine, engine_admission, rank, regions, rolling_update, routes, shutdown};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -67,6 +67,9 @@
         targets: weights.iter().enumerate().map(target).collect(),
         attempts_max: 1,
         public: false,
+        rank: rank::Rank::default(),
+        regions: regions::AllowedRegions::default(),
+        pause_goal: None,
     }
 }
 
@@ -91,6 +94,8 @@
 fn organisation() -> routes::Organisation {
     routes::Organisation {
         name: String::from("org-1"),
+        rank: rank::Rank::default(),
+        regions: regions::AllowedRegions::default(),
     }
 }
 
--- a/crates/core/tests/lowered_timeouts.rs
+++ b/crates/core/tests/lowered_timeouts.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use pimentohook_core::{lowered_timeouts, routes};
+use pimentohook_core::{lowered_timeouts, rank, regions, routes};
 
 const HOST: &str = "drafts.example";
 
@@ -25,6 +25,9 @@
         targets: Vec::new(),
         attempts_max: 1,
         public: true,
+        rank: rank::Rank::default(),
+        regions: regions::AllowedRegions::default(),
+        pause_goal: None,
     }
 }
 
--- a/crates/core/tests/upstream_notice.rs
+++ b/crates/core/tests/upstream_notice.rs
@@ -30,6 +30,7 @@
         slot_count: 4,
         state: State::Ready,
         weights: IndexMap::new(),
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -1,7 +1,7 @@
 //! Which VMs of a service are staying or leaving according to the list of its instances, and the
 //! limit of idle connections.
 
-use std::net;
+use std::{net, time};
 
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{routes, upstreams};
@@ -18,6 +18,7 @@
         slot_count: 16,
         state,
         weights: IndexMap::new(),
+        cold_remaining: time::Duration::ZERO,
     }
 }
 
