Take settings that the file lacks from variables of the environment

The new parts need values that only the platform knows: the regions of failure domains, the grace of an evacuation, the limits of the VM.

A variable PIMENTOHOOK_SETTING_ with the key in capitals holds a value as YAML. The file goes first; an empty variable is no value; one with a key that nobody knows, or that is no YAML, is an error like any other.

--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of direct mode.
 
-use std::{net, path, time};
+use std::{env, net, path, time};
 
 use pimentohook_core::size;
 use pimentohook_runtime::settings;
@@ -17,13 +17,13 @@
 }
 
 impl Settings {
-    /// Reads and checks a settings file; the key `callers` selects direct mode.
+    /// Reads and checks a settings file, and what it lacks from variables; the key `callers` selects direct mode.
     ///
     /// # Errors
     ///
     /// Returns a [`settings::SettingsError`] that lists all invalid settings.
     pub fn from_file(path: &path::Path) -> Result<Self, settings::SettingsError> {
-        Self::check(settings::Checker::from_file(path))
+        Self::check(settings::Checker::from_file(path).with_variables(env::vars()))
     }
 
     /// Checks the settings that a checker has read; the key `callers` selects direct mode.
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -69,6 +69,8 @@
     faults: Vec<InvalidSetting>,
 }
 
+/// What the names of variables begin with that hold settings.
+pub const VARIABLE_PREFIX: &str = "PIMENTOHOOK_SETTING_";
 const VALUE_TEXT_MAX_CHARS: usize = 80;
 
 impl Checker {
@@ -106,6 +108,32 @@
         }
     }
 
+    /// Adds the settings that the file lacks and that variables of the environment hold, as YAML.
+    ///
+    /// The variable of a key is [`VARIABLE_PREFIX`] and the key in capitals.
+    #[must_use]
+    pub fn with_variables<I>(mut self, variables: I) -> Self
+    where
+        I: IntoIterator<Item = (String, String)>,
+    {
+        for (variable, text) in variables {
+            let Some(key) = variable.strip_prefix(VARIABLE_PREFIX) else {
+                continue;
+            };
+            let key = key.to_ascii_lowercase();
+            if self.has(&key) {
+                continue;
+            }
+            match serde_yaml_ng::from_str::<Value>(&text) {
+                Ok(value) => {
+                    self.mapping.insert(Value::String(key), value);
+                }
+                Err(error) => self.push(&variable, Some(error.to_string()), "valid YAML"),
+            }
+        }
+        self
+    }
+
     fn new(file: &str, prefix: &str, mapping: Mapping) -> Self {
         Self {
             file: String::from(file),
--- a/crates/runtime/tests/settings.rs
+++ b/crates/runtime/tests/settings.rs
@@ -43,3 +43,37 @@
     let text = "listen: 127.0.0.1:80\ncount: 9\nports: [1, 2]\nparts: {a: {size: 3}}";
     assert_eq!(check(text), Ok(()));
 }
+
+/// A file goes before variables, which hold values of any form or nothing.
+#[test]
+fn what_a_file_lacks_is_read_from_variables() {
+    let variables = [
+        ("PIMENTOHOOK_SETTING_COUNT", "3"),
+        ("PIMENTOHOOK_SETTING_PORTS", "[1, 2]"),
+        ("PIMENTOHOOK_SETTING_RATE", ""),
+        ("COUNT", "9"),
+    ];
+    let variables = variables.map(|(name, text)| (String::from(name), String::from(text)));
+    let mut checker = Checker::from_text("test.yaml", "ports: [7]").with_variables(variables);
+    assert_eq!(checker.number("count", 1, 1..=9), 3);
+    assert_eq!(checker.list::<u16>("ports", "a port"), [7]);
+    assert_eq!(checker.optional::<u64>("rate", "a rate"), None);
+    checker.finish().expect("valid settings");
+}
+
+#[test]
+fn variables_that_are_unknown_or_no_yaml_are_errors() {
+    let variables = [
+        ("PIMENTOHOOK_SETTING_COUNT", "[1"),
+        ("PIMENTOHOOK_SETTING_COUNTS", "3"),
+    ];
+    let variables = variables.map(|(name, text)| (String::from(name), String::from(text)));
+    let mut checker = Checker::from_text("test.yaml", "{}").with_variables(variables);
+    checker.number("count", 1, 1..=9);
+    let error = checker.finish().expect_err("invalid settings");
+    let faults = error.faults.iter().map(|fault| fault.key.as_str());
+    assert_eq!(
+        faults.collect::<Vec<_>>(),
+        ["PIMENTOHOOK_SETTING_COUNT", "counts"]
+    );
+}
