Map failure domains to regions by a setting

Upstreams are listed with their failure domain only, so an entry needs a map from domains to regions before it can keep a request in the regions that it may run in. The platform fills in the setting `regions` as JSON from its table of domains; nothing uses it yet. Null or a missing mapping counts as empty, as a platform without a table leaves it. `review/standin.rs` fills in the new placeholder, which it would otherwise refuse.

--- a/crates/core/src/regions.rs
+++ b/crates/core/src/regions.rs
@@ -1,4 +1,4 @@
-//! The regions in which a request may be served, sent and kept.
+//! The regions in which a request may be served, sent and kept, and the regions of failure domains.
 //!
 //! ```
 //! use pimentohook_core::regions::AllowedRegions;
@@ -10,7 +10,7 @@
 //! assert!(!both.allows(Some("north")));
 //! ```
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 /// The regions that a route or an organisation allows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -65,3 +65,36 @@
         matches!(self, Self::Only(_))
     }
 }
+
+/// The regions of failure domains.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RegionMap(IndexMap<String, String>);
+
+impl RegionMap {
+    /// Creates a map from failure domains and their regions.
+    #[must_use]
+    pub fn new<I, T>(regions: I) -> Self
+    where
+        I: IntoIterator<Item = (T, T)>,
+        T: Into<String>,
+    {
+        let regions = regions.into_iter();
+        Self(
+            regions
+                .map(|(domain, region)| (domain.into(), region.into()))
+                .collect(),
+        )
+    }
+
+    /// Returns the region of a failure domain, if it is known.
+    #[must_use]
+    pub fn region_of(&self, failure_domain: &str) -> Option<&str> {
+        self.0.get(failure_domain).map(String::as_str)
+    }
+
+    /// Returns whether a request that is allowed in these regions may go to a failure domain.
+    #[must_use]
+    pub fn allows(&self, allowed: &AllowedRegions, failure_domain: &str) -> bool {
+        !allowed.is_restricted() || allowed.allows(self.region_of(failure_domain))
+    }
+}
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -229,6 +229,20 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Returns whether some requests for a host may not run in every region.
+    #[must_use]
+    pub fn restricts_regions(&self, host: &str) -> bool {
+        let mut routes = self.hosts.get(host).into_iter().flatten();
+        let mut organisations = match &self.access {
+            Access::Open => None,
+            Access::ByKey(organisations) => Some(organisations.values()),
+        }
+        .into_iter()
+        .flatten();
+        routes.any(|route| route.regions.is_restricted())
+            || organisations.any(|organisation| organisation.regions.is_restricted())
+    }
+
     /// Returns the address of the service that is the origin of weights.
     #[must_use]
     pub fn origin(&self) -> Option<std::net::SocketAddr> {
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -403,3 +403,34 @@
         prop_assert!(accepted || after_ms >= 4_500 || !is_safely_in_time, "its caller may not know");
     }
 }
+
+#[rstest]
+#[case::neither(None, None, [false, false])]
+#[case::route(Some("north"), None, [true, false])]
+#[case::organisation(None, Some("north"), [true, true])]
+fn a_host_is_restricted_by_its_routes_and_by_any_organisation(
+    #[case] of_route: Option<&str>,
+    #[case] of_organisation: Option<&str>,
+    #[case] expected: [bool; 2],
+) {
+    let regions = |name: Option<&str>| {
+        name.map_or(regions::AllowedRegions::Anywhere, |name| {
+            regions::AllowedRegions::only([name])
+        })
+    };
+    let organisation = routes::Organisation {
+        regions: regions(of_organisation),
+        ..organisation()
+    };
+    let mut table = routes::RouteTable {
+        access: routes::Access::ByKey([(String::from("key-1"), organisation)].into()),
+        ..routes::RouteTable::default()
+    };
+    let route = routes::Route {
+        regions: regions(of_route),
+        ..route("/", &[1])
+    };
+    table.insert(String::from("host-1"), route);
+    let restricted = ["host-1", "host-2"].map(|host| table.restricts_regions(host));
+    assert_eq!(restricted, expected);
+}
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net, path, time};
 
-use pimentohook_core::size;
+use pimentohook_core::{regions, size};
 use pimentohook_runtime::settings;
 
 use crate::settings as gateway;
@@ -59,6 +59,9 @@
     pub failure_domain: String,
     /// Its region; links between regions have low bandwidth.
     pub region: String,
+    /// The regions of the failure domains of upstreams; requests that may not run in every region
+    /// are sent to no other domain.
+    pub regions: regions::RegionMap,
     /// The rate of its link; zero if that is not known.
     pub link_rate: size::ByteRate,
     /// The address that accepts callers' requests.
@@ -128,6 +131,7 @@
         let entry = checker.required("entry", "a name");
         let failure_domain = checker.required("failure_domain", "a name");
         let region = checker.optional("region", "a name");
+        let regions = regions::RegionMap::new(checker.map("regions", "the name of a region"));
         let link_rate = link_rate(&mut checker);
         let callers = checker.required("callers", ADDRESS);
         let ready = checker.required("ready", ADDRESS);
@@ -173,6 +177,7 @@
             Some(Self {
                 entry: entry?,
                 region: region.or_else(|| failure_domain.clone())?,
+                regions,
                 link_rate,
                 failure_domain: failure_domain?,
                 callers: callers?,
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -217,6 +217,31 @@
         parsed
     }
 
+    /// Reads a mapping of names to values; a missing or null mapping counts as empty.
+    pub fn map<T>(&mut self, key: &str, allowed: &str) -> Vec<(String, T)>
+    where
+        T: str::FromStr,
+    {
+        self.known_keys.insert(String::from(key));
+        if !self.has(key) {
+            return Vec::new();
+        }
+        let Some(Value::Mapping(mapping)) = self.mapping.get(key).cloned() else {
+            let value = self.mapping.get(key).map(to_text);
+            self.push(key, value, &format!("a mapping of names to {allowed}"));
+            return Vec::new();
+        };
+        let mut parsed = Vec::new();
+        for (name, value) in &mapping {
+            let name = scalar(name).unwrap_or_else(|| to_text(name));
+            match scalar(value).and_then(|text| text.parse().ok()) {
+                Some(value) => parsed.push((name, value)),
+                None => self.push(&format!("{key}.{name}"), Some(to_text(value)), allowed),
+            }
+        }
+        parsed
+    }
+
     /// Reads a mapping of names to mappings, each of which is read by `check`.
     pub fn sections<T, F>(&mut self, key: &str, mut check: F) -> Vec<(String, T)>
     where
--- a/crates/runtime/tests/settings.rs
+++ b/crates/runtime/tests/settings.rs
@@ -4,12 +4,14 @@
 
 use pimentohook_runtime::settings::Checker;
 use proptest::prelude::*;
+use rstest::rstest;
 
 fn check(text: &str) -> Result<(), String> {
     let mut checker = Checker::from_text("test.yaml", text);
     let _: Option<net::SocketAddr> = checker.required("listen", "an IP address and port");
     checker.number("count", 1, 1..=9);
     checker.list::<u16>("ports", "a port");
+    checker.map::<u8>("ranks", "a rank");
     checker.sections("parts", |_, part| {
         part.number("size", 1, 1..=9);
         Some(())
@@ -26,18 +28,37 @@
 
 #[test]
 fn all_errors_are_reported_together() {
-    let text = "listen: here\ncount: 10\nports: [1, x]\nparts: {a: {size: big, sise: 1}}\nmore: 1";
+    let text = "listen: here\ncount: 10\nports: [1, x]\nranks: {a: b, c: [1]}\n\
+                parts: {a: {size: big, sise: 1}}\nmore: 1";
     insta::assert_snapshot!(check(text).expect_err("invalid settings"), @r"
-    test.yaml has 6 fault(s):
+    test.yaml has 8 fault(s):
       listen: here; allowed: an IP address and port
       count: 10; allowed: a whole number from 1 to 9
       ports[1]: x; allowed: a port
+      ranks.a: b; allowed: a rank
+      ranks.c: - 1; allowed: a rank
       parts.a.size: big; allowed: a whole number from 1 to 9
       parts.a.sise: 1; allowed: one of the keys size
-      more: 1; allowed: one of the keys listen, count, ports, parts
+      more: 1; allowed: one of the keys listen, count, ports, ranks, parts
     ");
 }
 
+/// A platform fills in JSON, or nothing.
+#[rstest]
+#[case::json(r#"{"a":"1","b":2}"#, &[("a", 1), ("b", 2)])]
+#[case::empty("{}", &[])]
+#[case::nothing("", &[])]
+fn a_mapping_may_be_filled_in(#[case] text: &str, #[case] expected: &[(&str, u8)]) {
+    let mut checker = Checker::from_text("test.yaml", &format!("ranks: {text}"));
+    let ranks = checker.map::<u8>("ranks", "a rank");
+    checker.finish().expect("valid settings");
+    let ranks: Vec<_> = ranks
+        .iter()
+        .map(|(name, rank)| (name.as_str(), *rank))
+        .collect();
+    assert_eq!(ranks, expected);
+}
+
 #[test]
 fn valid_settings_are_accepted() {
     let text = "listen: 127.0.0.1:80\ncount: 9\nports: [1, 2]\nparts: {a: {size: 3}}";
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -601,6 +601,7 @@
         ("{{NodeName}}", "edge-gulf-a-1".to_string()),
         ("{{Zone}}", "gulf-a".to_string()),
         ("{{Region}}", "gulf".to_string()),
+        ("{{Zones|json}}", r#"{"gulf-a":"gulf"}"#.to_string()),
         ("{{Limits.LinkMbps}}", "1000.0".to_string()),
         ("{{Listen.Front}}", front.to_string()),
         ("{{Listen.Ready}}", ready.to_string()),
