Run requests only in the regions that route and organisation allow

The directory named all entries for callers whose failure domain has one entry.

Both names are joined when a request is admitted and asked before each send, with the upstream's region by the setting `regions`. So they hold for the first choice, retries, moves, resumed streams, probes and permits, and for the question when back-offs end. A domain that isn't in the map is in no region. If nobody usable is left there, the request is refused at once with the reason none_in_regions; refusals are counted by reason. The directory names the entries of the caller's region, while one is ready, if the host's routes or any organisation restrict regions; otherwise it answers as before.

A request under way keeps the table that it was admitted with: what binds after a change are requests sent later.

--- a/crates/core/src/regions.rs
+++ b/crates/core/src/regions.rs
@@ -10,6 +10,8 @@
 //! assert!(!both.allows(Some("north")));
 //! ```
 
+use std::fmt;
+
 use indexmap::{IndexMap, IndexSet};
 
 /// The regions that a route or an organisation allows.
@@ -66,6 +68,16 @@
     }
 }
 
+impl fmt::Display for AllowedRegions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self::Only(regions) = self else {
+            return write!(f, "anywhere");
+        };
+        let names: Vec<&str> = regions.iter().map(String::as_str).collect();
+        write!(f, "[{}]", names.join(","))
+    }
+}
+
 /// The regions of failure domains.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RegionMap(IndexMap<String, String>);
--- a/crates/core/src/upstream_notice.rs
+++ b/crates/core/src/upstream_notice.rs
@@ -58,6 +58,26 @@
     Leaving,
 }
 
+/// Returns when the first back-off ends if all of some upstreams back off or are leaving; `None` if one
+/// of them may be used, or none will come back.
+#[must_use]
+pub fn first_return<I>(standings: I) -> Option<time::Instant>
+where
+    I: IntoIterator<Item = Standing>,
+{
+    let mut earliest: Option<time::Instant> = None;
+    for standing in standings {
+        match standing {
+            Standing::Leaving => {}
+            Standing::BackingOff { until } => {
+                earliest = Some(earliest.map_or(until, |earliest| earliest.min(until)));
+            }
+            Standing::Available | Standing::HintedLeaving => return None,
+        }
+    }
+    earliest
+}
+
 /// Identifies one run of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Incarnation {
--- a/crates/entry/src/direct/directory.rs
+++ b/crates/entry/src/direct/directory.rs
@@ -6,6 +6,7 @@
 use hyper::{Response, StatusCode};
 use pimentohook_platform::directory;
 use pimentohook_runtime::server;
+use pimentohook_wire::direct;
 
 use super::app;
 
@@ -26,10 +27,7 @@
     server::respond_json(StatusCode::OK, &response)
 }
 
-/// Returns the addresses of the entries that accept requests.
-///
-/// If at least two of them are in the caller's failure domain, only those are returned. A single
-/// one would leave the caller without a fallback.
+/// Returns the addresses of the entries that accept requests and are best for the caller.
 fn addresses(app: &app::App, request: &directory::ResolveRequest) -> Vec<net::SocketAddr> {
     let peers = app.peers.load();
     let others = peers.values().map(|peer| peer.state.clone());
@@ -37,26 +35,49 @@
     if app.is_ready() || ready.is_empty() {
         ready.push(app.peer_state());
     }
-    let is_local = |state: &&_| is_local(state, request);
-    let local: Vec<_> = ready
-        .iter()
-        .filter(is_local)
+    let nearest = nearest(app, request, &ready).into_iter();
+    nearest
         .map(|state| state.callers)
-        .collect();
-    let mut addresses = if local.len() > 1 {
-        local
-    } else {
-        ready.iter().map(|state| state.callers).collect()
-    };
-    addresses.truncate(ADDRESSES_MAX);
-    addresses
+        .take(ADDRESSES_MAX)
+        .collect()
 }
 
-fn is_local(
-    state: &pimentohook_wire::direct::PeerState,
+/// Returns the entries of the caller's failure domain if there are at least two, as a single one would
+/// leave the caller without a fallback; else all, but where requests may not run in every region,
+/// those of the caller's region, if there are any.
+fn nearest<'a>(
+    app: &app::App,
     request: &directory::ResolveRequest,
-) -> bool {
-    state.failure_domain == request.failure_domain
+    ready: &'a [direct::PeerState],
+) -> Vec<&'a direct::PeerState> {
+    let is_local = |state: &&direct::PeerState| state.failure_domain == request.failure_domain;
+    let local: Vec<_> = ready.iter().filter(is_local).collect();
+    if local.len() > 1 {
+        return local;
+    }
+    let host = request.host.to_ascii_lowercase();
+    let table = app.table.load();
+    let is_restricted = table
+        .as_ref()
+        .is_some_and(|table| table.restricts_regions(&host));
+    if is_restricted {
+        let region = caller_region(app, request);
+        let is_in_region = |state: &&direct::PeerState| region == Some(state.region.as_str());
+        let in_region: Vec<_> = ready.iter().filter(is_in_region).collect();
+        if !in_region.is_empty() {
+            return in_region;
+        }
+    }
+    ready.iter().collect()
+}
+
+/// Returns the region of a caller that named it, or its failure domain.
+fn caller_region<'a>(app: &'a app::App, request: &'a directory::ResolveRequest) -> Option<&'a str> {
+    if request.region.is_empty() {
+        app.settings.regions.region_of(&request.failure_domain)
+    } else {
+        Some(&request.region)
+    }
 }
 
 /// Handles the readiness check.
--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -97,21 +97,30 @@
         placement::Denial::BackingOff {
             retry_after: back_off,
         } => retry_after(app, request).max(back_off),
-        placement::Denial::Nobody | placement::Denial::Full => retry_after(app, request),
+        placement::Denial::Nobody | placement::Denial::NoneInRegions | placement::Denial::Full => {
+            retry_after(app, request)
+        }
     };
     app.count("refused");
+    app.count(&format!("refused_{denial}"));
     log::info!(
-        "proxy: event=refused request={} route={} service={} reason={denial} tried={} \
-         after_ms={} retry_after_ms={}",
+        "proxy: event=refused request={} route={} service={} reason={denial} regions={} \
+         tried={} after_ms={} retry_after_ms={}",
         request.id(),
         request.route.name,
         request.service,
+        request.regions,
         history.tried.len(),
         request.arrived_at.elapsed().as_millis(),
         retry_after.as_millis()
     );
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    error_response(status, Some(retry_after), "every upstream is busy or away")
+    let reason = if denial == placement::Denial::NoneInRegions {
+        "no upstream can take it in the regions in which it may run"
+    } else {
+        "every upstream is busy or away"
+    };
+    error_response(status, Some(retry_after), reason)
 }
 
 /// Refuses a request that may last longer than this entry.
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -106,6 +106,10 @@
     let Some(service) = route.target(rand::rng().random()).cloned() else {
         return Err(with_id(unavailable("the route names no service")));
     };
+    let regions = match &organisation {
+        Some(organisation) => route.regions.and(&organisation.regions),
+        None => route.regions.clone(),
+    };
     let timeout = request_timeout::RequestTimeout::new(caller.timeout, route.timeout);
     let deadline = arrived_at + timeout.get();
     let is_late_retry = is_late_retry(app, &route, &caller);
@@ -124,6 +128,7 @@
         service,
         table,
         organisation,
+        regions,
         trial: prompt_admission::Trial::default(),
         is_late_retry,
         arrived_at,
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -8,7 +8,7 @@
 use std::{fmt, sync, sync::atomic, time};
 
 use pimentohook_core::{
-    engine, id, rolling_update,
+    engine, id, regions, rolling_update,
     routing::{choice, score},
     upstream_notice, upstreams,
 };
@@ -43,6 +43,8 @@
     /// Whether it may be sent to an engine of which nothing is known, because it may be sent to
     /// another one too.
     pub may_probe: bool,
+    /// The regions in which it may run.
+    pub regions: &'a regions::AllowedRegions,
     /// Instances that have already failed this request.
     pub excluded: &'a [String],
 }
@@ -121,6 +123,8 @@
 pub enum Denial {
     /// No usable upstream of the service is known.
     Nobody,
+    /// No usable upstream of the service is known in the regions in which the request may run.
+    NoneInRegions,
     /// All upstreams of the service are at capacity.
     Full,
     /// All upstreams of the service that could take the request want none for a while.
@@ -181,6 +185,9 @@
     };
     chosen.map_err(|denial| match back_off_end(app, request, listed) {
         Some(retry_after) => Denial::BackingOff { retry_after },
+        None if denial == Denial::Nobody && request.regions.is_restricted() => {
+            Denial::NoneInRegions
+        }
         None => denial,
     })
 }
@@ -190,16 +197,18 @@
     candidate: &app::Candidate,
     request: &PlacementRequest<'_>,
 ) -> bool {
-    is_staying(candidate)
+    is_staying(app, candidate, request)
         && !request.excluded.contains(&candidate.upstream.instance)
         && app
             .upstream_notices
             .allows_requests(&candidate.upstream, app.clock.now())
 }
 
-/// Returns whether an upstream is listed as ready and still has its address.
-fn is_staying(candidate: &app::Candidate) -> bool {
-    candidate.upstream.state == upstreams::State::Ready
+/// Returns whether an upstream is in an allowed region, listed as ready and still has its address.
+fn is_staying(app: &app::App, candidate: &app::Candidate, request: &PlacementRequest<'_>) -> bool {
+    let (upstream, regions) = (&candidate.upstream, &app.settings.regions);
+    regions.allows(request.regions, &upstream.failure_domain)
+        && upstream.state == upstreams::State::Ready
         && !candidate.state.is_replaced.load(atomic::Ordering::Relaxed)
 }
 
@@ -218,21 +227,12 @@
         let serves = allowed
             .as_ref()
             .is_none_or(|(model, allowed)| allowed.allows(candidate.served_version(model)));
-        is_staying(candidate) && serves
+        is_staying(app, candidate, request) && serves
     };
-    let mut earliest: Option<time::Instant> = None;
-    for candidate in listed.iter().filter(could_serve) {
-        match app.upstream_notices.standing(&candidate.upstream, now) {
-            upstream_notice::Standing::Leaving => {}
-            upstream_notice::Standing::BackingOff { until } => {
-                earliest = Some(earliest.map_or(until, |earliest| earliest.min(until)));
-            }
-            upstream_notice::Standing::Available | upstream_notice::Standing::HintedLeaving => {
-                return None;
-            }
-        }
-    }
-    earliest.map(|until| until.saturating_duration_since(now))
+    let notices = &app.upstream_notices;
+    let standing = |candidate: &app::Candidate| notices.standing(&candidate.upstream, now);
+    let standings = listed.iter().filter(could_serve).map(standing);
+    upstream_notice::first_return(standings).map(|until| until.saturating_duration_since(now))
 }
 
 /// Returns the upstreams of a plain service without those that are only hinted to be leaving, unless
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, Uri, header};
-use pimentohook_core::{crash_evidence::prompt, fingerprint, id, routes};
+use pimentohook_core::{crash_evidence::prompt, fingerprint, id, regions, routes};
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
 
@@ -42,6 +42,8 @@
     pub table: sync::Arc<routes::RouteTable>,
     /// The caller's organisation.
     pub organisation: Option<routes::Organisation>,
+    /// The regions in which it may run, by the route and the organisation.
+    pub regions: regions::AllowedRegions,
     /// Whether this is the trial of parts of its prompt.
     pub trial: prompt_admission::Trial,
     /// Whether this is a retry whose caller has already waited longer than the route's goal.
@@ -306,6 +308,7 @@
         },
         spare_only: is_late || request.is_late_retry,
         may_probe: tried.is_empty() && request.route.may_repeat() && request.route.attempts_max > 1,
+        regions: &request.regions,
         excluded: tried,
     };
     placement::choose(app, &placement_request).await
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -263,6 +263,7 @@
             first_token_max: route.goal,
             spare_only: false,
             may_probe: false,
+            regions: &self.request.regions,
             excluded,
         };
         let placement = placement::choose(&self.app, &placement_request)
