--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -24,3 +24,20 @@
     let grace = settings.expect("good settings").configuration_grace;
     assert_eq!(grace, time::Duration::from_millis(expected_ms));
 }
+
+/// A platform that knows no regions leaves the setting empty.
+#[rstest]
+#[case::filled_in(r#"{"domain-1":"north","domain-2":"south"}"#, Some("south"))]
+#[case::empty("", None)]
+fn the_regions_of_failure_domains_may_be_filled_in(
+    #[case] setting: &str,
+    #[case] expected: Option<&str>,
+) {
+    let line = "regions: {jylland: jylland}";
+    assert!(EXAMPLE.contains(line));
+    let text = EXAMPLE.replace(line, &format!("regions: {setting}"));
+    let settings = DirectSettings::check(Checker::from_text("entry.yaml", &text));
+    let regions = settings.expect("good settings").regions;
+    assert_eq!(regions.region_of("domain-2"), expected);
+    assert_eq!(regions.region_of("jylland"), None);
+}
