Send cold engines no more than they bear

An engine that has just started, or has become cold again, got whatever it had free slots for: callers saw it crash under a burst, and their requests with it. Nobody read how many requests a second a cold instance bears.

The agent learns the limit with its service, and whether the engine is cold from its own reports (another start, forgotten orders, lost weights), from the engine's registration, and from what an entry says in a request for a slot. It counts what it granted in the last second, also while the engine is warm. A quarter of the limit is set aside for a few entries that can't reach the agent; an agent or entry that has just started counts as having sent all that it may. Without a limit in the configuration nothing changes.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{
     burst::{chunks, uploader},
-    clock, engine, engine_admission, id,
+    clock, cold, engine, engine_admission, id, routes,
 };
 use pimentohook_platform::{origin, runner, store};
 use pimentohook_runtime::{announcements, client, metrics, standstill};
@@ -36,6 +36,8 @@
     pub figures: engine::EngineProfile,
     /// The origin of the service's weights.
     pub origin: Option<net::SocketAddr>,
+    /// What a cold engine bears; `None` if the service's engines are never cold.
+    pub cold: Option<routes::ColdLimit>,
 }
 
 /// An announced version of a model, which the agent is to load into its engine.
@@ -82,6 +84,8 @@
     pub transfers: sync::Arc<transfer::Transfers>,
     /// Admission control of the engine.
     pub admission: sync::Mutex<engine_admission::EngineAdmission>,
+    /// Whether the engine is cold, and what it was granted lately.
+    pub cold: sync::Mutex<cold::ColdEngine>,
     /// The agent's service; `None` until a configuration is known.
     pub service: ArcSwapOption<Service>,
     /// The newest announced version; `None` until one is known.
@@ -193,6 +197,7 @@
             origin: origin::OriginClient::new(local_ip),
             transfers: sync::Arc::new(transfer::Transfers::new(link)),
             admission: sync::Mutex::new(engine_admission::EngineAdmission::new(clock.now())),
+            cold: sync::Mutex::new(cold::ColdEngine::new(clock.now())),
             service: ArcSwapOption::empty(),
             newest_version: ArcSwapOption::empty(),
             announced: ArcSwap::default(),
--- a/crates/agent/src/direct/engine_report.rs
+++ b/crates/agent/src/direct/engine_report.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, sync::atomic, time};
 
-use pimentohook_core::engine_admission;
+use pimentohook_core::{cold, engine_admission};
 use pimentohook_platform::runner;
 
 use super::app;
@@ -26,7 +26,8 @@
     let result = app.runner.report().await;
     let now = app.clock.now();
     match &result {
-        Ok(_) => {
+        Ok(report) => {
+            record_start_signs(app, report, now);
             let answers = &mut lock(&app.admission).answers;
             answers.record_answer(requested_at, now);
             record_heard(app, now);
@@ -39,6 +40,23 @@
     result
 }
 
+/// Records what a report shows of the engine's start, after which it is cold.
+fn record_start_signs(app: &app::App, report: &runner::Report, now: time::Instant) {
+    let signs = cold::StartSigns {
+        started_unix_ms: report.started_unix_ms,
+        order_count: report.order_count,
+        has_weights: !report.weights.is_empty(),
+    };
+    if lock(&app.cold).record_report(now, signs) {
+        log::info!(
+            "loader: event=engine_started started_unix_ms={:?} orders={} has_weights={}",
+            signs.started_unix_ms,
+            signs.order_count,
+            signs.has_weights
+        );
+    }
+}
+
 /// Records that the engine does not answer.
 pub fn record_silent(app: &app::App) {
     let now = app.clock.now();
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -19,6 +19,7 @@
     entry_follow::{self, EntrySnafu, FollowError},
     weights_feed,
 };
+use crate::mutex::lock;
 
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
 const REFRESH_INTERVAL: time::Duration = time::Duration::from_secs(3);
@@ -324,18 +325,28 @@
     let service = table.services.get(&app.settings.service);
     if let Some(figures) = service.and_then(|service| service.engine.clone()) {
         let origin = table.origin();
-        let service = direct::EngineService { figures, origin };
+        let cold = service.and_then(|service| service.cold);
+        let service = direct::EngineService {
+            figures,
+            origin,
+            cold,
+        };
         set_service(app, table.version.get(), service);
     }
 }
 
 fn set_service(app: &app::App, configuration_version: u64, service: direct::EngineService) {
     let is_first = app.service.load().is_none();
-    let direct::EngineService { figures, origin } = service;
+    let direct::EngineService {
+        figures,
+        origin,
+        cold,
+    } = service;
     app.service.store(Some(sync::Arc::new(app::Service {
         configuration_version,
         figures,
         origin,
+        cold,
     })));
     if is_first {
         log::info!(
@@ -345,6 +356,12 @@
 }
 
 fn apply_upstreams(app: &app::App, listed: &[upstreams::Upstream]) {
+    if let Some(own) = listed
+        .iter()
+        .find(|upstream| upstream.address == app.settings.engine)
+    {
+        lock(&app.cold).record_registered(app.clock.now(), own.cold_remaining);
+    }
     let vms = upstreams::service_vms(listed, &app.settings.service);
     // Agents of leaving VMs make no grants and get none, so they aren't among the peers.
     let mut peers = app::PeerAgents::new();
--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -76,6 +76,11 @@
         version_min,
         spare_only: request.spare_only,
     };
+    let stated = time::Duration::from_millis(u64::from(request.cold_remaining_ms));
     let now = app.clock.now();
-    lock(&app.admission).admit(&service.figures, now, &admission_request)
+    let mut cold = lock(&app.cold);
+    cold.record_stated(now, stated);
+    cold.admit(now, service.cold.as_ref(), || {
+        lock(&app.admission).admit(&service.figures, now, &admission_request)
+    })
 }
--- a/crates/core/src/engine_admission.rs
+++ b/crates/core/src/engine_admission.rs
@@ -68,6 +68,8 @@
     Silent,
     /// The engine is leaving.
     Leaving,
+    /// The engine is cold and has got as many requests as it bears.
+    Cold,
     /// Weights are being loaded.
     Loading,
     /// The engine serves no acceptable version of the model.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 //! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
 //! * [`engine`]: how long an engine takes to respond.
 //! * [`engine_admission`]: which requests an engine admits.
+//! * [`cold`]: how many requests a cold instance gets.
 //! * [`latest_start`]: when a request that is sent to an engine can start at the latest.
 //! * [`unconfirmed_queue`]: how long a request may wait there, by what its reports confirm.
 //! * [`ask_order`]: which agents are asked for a slot.
@@ -60,6 +61,7 @@
 pub mod burst;
 pub mod carryover;
 pub mod clock;
+pub mod cold;
 pub mod collection;
 pub mod crash_evidence;
 pub mod engine;
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -13,6 +13,7 @@
 use std::time;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::{engine, id, rank, regions};
 
@@ -111,7 +112,7 @@
 }
 
 /// What an instance bears that has just started, or has become cold again.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ColdLimit {
     /// How long an instance is cold after its start.
     pub duration: time::Duration,
--- a/crates/entry/src/direct/agents.rs
+++ b/crates/entry/src/direct/agents.rs
@@ -65,5 +65,6 @@
     Some(direct::EngineService {
         figures: service.engine.clone()?,
         origin: table.origin(),
+        cold: service.cold,
     })
 }
--- a/crates/entry/src/direct/engine_silence.rs
+++ b/crates/entry/src/direct/engine_silence.rs
@@ -129,6 +129,7 @@
         first_token_max_ms: 0,
         version_min: Some(NO_VERSION),
         spare_only: true,
+        cold_remaining_ms: 0,
     };
     let sent_at_ms = app.now_ms();
     let agent = app.agent_address(&candidate.upstream);
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -15,6 +15,7 @@
 //!   responses that are event streams.
 //! * [`engine_question`]: questions to engines that may stand still.
 //! * [`engine_silence`]: engines that stand still, and what happens to requests that wait there.
+//! * [`cold_upstreams`]: engines that are cold, and what they get without their agents.
 //! * [`upstream_limits`], [`limited_upstream`], [`limit_gossip`] and [`permits`]: the limits that
 //!   upstreams name in their responses, and the permits with which all entries together keep them.
 //! * [`upstream_notices`]: which upstreams have said that they are leaving, or that they want no
@@ -33,6 +34,7 @@
 pub mod attempt;
 pub mod cache;
 pub mod caller_connections;
+pub mod cold_upstreams;
 pub mod crash_evidence;
 pub mod directory;
 pub mod end_questions;
--- a/crates/entry/src/direct/restored.rs
+++ b/crates/entry/src/direct/restored.rs
@@ -64,7 +64,9 @@
     let collection = app.cached(store::Kind::Upstreams).collection();
     let era = collection.position().era;
     let listed = decode::upstreams(collection.objects(), app.store.skipped());
-    let combined = upstreams::with_lost(&mut lost, era, listed, app.clock.now());
+    let now = app.clock.now();
+    let combined = upstreams::with_lost(&mut lost, era, listed, now);
+    app.upstream_limits.cold.record_listed(now, &combined);
     app.set_upstreams(combined);
 }
 
--- a/crates/entry/src/direct/slot.rs
+++ b/crates/entry/src/direct/slot.rs
@@ -6,7 +6,7 @@
 use pimentohook_runtime::client;
 use pimentohook_wire::direct;
 
-use super::{app, engine_silence, placement};
+use super::{app, cold_upstreams, engine_silence, placement};
 
 /// How long an engine that refused a slot is ranked after the others.
 const REFUSAL_BACKOFF_MS: u64 = 30;
@@ -63,6 +63,7 @@
         let instance = &candidate.upstream.instance;
         may_wait_unwatched(app, request.profile, instance, request.grace_remaining)
             && is_within_share(app, request.profile, state)
+            && cold_upstreams::admits_unwatched(app, candidate)
     };
     if state.contact.access(now_ms, false) != Access::Agent {
         return is_admitted_without_agent();
@@ -78,6 +79,7 @@
         first_token_max_ms: u32::try_from(first_token_max.as_millis()).unwrap_or(u32::MAX),
         version_min: request.version_min,
         spare_only: request.placement.spare_only,
+        cold_remaining_ms: cold_upstreams::remaining_ms(app, &candidate.upstream.instance),
     };
     let agent = app.agent_address(&candidate.upstream);
     let call = app.internal.call(
--- a/crates/entry/src/direct/upstream_limits.rs
+++ b/crates/entry/src/direct/upstream_limits.rs
@@ -12,7 +12,7 @@
 use pimentohook_platform::store;
 use pimentohook_wire::direct;
 
-use super::{app, limited_upstream::LimitedUpstream, restored};
+use super::{app, cold_upstreams, limited_upstream::LimitedUpstream, restored};
 
 /// The upstreams that have named a limit, by instance.
 #[derive(Debug, Default)]
@@ -22,6 +22,8 @@
     coordinators: ArcSwap<Vec<String>>,
     shares: ArcSwap<fleet::Shares>,
     fleet: sync::Mutex<fleet::Fleet>,
+    /// The upstreams that are cold.
+    pub cold: cold_upstreams::ColdUpstreams,
     /// 0 while the registrations have not been read.
     entry_count: atomic::AtomicU32,
     heartbeats_answered: atomic::AtomicU32,
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -3,7 +3,8 @@
 
 use indexmap::IndexMap;
 use pimentohook_core::{
-    announcement, collection, crash_evidence, engine, id, position, size, upstream_limit::rate,
+    announcement, collection, crash_evidence, engine, id, position, routes, size,
+    upstream_limit::rate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +56,9 @@
     /// Whether the request has already missed its objective, and so may only use a slot that other
     /// requests are unlikely to need.
     pub spare_only: bool,
+    /// How much longer the engine is cold by what the entry knows, in milliseconds.
+    #[serde(default)]
+    pub cold_remaining_ms: u32,
 }
 
 /// The reply to a [`SlotRequest`].
@@ -135,6 +139,9 @@
     pub figures: engine::EngineProfile,
     /// The address of the origin, from which the first copies of weights are downloaded.
     pub origin: Option<std::net::SocketAddr>,
+    /// What a cold engine bears; `None` if the service's engines are never cold.
+    #[serde(default)]
+    pub cold: Option<routes::ColdLimit>,
 }
 
 /// Entry to entry: a heartbeat.
