Find the pace of an upstream that has just started from its answers

A module of the core, not used yet: it begins with two requests at once, doubles while answers take no longer than is expected of a warm upstream, halves after a late or failed one, expects less of an upstream that is slow with few requests, and ends.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 //! * [`engine`]: how long an engine takes to respond.
 //! * [`engine_admission`]: which requests an engine admits.
 //! * [`cold`]: how many requests a cold instance gets.
+//! * [`pace`]: how many requests an upstream gets that has just started.
 //! * [`latest_start`]: when a request that is sent to an engine can start at the latest.
 //! * [`unconfirmed_queue`]: how long a request may wait there, by what its reports confirm.
 //! * [`ask_order`]: which agents are asked for a slot.
@@ -79,6 +80,7 @@
 pub mod limits;
 pub mod lowered_timeouts;
 pub mod membership;
+pub mod pace;
 pub mod paged_list;
 pub mod position;
 pub mod rank;
