Check a configuration before it is sent

Operators had no way to see what entries make of a configuration: a field that can't be read, a second route for the same host and prefix, a region that a route and an organisation don't share, or a version that is not newer passed silently, and callers got 404, 503 or nothing changed.

pimentohook check-configuration reads it with the decoder of the entries (platform::decode::read_configuration) and core::configuration_check tells findings and differences, each with its place. It knows no upstreams.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -102,6 +102,14 @@
     T: de::DeserializeOwned,
 {
     let path = matches.get_one::<String>("file").map_or("", String::as_str);
+    let text = read_text(path)?;
+    serde_json::from_str(&text).map_err(|error| CliError::Usage {
+        message: format!("{path}: {error}"),
+    })
+}
+
+/// Reads a file, or standard input if its path is `-`.
+pub fn read_text(path: &str) -> Result<String, CliError> {
     let text = if path == "-" {
         let mut text = String::new();
         let read = std::io::stdin().read_to_string(&mut text);
@@ -109,11 +117,7 @@
     } else {
         fs::read_to_string(path)
     };
-    let message = |error: String| format!("{path}: {error}");
-    let text = text.map_err(|error| CliError::Usage {
-        message: message(error.to_string()),
-    })?;
-    serde_json::from_str(&text).map_err(|error| CliError::Usage {
-        message: message(error.to_string()),
+    text.map_err(|error| CliError::Usage {
+        message: format!("{path}: {error}"),
     })
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,9 +3,11 @@
 //!
 //! * [`commands`]: commands that plan or confirm a change.
 //! * [`queries`]: commands that read: validation of settings, status, and the burn report.
+//! * [`configuration`]: the check of a configuration before it is sent.
 //! * [`entry_client`]: the HTTP client for an entry.
 
 mod commands;
+mod configuration;
 mod entry_client;
 mod queries;
 
@@ -79,6 +81,7 @@
         )
         .subcommand_required(true)
         .subcommand(check())
+        .subcommand(check_configuration())
         .subcommand(intent())
         .subcommand(
             with_entry_args(Command::new("plan").about("Show the plan for an intent written as JSON"))
@@ -108,6 +111,26 @@
         )
 }
 
+fn check_configuration() -> Command {
+    Command::new("check-configuration")
+        .about("Check a configuration for the platform before it is sent")
+        .arg(file_arg(
+            "A JSON file with the configuration, or - for standard input",
+        ))
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .value_name("FILE")
+                .help("A JSON file with the configuration in force, to show what differs"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON instead of text"),
+        )
+}
+
 fn intent() -> Command {
     let service = || Arg::new("service").long("service").required(true);
     let vm = || Arg::new("vm").long("vm").required(true).help("The VM");
@@ -187,6 +210,7 @@
 fn run(matches: &ArgMatches) -> Result<(), CliError> {
     match matches.subcommand() {
         Some(("check", matches)) => queries::check(matches),
+        Some(("check-configuration", matches)) => configuration::check(matches),
         Some(("intent", matches)) => commands::intent(matches),
         Some(("plan", matches)) => commands::plan_from_file(matches),
         Some(("confirm", matches)) => commands::confirm(matches),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 //! Direct mode, in which entries send requests to upstreams without an agent in between:
 //!
 //! * [`routes`]: which service a request goes to, and how it may be handled.
+//! * [`configuration_check`]: what is wrong with a configuration, and what it would change.
 //! * [`regions`]: where a request may be served.
 //! * [`rank`]: how urgent a request is.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
@@ -61,6 +62,7 @@
 pub mod carryover;
 pub mod clock;
 pub mod collection;
+pub mod configuration_check;
 pub mod crash_evidence;
 pub mod engine;
 pub mod engine_admission;
--- a/crates/core/src/regions.rs
+++ b/crates/core/src/regions.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Returns whether no region at all is allowed.
+    #[must_use]
+    pub fn is_nowhere(&self) -> bool {
+        matches!(self, Self::Only(regions) if regions.is_empty())
+    }
+
     /// Returns whether some region is not allowed.
     #[must_use]
     pub const fn is_restricted(&self) -> bool {
