--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -4,7 +4,7 @@
 
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
-use pimentohook_core::engine_admission;
+use pimentohook_core::{engine_admission, scheduling};
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
@@ -45,6 +45,7 @@
     } else {
         "refused"
     });
+    record(&app, &service, &request, admitted);
     if let Err(reason) = admitted {
         log::debug!(
             "place: event=refused instance={} reason={reason}",
@@ -77,5 +78,41 @@
         spare_only: request.spare_only,
     };
     let now = app.clock.now();
-    lock(&app.admission).admit(&service.figures, now, &admission_request)
+    let mut admission = lock(&app.admission);
+    match ask(request) {
+        Some(ask) => admission.admit_ranked(&service.figures, now, &admission_request, &ask),
+        None => admission.admit(&service.figures, now, &admission_request),
+    }
+}
+
+/// Records what became of a request that has a priority, so that room is kept for its kind.
+fn record(
+    app: &app::App,
+    service: &app::Service,
+    request: &direct::SlotRequest,
+    admitted: Result<time::Duration, engine_admission::DenialReason>,
+) {
+    let Some(ask) = ask(request) else {
+        return;
+    };
+    let mut admission = lock(&app.admission);
+    admission.record_ranked(&service.figures, app.clock.now(), &ask, admitted);
+    drop(admission);
+    let outcome = if admitted.is_ok() {
+        "placed"
+    } else {
+        "refused"
+    };
+    app.count(&format!("{outcome}_priority_{}", ask.priority.get()));
+}
+
+/// Returns what matters of a request for what is kept; `None` if all requests are equally urgent.
+fn ask(request: &direct::SlotRequest) -> Option<scheduling::Ask> {
+    request.priority.map(|priority| scheduling::Ask {
+        priority,
+        is_second: request.spare_only,
+        is_first_ask: !request.is_asked_again,
+        prompt_tokens: request.prompt_tokens,
+        first_token_max: time::Duration::from_millis(u64::from(request.first_token_max_ms)),
+    })
 }
--- a/crates/core/src/ask_order.rs
+++ b/crates/core/src/ask_order.rs
@@ -19,6 +19,10 @@
 //! assert_eq!(ask_order::order(&candidates, 2), [1, 0, 2]);
 //! ```
 
+use std::sync::atomic;
+
+use crate::rank;
+
 /// The fewest agents that are asked for one request before it is refused.
 const ASKS_MIN: usize = 10;
 /// The most agents that are asked, each of which costs the request a round trip.
@@ -44,6 +48,30 @@
     Still,
 }
 
+/// Until when the agent beside an engine is taken to refuse requests, by their priority.
+#[derive(Debug, Default)]
+pub struct Refusing {
+    until_ms: [atomic::AtomicU64; rank::Priority::COUNT],
+}
+
+impl Refusing {
+    /// Records that requests with a priority and less urgent ones are refused until `until_ms`; all are
+    /// if the refused request had no priority. One that comes second says nothing of those before it.
+    pub fn record(&self, priority: Option<rank::Priority>, is_second: bool, until_ms: u64) {
+        let first = priority.map_or(0, |priority| priority.index() + usize::from(is_second));
+        for refused in &self.until_ms[first..] {
+            refused.store(until_ms, atomic::Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether a request with a priority is likely to be refused.
+    #[must_use]
+    pub fn is_refusing(&self, priority: Option<rank::Priority>, now_ms: u64) -> bool {
+        let until_ms = &self.until_ms[priority.map_or(0, rank::Priority::index)];
+        until_ms.load(atomic::Ordering::Relaxed) > now_ms
+    }
+}
+
 /// An engine as an entry sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
--- a/crates/core/src/engine_admission.rs
+++ b/crates/core/src/engine_admission.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-use crate::{engine, engine_answers, unconfirmed_queue};
+use crate::{engine, engine_answers, scheduling, unconfirmed_queue};
 
 /// The longest time from admission until the request reaches the engine. Reports requested earlier
 /// than this after an admission may not include the request, so it is counted in addition to them.
@@ -107,6 +107,8 @@
 pub struct EngineAdmission {
     /// The questions for reports.
     pub answers: engine_answers::EngineAnswers,
+    /// What is kept for more urgent requests.
+    pub scheduler: scheduling::Scheduler,
     report: Option<(time::Instant, EngineReport)>,
     leaving: bool,
     loading: bool,
@@ -119,9 +121,10 @@
 impl EngineAdmission {
     /// Creates the state of an engine that has not reported yet; no request is admitted.
     #[must_use]
-    pub const fn new(now: time::Instant) -> Self {
+    pub fn new(now: time::Instant) -> Self {
         Self {
             answers: engine_answers::EngineAnswers::new(),
+            scheduler: scheduling::Scheduler::new(now),
             report: None,
             leaving: false,
             loading: false,
@@ -189,6 +192,70 @@
         profile: &engine::EngineProfile,
         now: time::Instant,
         request: &AdmissionRequest<'_>,
+    ) -> Result<time::Duration, DenialReason> {
+        let reserved = scheduling::Reserved::default();
+        self.admit_beside(profile, now, request, &reserved)
+    }
+
+    /// Admits a request that has a priority, if it leaves to more urgent ones what is kept for them;
+    /// returns its estimated time to first token.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`DenialReason`] if the request is not admitted.
+    pub fn admit_ranked(
+        &mut self,
+        profile: &engine::EngineProfile,
+        now: time::Instant,
+        request: &AdmissionRequest<'_>,
+        ask: &scheduling::Ask,
+    ) -> Result<time::Duration, DenialReason> {
+        let reserved = self.scheduler.reserved(now, ask, profile.slot_count);
+        // The reserves keep room from late requests, as much as others need.
+        let request = AdmissionRequest {
+            spare_only: false,
+            ..*request
+        };
+        self.admit_beside(profile, now, &request, &reserved)
+    }
+
+    /// Records what became of a request that has a priority, once for each.
+    pub fn record_ranked(
+        &mut self,
+        profile: &engine::EngineProfile,
+        now: time::Instant,
+        ask: &scheduling::Ask,
+        admitted: Result<time::Duration, DenialReason>,
+    ) {
+        let outcome = match admitted {
+            Ok(_) => scheduling::Outcome::Admitted,
+            Err(DenialReason::Full | DenialReason::Late) if self.could_serve(profile, now, ask) => {
+                scheduling::Outcome::NoRoom
+            }
+            Err(_) => scheduling::Outcome::Refused,
+        };
+        self.scheduler.record(now, ask, outcome);
+    }
+
+    /// Returns whether the engine could serve a request in time if it had no others.
+    fn could_serve(
+        &self,
+        profile: &engine::EngineProfile,
+        now: time::Instant,
+        ask: &scheduling::Ask,
+    ) -> bool {
+        let pace = self.report.as_ref().map(|(_, report)| report.pace);
+        let profile = &*profile.at_pace(pace.unwrap_or_default());
+        let idle = engine::PrefillQueue::new(now);
+        idle.time_to_first_token(profile, now, 1, ask.prompt_tokens) <= ask.first_token_max
+    }
+
+    fn admit_beside(
+        &mut self,
+        profile: &engine::EngineProfile,
+        now: time::Instant,
+        request: &AdmissionRequest<'_>,
+        reserved: &scheduling::Reserved,
     ) -> Result<time::Duration, DenialReason> {
         if self.leaving {
             return Err(DenialReason::Leaving);
@@ -211,7 +278,7 @@
         }
         let (requested_at, reported) = (*requested_at, report.active_count + report.queued_count);
         let occupied = reported + self.unreported_count(requested_at);
-        if occupied >= slot_limit(profile, request) {
+        if occupied + reserved.slot_count >= slot_limit(profile, request) {
             return Err(DenialReason::Full);
         }
         let first_token =
@@ -220,6 +287,15 @@
         if first_token > request.first_token_max {
             return Err(DenialReason::Late);
         }
+        if let Some(first_token_max) = reserved.first_token_max {
+            let prompt_tokens = request.prompt_tokens.saturating_add(reserved.prompt_tokens);
+            let queue = &self.prefill_queue;
+            if queue.time_to_first_token(profile, now, occupied + 1, prompt_tokens)
+                > first_token_max
+            {
+                return Err(DenialReason::Late);
+            }
+        }
         self.unconfirmed_queue
             .confirm(profile, occupied, requested_at);
         let latest =
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod rolling_update;
 pub mod routes;
 pub mod routing;
+pub mod scheduling;
 pub mod shutdown;
 pub mod size;
 pub mod standstill;
--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -1,6 +1,8 @@
 //! How urgent a request is in comparison with others of its service.
 
-use std::cmp;
+use std::{cmp, collections::BTreeSet, fmt};
+
+use serde::{Deserialize, Serialize};
 
 /// The rank of a route or of an organisation; 0 is the most urgent one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -67,3 +69,82 @@
         key(self).cmp(&key(other))
     }
 }
+
+/// The position of an urgency among those of its service; 0 is the most urgent one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(from = "u8", into = "u8")]
+pub struct Priority(u8);
+
+impl Priority {
+    /// The number of priorities. If a service has more urgencies, the least urgent ones share one.
+    pub const COUNT: usize = 10;
+    const LAST: u8 = 9;
+
+    /// Returns the number of the priority, from 0 to 9.
+    #[must_use]
+    pub const fn get(self) -> u8 {
+        self.0
+    }
+
+    /// Returns the priority as the index of an array of [`Priority::COUNT`] elements.
+    #[must_use]
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+impl From<u8> for Priority {
+    /// Returns the priority with a number; greater ones than 9 count as 9.
+    fn from(number: u8) -> Self {
+        Self(number.min(Self::LAST))
+    }
+}
+
+impl From<Priority> for u8 {
+    fn from(priority: Priority) -> Self {
+        priority.0
+    }
+}
+
+/// The distinct urgencies of the requests of one service, the most urgent first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Urgencies(BTreeSet<Urgency>);
+
+impl Urgencies {
+    /// Returns whether requests differ in urgency.
+    #[must_use]
+    pub fn is_ranked(&self) -> bool {
+        self.0.len() > 1
+    }
+
+    /// Returns the priority of a request; `None` if all requests of the service are equally urgent.
+    #[must_use]
+    pub fn priority(&self, urgency: Urgency) -> Option<Priority> {
+        let position = self.0.range(..urgency).count();
+        let priority = Priority::from(u8::try_from(position).unwrap_or(u8::MAX));
+        self.is_ranked().then_some(priority)
+    }
+}
+
+impl fmt::Display for Urgencies {
+    /// Formats them as `ORGANISATION.ROUTE` pairs of ranks, the most urgent first.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, urgency) in self.0.iter().enumerate() {
+            let separator = if position == 0 { "" } else { "," };
+            let (organisation, route) = (urgency.organisation.get(), urgency.route.get());
+            write!(f, "{separator}{organisation}.{route}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromIterator<Urgency> for Urgencies {
+    fn from_iter<T>(urgencies: T) -> Self
+    where
+        T: IntoIterator<Item = Urgency>,
+    {
+        Self(urgencies.into_iter().collect())
+    }
+}
--- a/crates/core/src/refusal_rate.rs
+++ b/crates/core/src/refusal_rate.rs
@@ -8,6 +8,8 @@
 
 use std::{sync::atomic, time};
 
+use crate::rank;
+
 /// Number of buckets in the sliding window that refusals are counted in.
 const BUCKET_COUNT: u32 = 4;
 const BUCKET_MS: u64 = 250;
@@ -33,6 +35,23 @@
     buckets: [atomic::AtomicU64; BUCKET_COUNT as usize],
 }
 
+/// The refusal rates of one service, by the priority of requests.
+#[derive(Debug, Default)]
+pub struct Rates {
+    without_priority: RefusalRate,
+    by_priority: [RefusalRate; rank::Priority::COUNT],
+}
+
+impl Rates {
+    /// Returns the refusal rate of requests with a priority, or of those without one.
+    #[must_use]
+    pub fn of(&self, priority: Option<rank::Priority>) -> &RefusalRate {
+        priority.map_or(&self.without_priority, |priority| {
+            &self.by_priority[priority.index()]
+        })
+    }
+}
+
 /// The requests counted in one time bucket.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Bucket {
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -12,7 +12,7 @@
 
 use std::time;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{engine, id, rank, regions};
 
@@ -108,6 +108,8 @@
     pub connections_max: Option<u32>,
     /// What a cold instance bears; `None` if its instances are never cold.
     pub cold: Option<ColdLimit>,
+    /// The urgencies of its requests; see [`RouteTable::rank_services`].
+    pub urgencies: rank::Urgencies,
 }
 
 /// What an instance bears that has just started, or has become cold again.
@@ -220,6 +222,53 @@
         routes.insert(position, route);
     }
 
+    /// Records for each service how urgent its requests may be, by the ranks of its routes and of the
+    /// organisations. Callers without an organisation don't make a service ranked.
+    pub fn rank_services(&mut self) {
+        let organisations: IndexSet<rank::Rank> = match &self.access {
+            Access::Open => IndexSet::new(),
+            Access::ByKey(by_key) => by_key.values().map(|known| known.rank).collect(),
+        };
+        let organisations = if organisations.is_empty() {
+            IndexSet::from([rank::Rank::LAST])
+        } else {
+            organisations
+        };
+        for (name, service) in &mut self.services {
+            let routes = self.hosts.values().flatten();
+            let routes = routes.filter(|route| {
+                let mut targets = route.targets.iter();
+                targets.any(|target| target.service == *name)
+            });
+            let ranks: IndexSet<rank::Rank> = routes.map(|route| route.rank).collect();
+            let urgencies = ranks.iter().flat_map(|route| {
+                organisations.iter().map(|organisation| rank::Urgency {
+                    organisation: *organisation,
+                    route: *route,
+                })
+            });
+            service.urgencies = urgencies.collect();
+        }
+    }
+
+    /// Returns how urgent a request on a route is in comparison with the others of a service; `None`
+    /// if all are equally urgent, or if the service has no engines.
+    #[must_use]
+    pub fn priority(
+        &self,
+        service: &id::ServiceName,
+        route: &Route,
+        organisation: Option<&Organisation>,
+    ) -> Option<rank::Priority> {
+        let service = self.services.get(service)?;
+        let urgency = rank::Urgency {
+            organisation: organisation.map_or(rank::Rank::LAST, |known| known.rank),
+            route: route.rank,
+        };
+        service.engine.as_ref()?;
+        service.urgencies.priority(urgency)
+    }
+
     /// Returns the route for a host and a path.
     #[must_use]
     pub fn select(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,8 +6,8 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    clock, engine_contact, id, idle_limit, lowered_timeouts, refusal_rate, routes, routing::score,
-    shutdown, upstreams,
+    ask_order, clock, engine_contact, id, idle_limit, lowered_timeouts, refusal_rate, routes,
+    routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{announcements, body, client, metrics, standstill};
@@ -32,7 +32,7 @@
     /// Whether its agent and it itself respond.
     pub contact: engine_contact::EngineContact,
     /// Until when its agent is assumed to refuse requests, in milliseconds since the entry started.
-    pub refusing_until_ms: atomic::AtomicU64,
+    pub refusing: ask_order::Refusing,
     /// The engine state last reported by its agent; newer than the listed data.
     pub engine_state: ArcSwapOption<direct::EngineState>,
 }
@@ -114,7 +114,7 @@
     pub metrics_registry: sync::Arc<metrics::Registry>,
     /// The longest timeout that callers of each route sent, in milliseconds.
     longest_timeouts_ms: ArcSwap<IndexMap<String, sync::Arc<atomic::AtomicU64>>>,
-    refusal_rates: ArcSwap<IndexMap<id::ServiceName, sync::Arc<refusal_rate::RefusalRate>>>,
+    refusal_rates: ArcSwap<IndexMap<id::ServiceName, sync::Arc<refusal_rate::Rates>>>,
     /// The retry budgets.
     pub retries: retries::Retries,
     /// The timeouts of routes that were longer before.
@@ -356,19 +356,18 @@
         timeout
     }
 
-    /// Returns the refusal rate of a service.
+    /// Returns the refusal rates of a service.
     #[must_use]
-    pub fn refusal_rate(&self, service: &id::ServiceName) -> sync::Arc<refusal_rate::RefusalRate> {
-        if let Some(refusal_rate) = self.refusal_rates.load().get(service) {
-            return refusal_rate.clone();
-        }
-        self.refusal_rates.rcu(|refusal_rates| {
-            let mut refusal_rates = IndexMap::clone(refusal_rates);
-            refusal_rates.entry(service.clone()).or_default();
-            refusal_rates
-        });
-        let refusal_rates = self.refusal_rates.load();
-        refusal_rates.get(service).cloned().unwrap_or_default()
+    pub fn refusal_rates(&self, service: &id::ServiceName) -> sync::Arc<refusal_rate::Rates> {
+        let known = || self.refusal_rates.load().get(service).cloned();
+        known().unwrap_or_else(|| {
+            self.refusal_rates.rcu(|rates| {
+                let mut rates = IndexMap::clone(rates);
+                rates.entry(service.clone()).or_default();
+                rates
+            });
+            known().unwrap_or_default()
+        })
     }
 
     /// Replaces the upstreams that may be selected, keeping the tracked state of those that remain.
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -6,7 +6,7 @@
 use gotham::helpers::http::Body;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, Uri, body::Incoming, header, http};
-use pimentohook_core::{event_stream, upstream_limit::belief};
+use pimentohook_core::{event_stream, rank, upstream_limit::belief};
 use pimentohook_platform::request;
 use pimentohook_runtime::{body, client, server};
 
@@ -228,10 +228,8 @@
     let upstream = &placement.candidate.upstream;
     let added_headers = request::AddedHeaders {
         instance: &upstream.instance,
-        organisation: request
-            .organisation
-            .as_ref()
-            .map(|organisation| organisation.name.as_str()),
+        organisation: request.organisation_name(),
+        priority: request.priority.map(rank::Priority::get),
         remaining: request.remaining(),
         weights_version: placement.expected_weights(),
         last_event_id,
--- a/crates/entry/src/direct/engine_placement.rs
+++ b/crates/entry/src/direct/engine_placement.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{self, atomic};
 
-use pimentohook_core::{ask_order, engine, engine_contact::Access, upstream_notice};
+use pimentohook_core::{ask_order, engine, engine_contact::Access, rank, upstream_notice};
 use rand::RngExt as _;
 
 use super::{app, engine_question, permits, placement, slot, weights_versions};
@@ -36,7 +36,7 @@
     } else {
         ask_order::asks_max(serving.len())
     };
-    let serving = in_ask_order(app, &serving, slot_requests_max);
+    let serving = in_ask_order(app, &serving, request.priority, slot_requests_max);
     let mut search = Search {
         app,
         request,
@@ -105,6 +105,7 @@
             profile: self.profile,
             model: self.model,
             version_min: allowed.version_min,
+            is_asked_again: self.slot_request_count > 1 || !self.request.excluded.is_empty(),
             grace_remaining: allowed.grace_remaining(self.app, self.model, served),
         };
         let placement = if slot::request(self.app, &slot_request, candidate).await {
@@ -206,6 +207,7 @@
 fn in_ask_order<'a>(
     app: &app::App,
     serving: &[&'a app::Candidate],
+    priority: Option<rank::Priority>,
     asks_max: usize,
 ) -> Vec<&'a app::Candidate> {
     let now = app.clock.now();
@@ -213,7 +215,7 @@
     let describe = |candidate: &&app::Candidate| {
         let state = &candidate.state;
         let standing = app.upstream_notices.standing(&candidate.upstream, now);
-        let is_refusing = state.refusing_until_ms.load(atomic::Ordering::Relaxed) > now_ms;
+        let is_refusing = state.refusing.is_refusing(priority, now_ms);
         let doubt = if state.contact.may_stand_still() {
             ask_order::Doubt::Still
         } else if state.stats.is_ejected(now_ms) {
--- a/crates/entry/src/direct/engine_silence.rs
+++ b/crates/entry/src/direct/engine_silence.rs
@@ -129,6 +129,8 @@
         first_token_max_ms: 0,
         version_min: Some(NO_VERSION),
         spare_only: true,
+        priority: None,
+        is_asked_again: false,
     };
     let sent_at_ms = app.now_ms();
     let agent = app.agent_address(&candidate.upstream);
--- a/crates/entry/src/direct/feed/apply.rs
+++ b/crates/entry/src/direct/feed/apply.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use indexmap::IndexMap;
-use pimentohook_core::{announcement, collection};
+use pimentohook_core::{announcement, collection, routes};
 use pimentohook_platform::{decode, skipped, store};
 
 use crate::direct::{app, caller_connections, request_timeout, restored, weights_versions};
@@ -62,6 +62,23 @@
             caller_connections::set_idle_timeout(app, idle_timeout);
         }
         request_timeout::record_lowered(app, &table);
+        log_urgencies(app, &table);
         app.table.store(Some(sync::Arc::new(table)));
     }
 }
+
+/// Logs how urgent the requests to services with engines are, if that has changed.
+fn log_urgencies(app: &app::App, table: &routes::RouteTable) {
+    let current = app.table.load();
+    for (name, service) in &table.services {
+        let before = current.as_ref().and_then(|table| table.services.get(name));
+        let before = before.map(|before| &before.urgencies);
+        if service.engine.is_some() && before != Some(&service.urgencies) {
+            log::info!(
+                "feed: event=service_ranked service={name} is_ranked={} urgencies={}",
+                service.urgencies.is_ranked(),
+                service.urgencies
+            );
+        }
+    }
+}
--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -59,8 +59,8 @@
     status: StatusCode,
 ) {
     app.count("answered");
-    app.refusal_rate(&request.service)
-        .record(app.now_ms(), false);
+    let rates = app.refusal_rates(&request.service);
+    rates.of(request.priority).record(app.now_ms(), false);
     if let Err(error) = app.metrics.time("first_byte", request.arrived_at.elapsed()) {
         log::debug!("metrics: event=not_kept name=first_byte error={error:?}");
     }
@@ -162,7 +162,8 @@
 
 /// Counts a refusal and returns the delay after which the caller should retry.
 fn retry_after(app: &app::App, request: &ProxiedRequest) -> time::Duration {
-    let refusal_rate = app.refusal_rate(&request.service);
+    let rates = app.refusal_rates(&request.service);
+    let refusal_rate = rates.of(request.priority);
     let now_ms = app.now_ms();
     refusal_rate.record(now_ms, true);
     refusal_rate.retry_after(now_ms, request.remaining(), rand::rng().random())
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -106,6 +106,7 @@
     let Some(service) = route.target(rand::rng().random()).cloned() else {
         return Err(with_id(unavailable("the route names no service")));
     };
+    let priority = table.priority(&service, &route, organisation.as_ref());
     let timeout = request_timeout::RequestTimeout::new(caller.timeout, route.timeout);
     let deadline = arrived_at + timeout.get();
     let is_late_retry = is_late_retry(app, &route, &caller);
@@ -124,6 +125,7 @@
         service,
         table,
         organisation,
+        priority,
         trial: prompt_admission::Trial::default(),
         is_late_retry,
         arrived_at,
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -8,7 +8,7 @@
 use std::{fmt, sync, sync::atomic, time};
 
 use pimentohook_core::{
-    engine, id, rolling_update,
+    engine, id, rank, rolling_update,
     routing::{choice, score},
     upstream_notice, upstreams,
 };
@@ -38,6 +38,8 @@
     pub answer_tokens: u32,
     /// The longest acceptable time from now to the first token.
     pub first_token_max: time::Duration,
+    /// How urgent it is; `None` if all requests of its service are equally urgent.
+    pub priority: Option<rank::Priority>,
     /// Whether only spare capacity may be used, because the request has already missed its goal.
     pub spare_only: bool,
     /// Whether it may be sent to an engine of which nothing is known, because it may be sent to
@@ -285,16 +287,13 @@
             Err(denied) => denial = denied,
         }
     }
-    let stats: Vec<&score::UpstreamStats> = unlimited
-        .iter()
-        .map(|candidate| &candidate.state.stats)
-        .collect();
+    let stats = unlimited.iter().map(|candidate| &candidate.state.stats);
+    let stats: Vec<&score::UpstreamStats> = stats.collect();
     let policy = choice::Policy::LeastScore;
     let index = choice::choose(policy, &stats, app.now_ms(), 0, &mut rand::rng());
-    let candidate = index.map(|index| unlimited[index].clone());
-    candidate
-        .map(|candidate| Placement {
-            candidate,
+    index
+        .map(|index| Placement {
+            candidate: unlimited[index].clone(),
             weights: None,
             probe: None,
         })
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, Uri, header};
-use pimentohook_core::{crash_evidence::prompt, fingerprint, id, routes};
+use pimentohook_core::{crash_evidence::prompt, fingerprint, id, rank, routes};
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
 
@@ -42,6 +42,8 @@
     pub table: sync::Arc<routes::RouteTable>,
     /// The caller's organisation.
     pub organisation: Option<routes::Organisation>,
+    /// How urgent it is; `None` if all requests of its service are equally urgent.
+    pub priority: Option<rank::Priority>,
     /// Whether this is the trial of parts of its prompt.
     pub trial: prompt_admission::Trial,
     /// Whether this is a retry whose caller has already waited longer than the route's goal.
@@ -80,16 +82,21 @@
     /// Returns what tells whether another request is the same.
     fn fingerprint(&self) -> fingerprint::Fingerprint {
         let path = self.uri.path_and_query();
-        let organisation = self.organisation.as_ref();
         let identity = fingerprint::Identity {
             method: self.method.as_str(),
             host: &self.host,
             path: path.map_or("/", |path| path.as_str()),
-            organisation: organisation.map(|organisation| organisation.name.as_str()),
+            organisation: self.organisation_name(),
         };
         fingerprint::Fingerprint::of(&identity, &self.body)
     }
 
+    /// Returns the name of the caller's organisation.
+    pub(super) fn organisation_name(&self) -> Option<&str> {
+        let organisation = self.organisation.as_ref()?;
+        Some(organisation.name.as_str())
+    }
+
     /// Returns when the caller or the route gives up on the request.
     #[must_use]
     pub fn own_deadline(&self) -> time::Instant {
@@ -305,6 +312,7 @@
             goal_remaining
         },
         spare_only: is_late || request.is_late_retry,
+        priority: request.priority,
         may_probe: tried.is_empty() && request.route.may_repeat() && request.route.attempts_max > 1,
         excluded: tried,
     };
--- a/crates/entry/src/direct/slot.rs
+++ b/crates/entry/src/direct/slot.rs
@@ -25,6 +25,8 @@
     pub model: &'a str,
     /// The oldest version of the weights that will do.
     pub version_min: Option<u64>,
+    /// Whether other agents were asked before for it.
+    pub is_asked_again: bool,
     /// What is left of the grace period of the weights that the engine serves; `None` if there is no
     /// bound.
     pub grace_remaining: Option<time::Duration>,
@@ -78,6 +80,8 @@
         first_token_max_ms: u32::try_from(first_token_max.as_millis()).unwrap_or(u32::MAX),
         version_min: request.version_min,
         spare_only: request.placement.spare_only,
+        priority: request.placement.priority,
+        is_asked_again: request.placement.priority.is_some() && request.is_asked_again,
     };
     let agent = app.agent_address(&candidate.upstream);
     let call = app.internal.call(
@@ -95,9 +99,9 @@
         }
     };
     if !reply.granted {
-        state
-            .refusing_until_ms
-            .store(now_ms + REFUSAL_BACKOFF_MS, atomic::Ordering::Relaxed);
+        let (priority, is_second) = (request.placement.priority, request.placement.spare_only);
+        let until_ms = now_ms + REFUSAL_BACKOFF_MS;
+        state.refusing.record(priority, is_second, until_ms);
     }
     let is_granted = reply.granted;
     engine_silence::record_agent_reply(app, candidate, reply);
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -262,6 +262,7 @@
             answer_tokens: self.request.caller.answer_tokens,
             first_token_max: route.goal,
             spare_only: false,
+            priority: self.request.priority,
             may_probe: false,
             excluded,
         };
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -3,7 +3,8 @@
 
 use indexmap::IndexMap;
 use pimentohook_core::{
-    announcement, collection, crash_evidence, engine, id, position, size, upstream_limit::rate,
+    announcement, collection, crash_evidence, engine, id, position, rank, size,
+    upstream_limit::rate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +56,12 @@
     /// Whether the request has already missed its objective, and so may only use a slot that other
     /// requests are unlikely to need.
     pub spare_only: bool,
+    /// The priority of the request; `None` if its service's requests are equally urgent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<rank::Priority>,
+    /// Whether other agents were asked before for this request; only stated of one with a priority.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_asked_again: bool,
 }
 
 /// The reply to a [`SlotRequest`].
