Keep slots and prefill time for urgent requests

Cause: who asked first when there was room got the slot, and kinds with a long goal filled the prefill queue past the shorter goal of the urgent one.

The agent learns from refusals how many slots, and how much prefill time, it keeps for each priority (core::scheduling); no priority is starved, by credits.

--- /dev/null
+++ b/crates/core/tests/scheduling.rs
@@ -0,0 +1,367 @@
+//! How kinds of requests of different urgency are served while engines are short, simulated in
+//! virtual time: several engines with their agents, whose entries ask one agent after the other.
+
+mod support;
+
+use std::{
+    collections::VecDeque,
+    fmt::Write as _,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use pimentohook_core::{engine, engine_admission, rank, refusal_rate, scheduling};
+use rstest::rstest;
+
+const MODEL: &str = "model-1";
+const ENGINE_COUNT: usize = 10;
+const LENGTH_MS: u64 = 30_000;
+/// What the engines of the simulation serve when nobody is refused for long, in requests per second.
+const CAPACITY_PER_S: f64 = 66.0;
+const REPORT_INTERVAL_MS: u64 = 50;
+/// How much less often than a less urgent kind a kind may be served, in percent of its requests.
+const SERVED_LESS_MAX_PERCENT: u32 = 3;
+const DEADLINE_MS: u64 = 6_000;
+
+/// A kind of requests.
+struct Kind {
+    share: f64,
+    goal_ms: u64,
+    prompt_tokens_mean: f64,
+    answer_tokens_mean: f64,
+}
+
+/// From the most urgent on.
+const KINDS: [Kind; 3] = [
+    Kind {
+        share: 0.42,
+        goal_ms: 400,
+        prompt_tokens_mean: 790.0,
+        answer_tokens_mean: 107.0,
+    },
+    Kind {
+        share: 0.24,
+        goal_ms: 400,
+        prompt_tokens_mean: 610.0,
+        answer_tokens_mean: 70.0,
+    },
+    Kind {
+        share: 0.34,
+        goal_ms: 1_000,
+        prompt_tokens_mean: 1_290.0,
+        answer_tokens_mean: 107.0,
+    },
+];
+
+/// A repeatable source of random numbers.
+struct Random(u64);
+
+impl Random {
+    fn draw(&mut self) -> f64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        f64::from(u32::try_from(self.0 >> 33).expect("31 bits")) / f64::from(1_u32 << 31)
+    }
+
+    fn below(&mut self, count: usize) -> usize {
+        whole(self.draw() * f64::from(u32::try_from(count).expect("few"))) as usize
+    }
+
+    /// Returns a size with this mean, of which the largest tenth are about twice as large.
+    fn size(&mut self, mean: f64) -> u32 {
+        whole((-self.draw().max(1e-9).ln() * mean).clamp(mean * 0.1, mean * 4.0))
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "small numbers"
+)]
+fn whole(value: f64) -> u32 {
+    value as u32
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    kind: usize,
+    first_at_ms: u64,
+    is_retry: bool,
+    prompt_tokens: u32,
+    answer_tokens: u32,
+    is_large: bool,
+}
+
+/// An engine that alternates between prefilling prompts and decoding for all.
+struct Engine {
+    admission: engine_admission::EngineAdmission,
+    waiting: VecDeque<(Request, f64)>,
+    decoding: Vec<f64>,
+    busy_until_ms: f64,
+    started: Vec<Request>,
+}
+
+impl Engine {
+    fn advance(&mut self, profile: &engine::EngineProfile, now_ms: u64, tally: &mut [Tally; 3]) {
+        while self.busy_until_ms <= now_ms as f64 {
+            for request in self.started.drain(..) {
+                let after_ms = self.busy_until_ms - request.first_at_ms as f64;
+                let is_in_goal = after_ms <= KINDS[request.kind].goal_ms as f64;
+                tally[request.kind].count_served(&request, is_in_goal);
+            }
+            self.decoding.retain(|tokens| *tokens > 0.0);
+            if self.waiting.is_empty() && self.decoding.is_empty() {
+                self.busy_until_ms = now_ms as f64 + 1.0;
+                return;
+            }
+            let mut room = f64::from(profile.read_chunk_tokens);
+            let mut prefilled = 0.0;
+            while let Some((request, left)) = self.waiting.front_mut().filter(|_| room > 0.0) {
+                let tokens = left.min(room);
+                (*left, room, prefilled) = (*left - tokens, room - tokens, prefilled + tokens);
+                if *left <= 0.0 {
+                    self.started.push(request.clone());
+                    self.decoding.push(f64::from(request.answer_tokens));
+                    self.waiting.pop_front();
+                }
+            }
+            let count = u32::try_from(self.decoding.len()).expect("few");
+            let pass = if count == 0 {
+                Duration::ZERO
+            } else {
+                profile.pass_duration(count)
+            };
+            let spent = profile.prefill_duration(prefilled) + pass;
+            for left in &mut self.decoding {
+                *left -= f64::from(profile.steps_per_pass);
+            }
+            self.busy_until_ms += spent.as_secs_f64() * 1_000.0;
+        }
+    }
+
+    fn report(&self) -> engine_admission::EngineReport {
+        engine_admission::EngineReport {
+            weights: IndexMap::from([(String::from(MODEL), 1)]),
+            active_count: u32::try_from(self.decoding.len() + self.waiting.len()).expect("few"),
+            queued_count: 0,
+            pace: engine::Pace::default(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    asked: u32,
+    in_goal: u32,
+    late: u32,
+    refused: u32,
+    refused_again: u32,
+    large_asked: u32,
+    large_served: u32,
+}
+
+impl Tally {
+    fn count_served(&mut self, request: &Request, is_in_goal: bool) {
+        self.in_goal += u32::from(is_in_goal);
+        self.late += u32::from(!is_in_goal);
+        self.large_served += u32::from(request.is_large);
+    }
+
+    fn served(&self) -> u32 {
+        self.in_goal + self.late
+    }
+
+    fn served_percent(&self) -> u32 {
+        self.served() * 100 / self.asked
+    }
+
+    fn large_percent(&self) -> u32 {
+        self.large_served * 100 / self.large_asked
+    }
+}
+
+/// Formats what became of a kind, formerly and by rank, in percent.
+fn comparison(former: &Tally, ranked: &Tally) -> String {
+    let figures: [fn(&Tally) -> u32; 5] = [
+        |tally| tally.in_goal * 100 / tally.asked,
+        |tally| tally.late * 100 / tally.asked,
+        |tally| tally.refused * 100 / tally.asked,
+        |tally| tally.refused_again * 100 / tally.asked,
+        Tally::large_percent,
+    ];
+    let columns = figures.map(|figure| format!("{:>3} -> {:>3}", figure(former), figure(ranked)));
+    columns.join("  ")
+}
+
+/// Plays the arrivals of `load` times the capacity, with or without ranks.
+fn play(load: f64, is_ranked: bool) -> [Tally; 3] {
+    let profile = support::profile();
+    let start = Instant::now();
+    let mut random = Random(7);
+    let mut tally = [Tally::default(); 3];
+    let mut engines: Vec<Engine> = (0..ENGINE_COUNT)
+        .map(|_| Engine {
+            admission: engine_admission::EngineAdmission::new(start),
+            waiting: VecDeque::new(),
+            decoding: Vec::new(),
+            busy_until_ms: 0.0,
+            started: Vec::new(),
+        })
+        .collect();
+    let rates: [refusal_rate::RefusalRate; 3] = Default::default();
+    let mut due: Vec<(u64, Request)> = Vec::new();
+    for now_ms in 0..LENGTH_MS {
+        let now = start + Duration::from_millis(now_ms);
+        for engine in &mut engines {
+            engine.advance(&profile, now_ms, &mut tally);
+            if now_ms % REPORT_INTERVAL_MS == 0 {
+                let report = engine.report();
+                engine.admission.record_report(now, report);
+            }
+        }
+        let mut arrivals: Vec<Request> = Vec::new();
+        due.retain(|(at_ms, request)| {
+            let is_due = *at_ms <= now_ms;
+            if is_due {
+                arrivals.push(request.clone());
+            }
+            !is_due
+        });
+        for (index, kind) in KINDS.iter().enumerate() {
+            if random.draw() < load * CAPACITY_PER_S * kind.share / 1_000.0 {
+                let prompt_tokens = random.size(kind.prompt_tokens_mean);
+                let is_large = f64::from(prompt_tokens) > kind.prompt_tokens_mean * 2.3;
+                tally[index].asked += 1;
+                tally[index].large_asked += u32::from(is_large);
+                arrivals.push(Request {
+                    kind: index,
+                    first_at_ms: now_ms,
+                    is_retry: false,
+                    prompt_tokens,
+                    answer_tokens: random.size(kind.answer_tokens_mean),
+                    is_large,
+                });
+            }
+        }
+        for request in arrivals {
+            let rate = &rates[if is_ranked { request.kind } else { 0 }];
+            let is_admitted = ask_all(
+                &mut engines,
+                &profile,
+                now,
+                now_ms,
+                &request,
+                is_ranked,
+                &mut random,
+            );
+            rate.record(now_ms, !is_admitted);
+            if is_admitted {
+                continue;
+            }
+            let tally = &mut tally[request.kind];
+            if request.is_retry {
+                tally.refused_again += 1;
+                continue;
+            }
+            tally.refused += 1;
+            let remaining = Duration::from_millis(DEADLINE_MS);
+            let delay = rate.retry_after(now_ms, remaining, random.draw());
+            let again = Request {
+                is_retry: true,
+                ..request
+            };
+            due.push((
+                now_ms + u64::try_from(delay.as_millis()).expect("short"),
+                again,
+            ));
+        }
+    }
+    tally
+}
+
+fn ask_all(
+    engines: &mut [Engine],
+    profile: &engine::EngineProfile,
+    now: Instant,
+    now_ms: u64,
+    request: &Request,
+    is_ranked: bool,
+    random: &mut Random,
+) -> bool {
+    let goal_ms = KINDS[request.kind].goal_ms;
+    let remaining_ms = (request.first_at_ms + goal_ms).saturating_sub(now_ms);
+    let is_late = remaining_ms == 0;
+    let first_token_max =
+        Duration::from_millis(if is_late { goal_ms } else { remaining_ms }) * 85 / 100;
+    let offset = random.below(engines.len());
+    for step in 0..engines.len() {
+        let index = (offset + step) % engines.len();
+        let engine = &mut engines[index];
+        let asked = engine_admission::AdmissionRequest {
+            model: MODEL,
+            prompt_tokens: request.prompt_tokens,
+            answer_tokens: request.answer_tokens,
+            first_token_max,
+            unconfirmed_first_token_max: None,
+            version_min: None,
+            spare_only: is_late,
+        };
+        let ask = scheduling::Ask {
+            priority: rank::Priority::from(u8::try_from(request.kind).expect("few")),
+            is_second: is_late,
+            is_first_ask: step == 0,
+            prompt_tokens: request.prompt_tokens,
+            first_token_max,
+        };
+        let admitted = if is_ranked {
+            let admitted = engine.admission.admit_ranked(profile, now, &asked, &ask);
+            engine.admission.record_ranked(profile, now, &ask, admitted);
+            admitted
+        } else {
+            engine.admission.admit(profile, now, &asked)
+        };
+        if admitted.is_ok() {
+            let tokens = f64::from(request.prompt_tokens);
+            engine.waiting.push_back((request.clone(), tokens));
+            let running_count = engine.report().active_count;
+            assert!(
+                running_count <= profile.slot_count,
+                "{running_count} requests"
+            );
+            return true;
+        }
+    }
+    false
+}
+
+/// Without ranks, the most urgent kind was refused as often as the least urgent one.
+#[rstest]
+fn urgent_kinds_are_served_first_and_no_kind_is_starved(
+    #[values(0.7, 1.0, 1.3, 2.0, 3.0)] load: f64,
+) {
+    let (former, ranked) = (play(load, false), play(load, true));
+    let mut table =
+        String::from("rank  in goal      late   refused  refused again  large served\n");
+    for (rank, (former, ranked)) in former.iter().zip(&ranked).enumerate() {
+        writeln!(table, "   {rank}  {}", comparison(former, ranked)).expect("room");
+    }
+    insta::assert_snapshot!(format!("ranks_at_{load:.1}"), table);
+
+    for pair in ranked.windows(2) {
+        let [urgent, usual] = [pair[0].served_percent(), pair[1].served_percent()];
+        assert!(urgent + SERVED_LESS_MAX_PERCENT >= usual, "{table}");
+    }
+    let total = |count: fn(&Tally) -> u32| ranked.iter().map(count).sum::<u32>();
+    let mean = total(Tally::served) * 100 / total(|tally| tally.asked);
+    for tally in &ranked {
+        assert!(tally.served_percent() * 4 >= mean, "{table}");
+        assert!(
+            tally.large_percent() * 2 >= tally.served_percent(),
+            "{table}"
+        );
+    }
+    let former_served: u32 = former.iter().map(Tally::served).sum();
+    assert!(total(Tally::served) * 100 >= former_served * 95, "{table}");
+}
