--- a/crates/cli/src/configuration.rs
+++ b/crates/cli/src/configuration.rs
@@ -5,7 +5,7 @@
 use pimentohook_platform::decode;
 use serde_json::json;
 
-use crate::{CliError, RefusedSnafu, UsageSnafu, commands};
+use crate::{CliError, RefusedSnafu, commands};
 
 /// Checks a configuration, and prints what is wrong with it and what it would change.
 pub fn check(matches: &ArgMatches) -> Result<(), CliError> {
--- a/crates/entry/src/direct/engine_silence.rs
+++ b/crates/entry/src/direct/engine_silence.rs
@@ -130,6 +130,8 @@
         version_min: Some(NO_VERSION),
         spare_only: true,
         cold_remaining_ms: 0,
+        priority: None,
+        is_asked_again: false,
     };
     let sent_at_ms = app.now_ms();
     let agent = app.agent_address(&candidate.upstream);
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -110,6 +110,7 @@
         Some(organisation) => route.regions.and(&organisation.regions),
         None => route.regions.clone(),
     };
+    let priority = table.priority(&service, &route, organisation.as_ref());
     let timeout = request_timeout::RequestTimeout::new(caller.timeout, route.timeout);
     let deadline = arrived_at + timeout.get();
     let is_late_retry = is_late_retry(app, &route, &caller);
@@ -129,6 +130,7 @@
         table,
         organisation,
         regions,
+        priority,
         trial: prompt_admission::Trial::default(),
         is_late_retry,
         arrived_at,
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, Uri, header};
-use pimentohook_core::{crash_evidence::prompt, fingerprint, id, regions, routes};
+use pimentohook_core::{crash_evidence::prompt, fingerprint, id, rank, regions, routes};
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
 
@@ -44,6 +44,8 @@
     pub organisation: Option<routes::Organisation>,
     /// The regions in which it may run, by the route and the organisation.
     pub regions: regions::AllowedRegions,
+    /// How urgent it is; `None` if all requests of its service are equally urgent.
+    pub priority: Option<rank::Priority>,
     /// Whether this is the trial of parts of its prompt.
     pub trial: prompt_admission::Trial,
     /// Whether this is a retry whose caller has already waited longer than the route's goal.
@@ -82,16 +84,21 @@
     /// Returns what tells whether another request is the same.
     fn fingerprint(&self) -> fingerprint::Fingerprint {
         let path = self.uri.path_and_query();
-        let organisation = self.organisation.as_ref();
         let identity = fingerprint::Identity {
             method: self.method.as_str(),
             host: &self.host,
             path: path.map_or("/", |path| path.as_str()),
-            organisation: organisation.map(|organisation| organisation.name.as_str()),
+            organisation: self.organisation_name(),
         };
         fingerprint::Fingerprint::of(&identity, &self.body)
     }
 
+    /// Returns the name of the caller's organisation.
+    pub(super) fn organisation_name(&self) -> Option<&str> {
+        let organisation = self.organisation.as_ref()?;
+        Some(organisation.name.as_str())
+    }
+
     /// Returns when the caller or the route gives up on the request.
     #[must_use]
     pub fn own_deadline(&self) -> time::Instant {
@@ -307,6 +314,7 @@
             goal_remaining
         },
         spare_only: is_late || request.is_late_retry,
+        priority: request.priority,
         may_probe: tried.is_empty() && request.route.may_repeat() && request.route.attempts_max > 1,
         regions: &request.regions,
         excluded: tried,
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -3,7 +3,7 @@
 
 use indexmap::IndexMap;
 use pimentohook_core::{
-    announcement, collection, crash_evidence, engine, id, position, routes, size,
+    announcement, collection, crash_evidence, engine, id, position, rank, routes, size,
     upstream_limit::rate,
 };
 use serde::{Deserialize, Serialize};
@@ -59,6 +59,12 @@
     /// How much longer the engine is cold by what the entry knows, in milliseconds.
     #[serde(default)]
     pub cold_remaining_ms: u32,
+    /// The priority of the request; `None` if its service's requests are equally urgent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<rank::Priority>,
+    /// Whether other agents were asked before for this request; only stated of one with a priority.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_asked_again: bool,
 }
 
 /// The reply to a [`SlotRequest`].
