Send nothing to the upstreams of an evacuated failure domain

Callers saw nothing of it, but the platform did: objects of the kind for evacuations were read nowhere, so requests went on to upstreams of a domain that was to be emptied.

Each entry follows the kind as it follows the configuration, through the relays, if the setting evacuation_grace_ms is there; the deploy template fills it where the platform names the bound. The choice of an upstream passes over evacuated domains, and a request that waited is checked again right before it is sent. An entry that starts sends nothing before it knows the evacuations. What a restored store lacks holds for as long as upstreams do. Off without the setting.

app.rs loses the limit of idle connections to peers.rs, where it is called.

The review's stand-in fills in the template's new line with nothing: its case has no such bound.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //! * [`routes`]: which service a request goes to, and how it may be handled.
 //! * [`regions`]: where a request may be served.
 //! * [`rank`]: how urgent a request is.
+//! * [`evacuation`]: which failure domains get nothing more.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
@@ -66,6 +67,7 @@
 pub mod engine_admission;
 pub mod engine_answers;
 pub mod engine_contact;
+pub mod evacuation;
 pub mod event_stream;
 pub mod fingerprint;
 pub mod follow_timing;
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,8 +6,8 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    clock, engine_contact, id, idle_limit, lowered_timeouts, refusal_rate, routes, routing::score,
-    shutdown, upstreams,
+    clock, engine_contact, evacuation, id, idle_limit, lowered_timeouts, refusal_rate, routes,
+    routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{announcements, body, client, metrics, standstill};
@@ -89,6 +89,8 @@
     pub table: ArcSwapOption<routes::RouteTable>,
     /// The upstreams that may be selected.
     pub candidates: ArcSwap<Candidates>,
+    /// The evacuated failure domains.
+    pub evacuations: ArcSwap<evacuation::Evacuations>,
     /// The announced versions of weights.
     pub announced: announcements::SharedAnnouncements,
     /// When this process did not run.
@@ -160,6 +162,9 @@
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
+            evacuations: ArcSwap::from_pointee(evacuation::Evacuations::at_start(
+                settings.evacuation_grace.is_some(),
+            )),
             announced: announcements::SharedAnnouncements::new(
                 clock.clone(),
                 settings.weights_grace,
@@ -267,10 +272,11 @@
         self.shutdown.get().is_some()
     }
 
-    /// Returns whether the entry accepts requests and is not shutting down.
+    /// Returns whether the entry knows where requests may go, and is not shutting down.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_shutting_down() && self.table.load().is_some()
+        let is_informed = self.table.load().is_some() && self.evacuations.load().is_known();
+        is_informed && !self.is_shutting_down()
     }
 
     /// Returns whether a request that may last until `deadline` is still accepted.
@@ -322,23 +328,6 @@
             .saturating_add(1)
     }
 
-    /// Limits the idle connections to upstreams to what their connection limits allow.
-    pub fn limit_idle_connections(&self) {
-        let Some(table) = self.table.load_full() else {
-            return;
-        };
-        // Requests are never sent to the origin.
-        let services = table
-            .services
-            .values()
-            .filter(|service| service.origin.is_none());
-        if let Some(connections_min) = services.filter_map(|service| service.connections_max).min()
-        {
-            let idle_max = routes::idle_connections(connections_min, self.entry_count());
-            self.upstreams.set_idle_max(idle_max as usize);
-        }
-    }
-
     /// Records the timeout that a caller of a route sent; returns the longest one so far.
     pub fn record_caller_timeout(&self, route: &str, timeout: time::Duration) -> time::Duration {
         let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -66,7 +66,10 @@
             return Outcome::Fault(Fault::NotRun);
         }
     };
-    let Some(start_timeout) = placement.start_timeout(request.remaining()) else {
+    // The domain may have been evacuated while the request waited for its turn.
+    let is_allowed = app.evacuations.load().allows(&upstream.failure_domain);
+    let start_timeout = placement.start_timeout(request.remaining());
+    let Some(start_timeout) = start_timeout.filter(|_| is_allowed) else {
         app.count("withdrawn");
         return Outcome::Fault(Fault::NotRun);
     };
--- a/crates/entry/src/direct/cache.rs
+++ b/crates/entry/src/direct/cache.rs
@@ -5,15 +5,23 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use pimentohook_core::{clock, collection, id, position};
 use pimentohook_platform::store;
+use strum::IntoEnumIterator as _;
 use tokio::{sync::watch, time as tokio_time};
 
-/// The kinds of objects that an entry follows.
-pub const FOLLOWED: [store::Kind; 4] = [
-    store::Kind::Configuration,
-    store::Kind::Upstreams,
-    store::Kind::Weights,
-    store::Kind::Entries,
-];
+use super::settings;
+
+/// Returns the kinds of objects that an entry with these settings follows.
+pub fn followed(settings: &settings::DirectSettings) -> impl Iterator<Item = store::Kind> {
+    let has_evacuations = settings.evacuation_grace.is_some();
+    store::Kind::iter().filter(move |kind| match kind {
+        store::Kind::Configuration
+        | store::Kind::Upstreams
+        | store::Kind::Weights
+        | store::Kind::Entries => true,
+        store::Kind::Evacuations => has_evacuations,
+        store::Kind::Grants => false,
+    })
+}
 
 /// The cached objects of one kind.
 #[derive(Debug)]
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -1,4 +1,4 @@
-//! Follows the configuration, the upstreams, the entries and the announced weights.
+//! Follows the configuration, the upstreams, the entries, the announced weights and the evacuations.
 //!
 //! A few entries of each region, the relays, follow the store; the other entries follow the relays.
 //! See [`relay`].
@@ -25,7 +25,7 @@
 pub fn start(app: &sync::Arc<app::App>) {
     let watched = app.clone();
     tokio::spawn(async move { watched.standstills.run(&watched.metrics).await });
-    for kind in cache::FOLLOWED {
+    for kind in cache::followed(&app.settings) {
         tokio::spawn(follow(app.clone(), kind));
     }
 }
@@ -51,6 +51,9 @@
                 if is_changed && kind == store::Kind::Upstreams {
                     restored::expire_lost_upstreams(&app);
                 }
+                if is_changed && kind == store::Kind::Evacuations {
+                    restored::expire_lost_evacuations(&app);
+                }
                 if is_changed {
                     tokio_time::sleep(timing::coalesce_delay(&app, kind)).await;
                 }
--- a/crates/entry/src/direct/feed/apply.rs
+++ b/crates/entry/src/direct/feed/apply.rs
@@ -21,6 +21,7 @@
     match kind {
         store::Kind::Configuration => apply_configuration(app, objects),
         store::Kind::Upstreams => restored::set_listed_upstreams(app),
+        store::Kind::Evacuations => restored::set_evacuations(app),
         store::Kind::Weights => {
             let announced = decode::announced_versions(objects, app.store.skipped());
             weights_versions::record_read(app, &announced, read);
--- a/crates/entry/src/direct/feed/followers.rs
+++ b/crates/entry/src/direct/feed/followers.rs
@@ -22,21 +22,20 @@
         Ok(request) => request,
         Err(error) => return server::respond_text(error.status(), &error.to_string()),
     };
-    let kind = cache::FOLLOWED
-        .iter()
-        .find(|kind| kind.to_string() == request.kind);
+    let mut followed = cache::followed(&app.settings);
+    let kind = followed.find(|kind| kind.to_string() == request.kind);
     let Some(kind) = kind else {
         return server::respond_text(StatusCode::NOT_FOUND, "no such kind is followed");
     };
     let wait = time::Duration::from_millis(u64::from(request.wait_ms)).min(FOLLOW_WAIT_MAX);
     app.store.record_era(request.era);
-    let cache = app.cached(*kind);
+    let cache = app.cached(kind);
     let mut delta = cache.wait_since(request.position, wait).await;
     if delta.position.era < app.store.era() {
         // The list of the new era is under way, and the follower would not accept an earlier one.
         cache.wait_for_era(app.store.era(), LIST_WAIT).await;
         delta = cache.collection().since(request.position);
     }
-    let age_ms = timing::age_ms(&app, *kind);
+    let age_ms = timing::age_ms(&app, kind);
     server::respond_message(&direct::FollowReply { delta, age_ms })
 }
--- a/crates/entry/src/direct/feed/timing.rs
+++ b/crates/entry/src/direct/feed/timing.rs
@@ -38,6 +38,10 @@
         // Entries learn in time that an upstream is leaving, even if an answer of the store is lost or
         // they follow a relay that has lost its connection to the store.
         store::Kind::Upstreams => FollowTiming::within(app.settings.drain_grace),
+        store::Kind::Evacuations => app
+            .settings
+            .evacuation_grace
+            .map_or(TIMING_LISTS, FollowTiming::within),
         store::Kind::Entries | store::Kind::Grants => TIMING_LISTS,
         store::Kind::Weights if sources::is_relay(app) => FollowTiming {
             watch_wait: app.settings.weights_grace * RELAY_WEIGHTS_WATCH_PERCENT / 100,
@@ -52,7 +56,10 @@
     let delay = match kind {
         store::Kind::Upstreams => COALESCE_DELAY_UPSTREAMS,
         store::Kind::Entries => COALESCE_DELAY_ENTRIES,
-        store::Kind::Configuration | store::Kind::Weights | store::Kind::Grants => COALESCE_DELAY,
+        store::Kind::Configuration
+        | store::Kind::Weights
+        | store::Kind::Evacuations
+        | store::Kind::Grants => COALESCE_DELAY,
     };
     delay.min(follow_timing(app, kind).pause_max)
 }
--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -97,7 +97,18 @@
         placement::Denial::BackingOff {
             retry_after: back_off,
         } => retry_after(app, request).max(back_off),
-        placement::Denial::Nobody | placement::Denial::Full => retry_after(app, request),
+        placement::Denial::Nobody
+        | placement::Denial::Full
+        | placement::Denial::Evacuated
+        | placement::Denial::EvacuationsUnknown => retry_after(app, request),
+    };
+    let reason = match denial {
+        placement::Denial::Evacuated => {
+            app.count("refused_evacuated");
+            "every upstream is in an evacuated failure domain"
+        }
+        placement::Denial::EvacuationsUnknown => "it is not known yet what is evacuated",
+        _ => "every upstream is busy or away",
     };
     app.count("refused");
     log::info!(
@@ -111,7 +122,7 @@
         retry_after.as_millis()
     );
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    error_response(status, Some(retry_after), "every upstream is busy or away")
+    error_response(status, Some(retry_after), reason)
 }
 
 /// Refuses a request that may last longer than this entry.
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -24,7 +24,7 @@
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`shutdown_state`]: the graceful shutdown, as requests see it.
-//! * [`restored`]: what an entry does when the store was restored from a copy.
+//! * [`restored`]: what an entry does when the store was restored from a copy, and evacuations.
 //! * [`agents`]: agents' reports of engine states, and their requests for the configuration of a
 //!   service.
 
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -7,7 +7,7 @@
 use gotham::helpers::http::Body;
 use hyper::Response;
 use indexmap::IndexMap;
-use pimentohook_core::{announcement, carryover, id};
+use pimentohook_core::{announcement, carryover, id, routes};
 use pimentohook_platform::{skipped, store};
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
@@ -70,7 +70,21 @@
         send_heartbeats(&app);
         tokio_time::sleep(HEARTBEAT_INTERVAL).await;
         remove_lost(&app);
-        app.limit_idle_connections();
+        limit_idle_connections(&app);
+    }
+}
+
+/// Limits the idle connections to upstreams to what their connection limits allow.
+fn limit_idle_connections(app: &app::App) {
+    let Some(table) = app.table.load_full() else {
+        return;
+    };
+    // Requests are never sent to the origin.
+    let services = table.services.values();
+    let services = services.filter(|service| service.origin.is_none());
+    if let Some(connections_min) = services.filter_map(|service| service.connections_max).min() {
+        let idle_max = routes::idle_connections(connections_min, app.entry_count());
+        app.upstreams.set_idle_max(idle_max as usize);
     }
 }
 
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -8,7 +8,7 @@
 use std::{fmt, sync, sync::atomic, time};
 
 use pimentohook_core::{
-    engine, id, rolling_update,
+    engine, evacuation, id, rolling_update,
     routing::{choice, score},
     upstream_notice, upstreams,
 };
@@ -121,6 +121,10 @@
 pub enum Denial {
     /// No usable upstream of the service is known.
     Nobody,
+    /// All upstreams of the service are in evacuated failure domains.
+    Evacuated,
+    /// It is not known yet which failure domains are evacuated.
+    EvacuationsUnknown,
     /// All upstreams of the service are at capacity.
     Full,
     /// All upstreams of the service that could take the request want none for a while.
@@ -181,25 +185,39 @@
     };
     chosen.map_err(|denial| match back_off_end(app, request, listed) {
         Some(retry_after) => Denial::BackingOff { retry_after },
-        None => denial,
+        None => match closed(app, listed) {
+            Some(evacuation::Closed::Evacuated) => Denial::Evacuated,
+            Some(evacuation::Closed::Unknown) => Denial::EvacuationsUnknown,
+            None => denial,
+        },
     })
 }
 
+/// Returns why evacuations keep requests from all ready upstreams; `None` if they don't.
+fn closed(app: &app::App, listed: &[app::Candidate]) -> Option<evacuation::Closed> {
+    let upstreams = listed.iter().map(|candidate| &candidate.upstream);
+    let ready = upstreams.filter(|upstream| upstream.state == upstreams::State::Ready);
+    let domains = ready.map(|upstream| upstream.failure_domain.as_str());
+    app.evacuations.load().closed(domains)
+}
+
 pub(super) fn is_usable(
     app: &app::App,
     candidate: &app::Candidate,
     request: &PlacementRequest<'_>,
 ) -> bool {
-    is_staying(candidate)
+    is_open(app, candidate)
         && !request.excluded.contains(&candidate.upstream.instance)
         && app
             .upstream_notices
             .allows_requests(&candidate.upstream, app.clock.now())
 }
 
-/// Returns whether an upstream is listed as ready and still has its address.
-fn is_staying(candidate: &app::Candidate) -> bool {
+/// Returns whether an upstream is listed as ready, still has its address and is not evacuated.
+fn is_open(app: &app::App, candidate: &app::Candidate) -> bool {
+    let evacuations = app.evacuations.load();
     candidate.upstream.state == upstreams::State::Ready
+        && evacuations.allows(&candidate.upstream.failure_domain)
         && !candidate.state.is_replaced.load(atomic::Ordering::Relaxed)
 }
 
@@ -218,7 +236,7 @@
         let serves = allowed
             .as_ref()
             .is_none_or(|(model, allowed)| allowed.allows(candidate.served_version(model)));
-        is_staying(candidate) && serves
+        is_open(app, candidate) && serves
     };
     let mut earliest: Option<time::Instant> = None;
     for candidate in listed.iter().filter(could_serve) {
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -89,6 +89,9 @@
     pub weights_grace: time::Duration,
     /// How long requests may still reach an upstream after it is listed as draining.
     pub drain_grace: time::Duration,
+    /// How long after a failure domain is evacuated requests may still reach its upstreams; `None` if
+    /// evacuations are not in use.
+    pub evacuation_grace: Option<time::Duration>,
     /// The retry budget as a percentage of requests.
     pub retry_percent: u64,
     /// The burst of retries that all entries together may send on top of the percentage.
@@ -108,6 +111,8 @@
 const DRAIN_GRACE_DEFAULT_MS: u64 = 2_000;
 /// The lists of upstreams are confirmed several times in a grace period.
 const DRAIN_GRACE_MIN: time::Duration = time::Duration::from_millis(500);
+/// Evacuations are confirmed several times in a grace period.
+const EVACUATION_GRACE_MIN: time::Duration = time::Duration::from_millis(500);
 const DIRECTORY_TTL_DEFAULT_MS: u64 = 2_000;
 const SHUTDOWN_DELAY_DEFAULT_MS: u64 = 4_500;
 const SHUTDOWN_TIMEOUT_DEFAULT_MS: u64 = 7_500;
@@ -156,6 +161,7 @@
         let drain_grace = checker
             .millis("drain_grace_ms", DRAIN_GRACE_DEFAULT_MS, 0..=MINUTE_MS)
             .max(DRAIN_GRACE_MIN);
+        let evacuation_grace = evacuation_grace(&mut checker);
         let retry_percent = checker.number("retry_percent", RETRY_PERCENT_DEFAULT, 0..=100);
         let retry_burst = checker.number("retry_burst", RETRY_BURST_DEFAULT, 0..=100_000);
         let retry_window_s = checker.number("retry_window_s", RETRY_WINDOW_DEFAULT_S, 1..=60);
@@ -189,6 +195,7 @@
                 configuration_grace,
                 weights_grace,
                 drain_grace,
+                evacuation_grace,
                 retry_percent,
                 retry_burst,
                 retry_window,
@@ -211,3 +218,13 @@
     }
     rate.unwrap_or_default()
 }
+
+fn evacuation_grace(checker: &mut settings::Checker) -> Option<time::Duration> {
+    const KEY: &str = "evacuation_grace_ms";
+    let allowed = format!("a whole number from 0 to {MINUTE_MS}");
+    let grace_ms: u64 = checker.optional(KEY, &allowed)?;
+    if grace_ms > MINUTE_MS {
+        checker.push(KEY, Some(grace_ms.to_string()), &allowed);
+    }
+    Some(time::Duration::from_millis(grace_ms).max(EVACUATION_GRACE_MIN))
+}
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -616,6 +616,10 @@
         ("{{Bounds.ConfigMs}}", "2000".to_string()),
         ("{{Bounds.version_ms}}", "8000".to_string()),
         ("{{Bounds.DrainMs}}", DRAIN_MS.to_string()),
+        (
+            "{{#Bounds.EvacuateMs}}evacuation_grace_ms: {{Bounds.EvacuateMs}}{{/Bounds.EvacuateMs}}",
+            String::new(),
+        ),
         ("{{Bounds.RetrySlack}}", "100".to_string()),
         ("{{Bounds.RetryWindowS}}", "10".to_string()),
     ];
