--- a/crates/core/src/configuration_check/finding.rs
+++ b/crates/core/src/configuration_check/finding.rs
@@ -261,7 +261,7 @@
                 problems.push(Problem::ServiceIsOrigin { service });
             }
             Some(_) if target.weight == 0 => {
-                problems.push(Problem::ServiceWithoutShare { service })
+                problems.push(Problem::ServiceWithoutShare { service });
             }
             Some(_) => {}
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 //! * [`configuration_check`]: what is wrong with a configuration, and what it would change.
 //! * [`regions`]: where a request may be served.
 //! * [`rank`]: how urgent a request is.
+//! * [`evacuation`]: which failure domains get nothing more.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
@@ -71,6 +72,7 @@
 pub mod engine_admission;
 pub mod engine_answers;
 pub mod engine_contact;
+pub mod evacuation;
 pub mod event_stream;
 pub mod fingerprint;
 pub mod follow_timing;
--- a/crates/core/tests/scheduling.rs
+++ b/crates/core/tests/scheduling.rs
@@ -1,6 +1,11 @@
 //! How kinds of requests of different urgency are served while engines are short, simulated in
 //! virtual time: several engines with their agents, whose entries ask one agent after the other.
 
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "simulated times are far below 2^52 ms"
+)]
+
 mod support;
 
 use std::{
--- a/crates/entry/src/direct/engine_placement.rs
+++ b/crates/entry/src/direct/engine_placement.rs
@@ -6,7 +6,9 @@
 use pimentohook_core::{ask_order, engine, engine_contact::Access, rank, upstream_notice};
 use rand::RngExt as _;
 
-use super::{app, cold_upstreams, engine_question, permits, placement, slot, weights_versions};
+use super::{
+    app, cold_upstreams, eligibility, engine_question, permits, placement, slot, weights_versions,
+};
 
 /// Maximum number of agents that are asked for a slot for a request that has already missed its goal.
 const SLOT_REQUESTS_LATE_MAX: usize = 4;
@@ -257,8 +259,8 @@
         probe: probe.map(sync::Arc::new),
     };
     let is_allowed = !placement.is_withdrawn()
-        && placement::is_usable(app, candidate, request)
-        && placement::is_still_ready(app, request.service, candidate);
+        && eligibility::is_usable(app, candidate, request)
+        && eligibility::is_still_ready(app, request.service, candidate);
     is_allowed.then_some(placement)
 }
 
--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -97,9 +97,19 @@
         placement::Denial::BackingOff {
             retry_after: back_off,
         } => retry_after(app, request).max(back_off),
-        placement::Denial::Nobody | placement::Denial::NoneInRegions | placement::Denial::Full => {
-            retry_after(app, request)
+        placement::Denial::Nobody
+        | placement::Denial::NoneInRegions
+        | placement::Denial::Evacuated
+        | placement::Denial::EvacuationsUnknown
+        | placement::Denial::Full => retry_after(app, request),
+    };
+    let reason = match denial {
+        placement::Denial::NoneInRegions => {
+            "no upstream can take it in the regions in which it may run"
         }
+        placement::Denial::Evacuated => "every upstream is in an evacuated failure domain",
+        placement::Denial::EvacuationsUnknown => "it is not known yet what is evacuated",
+        _ => "every upstream is busy or away",
     };
     app.count("refused");
     app.count(&format!("refused_{denial}"));
@@ -115,11 +125,6 @@
         retry_after.as_millis()
     );
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    let reason = if denial == placement::Denial::NoneInRegions {
-        "no upstream can take it in the regions in which it may run"
-    } else {
-        "every upstream is busy or away"
-    };
     error_response(status, Some(retry_after), reason)
 }
 
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -25,7 +25,7 @@
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`shutdown_state`]: the graceful shutdown, as requests see it.
-//! * [`restored`]: what an entry does when the store was restored from a copy.
+//! * [`restored`]: what an entry does when the store was restored from a copy, and evacuations.
 //! * [`agents`]: agents' reports of engine states, and their requests for the configuration of a
 //!   service.
 
@@ -37,6 +37,7 @@
 pub mod cold_upstreams;
 pub mod crash_evidence;
 pub mod directory;
+pub mod eligibility;
 pub mod end_questions;
 pub mod ending;
 pub mod engine_placement;
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -8,13 +8,13 @@
 use std::{fmt, sync, sync::atomic, time};
 
 use pimentohook_core::{
-    engine, id, rank, regions, rolling_update,
+    engine, evacuation, id, rank, regions, rolling_update,
     routing::{choice, score},
     upstream_notice, upstreams,
 };
 use rand::RngExt as _;
 
-use super::{app, engine_placement, permits, weights_versions};
+use super::{app, eligibility, engine_placement, permits, weights_versions};
 
 /// How much likelier than others a limited upstream is to be tried first, so that it is used up to
 /// its limit.
@@ -127,6 +127,10 @@
     Nobody,
     /// No usable upstream of the service is known in the regions in which the request may run.
     NoneInRegions,
+    /// All upstreams of the service are in evacuated failure domains.
+    Evacuated,
+    /// It is not known yet which failure domains are evacuated.
+    EvacuationsUnknown,
     /// All upstreams of the service are at capacity.
     Full,
     /// All upstreams of the service that could take the request want none for a while.
@@ -177,7 +181,7 @@
     let Some(listed) = all.get(request.service) else {
         return Err(Denial::Nobody);
     };
-    let usable = |candidate: &&app::Candidate| is_usable(app, candidate, request);
+    let usable = |candidate: &&app::Candidate| eligibility::is_usable(app, candidate, request);
     let usable: Vec<&app::Candidate> = listed.iter().filter(usable).collect();
     let chosen = match (request.profile, request.model) {
         (Some(profile), Some(model)) => {
@@ -187,33 +191,17 @@
     };
     chosen.map_err(|denial| match back_off_end(app, request, listed) {
         Some(retry_after) => Denial::BackingOff { retry_after },
-        None if denial == Denial::Nobody && request.regions.is_restricted() => {
-            Denial::NoneInRegions
-        }
-        None => denial,
+        None => match eligibility::closed(app, request, listed) {
+            Some(evacuation::Closed::Evacuated) => Denial::Evacuated,
+            Some(evacuation::Closed::Unknown) => Denial::EvacuationsUnknown,
+            None if denial == Denial::Nobody && request.regions.is_restricted() => {
+                Denial::NoneInRegions
+            }
+            None => denial,
+        },
     })
 }
 
-pub(super) fn is_usable(
-    app: &app::App,
-    candidate: &app::Candidate,
-    request: &PlacementRequest<'_>,
-) -> bool {
-    is_staying(app, candidate, request)
-        && !request.excluded.contains(&candidate.upstream.instance)
-        && app
-            .upstream_notices
-            .allows_requests(&candidate.upstream, app.clock.now())
-}
-
-/// Returns whether an upstream is in an allowed region, listed as ready and still has its address.
-fn is_staying(app: &app::App, candidate: &app::Candidate, request: &PlacementRequest<'_>) -> bool {
-    let (upstream, regions) = (&candidate.upstream, &app.settings.regions);
-    regions.allows(request.regions, &upstream.failure_domain)
-        && upstream.state == upstreams::State::Ready
-        && !candidate.state.is_replaced.load(atomic::Ordering::Relaxed)
-}
-
 /// Returns when the first back-off ends if all upstreams that could take the request back off.
 ///
 /// Those that have already failed the request count too, because the caller's next one may go there.
@@ -229,7 +217,7 @@
         let serves = allowed
             .as_ref()
             .is_none_or(|(model, allowed)| allowed.allows(candidate.served_version(model)));
-        is_staying(app, candidate, request) && serves
+        eligibility::is_open(app, candidate, request) && serves
     };
     let notices = &app.upstream_notices;
     let standing = |candidate: &app::Candidate| notices.standing(&candidate.upstream, now);
@@ -258,18 +246,6 @@
     }
 }
 
-/// Returns whether an upstream is listed as ready now, after it was selected.
-pub(super) fn is_still_ready(
-    app: &app::App,
-    service: &id::ServiceName,
-    selected: &app::Candidate,
-) -> bool {
-    let all = app.candidates.load();
-    let listed = all.get(service).into_iter().flatten();
-    let mut same = listed.filter(|listed| listed.upstream.instance == selected.upstream.instance);
-    same.any(|listed| listed.upstream.state == upstreams::State::Ready)
-}
-
 async fn choose_plain(app: &app::App, usable: &[&app::Candidate]) -> Result<Placement, Denial> {
     let mut shuffled = without_hinted(app, usable);
     let usable_count = shuffled.len();
