--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{
     burst::{chunks, uploader},
-    clock, cold, engine, engine_admission, id, routes,
+    clock, cold, engine, engine_admission, id, pace, routes,
 };
 use pimentohook_platform::{origin, runner, store};
 use pimentohook_runtime::{announcements, client, metrics, standstill};
@@ -86,6 +86,8 @@
     pub admission: sync::Mutex<engine_admission::EngineAdmission>,
     /// Whether the engine is cold, and what it was granted lately.
     pub cold: sync::Mutex<cold::ColdEngine>,
+    /// What the engine gets at once after it has started or recovered.
+    pub pace: sync::Mutex<pace::EnginePacer>,
     /// The agent's service; `None` until a configuration is known.
     pub service: ArcSwapOption<Service>,
     /// The newest announced version; `None` until one is known.
@@ -198,6 +200,7 @@
             transfers: sync::Arc::new(transfer::Transfers::new(link)),
             admission: sync::Mutex::new(engine_admission::EngineAdmission::new(clock.now())),
             cold: sync::Mutex::new(cold::ColdEngine::new(clock.now())),
+            pace: sync::Mutex::default(),
             service: ArcSwapOption::empty(),
             newest_version: ArcSwapOption::empty(),
             announced: ArcSwap::default(),
--- a/crates/agent/src/direct/engine_report.rs
+++ b/crates/agent/src/direct/engine_report.rs
@@ -2,10 +2,10 @@
 
 use std::{sync, sync::atomic, time};
 
-use pimentohook_core::{cold, engine_admission};
+use pimentohook_core::engine_admission;
 use pimentohook_platform::runner;
 
-use super::app;
+use super::{app, starting};
 use crate::mutex::lock;
 
 /// A request for a slot that is decided by a report older than this causes another one.
@@ -27,10 +27,11 @@
     let now = app.clock.now();
     match &result {
         Ok(report) => {
-            record_start_signs(app, report, now);
-            let answers = &mut lock(&app.admission).answers;
-            answers.record_answer(requested_at, now);
+            lock(&app.admission)
+                .answers
+                .record_answer(requested_at, now);
             record_heard(app, now);
+            starting::record_report(app, report, requested_at);
         }
         Err(runner::RunnerError::BackingOff { .. }) => {
             lock(&app.admission).answers.withdraw_question();
@@ -40,23 +41,6 @@
     result
 }
 
-/// Records what a report shows of the engine's start, after which it is cold.
-fn record_start_signs(app: &app::App, report: &runner::Report, now: time::Instant) {
-    let signs = cold::StartSigns {
-        started_unix_ms: report.started_unix_ms,
-        order_count: report.order_count,
-        has_weights: !report.weights.is_empty(),
-    };
-    if lock(&app.cold).record_report(now, signs) {
-        log::info!(
-            "loader: event=engine_started started_unix_ms={:?} orders={} has_weights={}",
-            signs.started_unix_ms,
-            signs.order_count,
-            signs.has_weights
-        );
-    }
-}
-
 /// Records that the engine does not answer.
 pub fn record_silent(app: &app::App) {
     let now = app.clock.now();
@@ -73,6 +57,7 @@
         let silent_ms = now.saturating_duration_since(since).as_millis();
         app.count("engine_heard");
         log::info!("loader: event=engine_heard silent_ms={silent_ms}");
+        starting::begin_pace(app, now);
     }
 }
 
--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -15,6 +15,7 @@
 //! * [`loader`]: load orders, by the engine's report ([`engine_report`]), after [`staging`] of chunks,
 //!   at the time that [`load_schedule`] says.
 //! * [`entry_notices`]: tells entries the engine's state.
+//! * [`starting`]: what an engine gets that has just started or recovered.
 //! * [`place`]: admission: entries request a slot at the engine before they send a request to it.
 
 pub mod app;
@@ -32,6 +33,7 @@
 pub mod place;
 pub mod settings;
 pub mod staging;
+pub mod starting;
 pub mod store_eras;
 pub mod swarm;
 pub mod version_ledgers;
--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -8,7 +8,7 @@
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
-use super::{app, engine_report, weights_versions};
+use super::{app, engine_report, starting, weights_versions};
 use crate::mutex::lock;
 
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
@@ -76,11 +76,8 @@
         version_min,
         spare_only: request.spare_only,
     };
-    let stated = time::Duration::from_millis(u64::from(request.cold_remaining_ms));
     let now = app.clock.now();
-    let mut cold = lock(&app.cold);
-    cold.record_stated(now, stated);
-    cold.admit(now, service.cold.as_ref(), || {
-        lock(&app.admission).admit(&service.figures, now, &admission_request)
+    starting::admit(app, service, request, now, |profile| {
+        lock(&app.admission).admit(profile, now, &admission_request)
     })
 }
--- a/crates/agent/src/direct/settings.rs
+++ b/crates/agent/src/direct/settings.rs
@@ -50,6 +50,17 @@
     }
 }
 
+/// How an engine is filled that has just started or recovered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Pace {
+    /// Up to its slots, at once.
+    #[default]
+    AtOnce,
+    /// As its answers allow.
+    ByAnswers,
+}
+
 /// The settings of direct mode.
 #[derive(Clone, Debug)]
 pub struct DirectSettings {
@@ -73,6 +84,8 @@
     pub weights_grace: time::Duration,
     /// Whether to minimise bytes from the origin or time first.
     pub policy: burst::Policy,
+    /// How the engine is filled after it has started or recovered.
+    pub pace: Pace,
     /// The address that serves metrics; `None` to serve none.
     pub metrics: Option<net::SocketAddr>,
     /// The log level.
@@ -107,6 +120,9 @@
         let policy = checker
             .optional("policy", "origin_first or time_first")
             .unwrap_or_default();
+        let pace = checker
+            .optional("pace", "at_once or by_answers")
+            .unwrap_or_default();
         let metrics = checker.optional("metrics", ADDRESS);
         let log_level = checker
             .optional("log_level", "error, warn, info, debug or trace")
@@ -124,6 +140,7 @@
                 weights_rate: weights_rate?,
                 weights_grace,
                 policy,
+                pace,
                 metrics,
                 log_level,
             })
