--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -10,7 +10,7 @@
 use pimentohook_core::{
     engine, evacuation, id, rank, regions, rolling_update,
     routing::{choice, score},
-    upstream_notice, upstreams,
+    upstream_notice,
 };
 use rand::RngExt as _;
 
