Reserve what bodies allocate, within shares of the VM's own memory

Clients with large bodies at once ended an entry: bodies grew by doubling, so that they held up to twice what they had reserved; the budgets were 48 MiB each on any VM; the bytes of a response were free again as soon as it was read, while its client had not taken it; and a body whose client had stopped kept its room for up to 20 s, so that others were refused.

Bodies of requests and responses now allocate exactly what they have reserved, and keep it until the last copy is gone. The budgets are shares of the VM's memory (core::memory_shares): a third each of what the process itself does not use. The settings `memory_mb` and `descriptors_max` say what there is; if absent, the environment variables that deploy/system.toml fills in; if absent, 160 MB and 4,100.

The test's settings now name the limits; crowds and bounds are as they were. body_budget.rs differs in one call, which now may have no bytes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 //! * [`regions`]: where a request may be served.
 //! * [`rank`]: how urgent a request is.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
+//! * [`memory_shares`]: the shares of a VM's memory and descriptors.
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
 //! * [`engine`]: how long an engine takes to respond.
@@ -77,6 +78,7 @@
 pub mod limits;
 pub mod lowered_timeouts;
 pub mod membership;
+pub mod memory_shares;
 pub mod paged_list;
 pub mod position;
 pub mod rank;
--- /dev/null
+++ b/crates/core/src/memory_shares.rs
@@ -0,0 +1,89 @@
+//! How a process shares the memory and the descriptors of its VM among what clients make it hold.
+//!
+//! ```
+//! use pimentohook_core::memory_shares;
+//!
+//! let shares = memory_shares::EntryShares::of(&memory_shares::VmLimits::default());
+//! assert_eq!(shares.requests_bytes, 48_000_000);
+//! ```
+
+/// The memory of the smallest VM on which entries run, in bytes.
+const MEMORY_DEFAULT_BYTES: usize = 160_000_000;
+/// The descriptors of that VM.
+const DESCRIPTORS_DEFAULT: usize = 4_100;
+/// Descriptors that are reserved for files.
+const FILES_MAX: usize = 200;
+/// What a process uses that serves nobody, and what is lost between allocations.
+const OWN_BYTES: usize = 16_000_000;
+/// Requests, responses and connections each get this part of the rest.
+const SHARES: usize = 3;
+/// The least for bodies, so that one of 4 MiB finds room on any VM.
+const BODIES_MIN_BYTES: usize = 8 << 20;
+/// The most that a connection holds beside bodies: its buffers, its request's head, its task.
+const CONNECTION_BYTES: usize = 24 << 10;
+const CONNECTIONS_MIN: usize = 64;
+/// The share of the sockets that callers' connections may take: the others lead to upstreams and to
+/// other processes of the system.
+const CALLERS_NUMERATOR: usize = 5;
+/// The share of each internal port.
+const INTERNAL_NUMERATOR: usize = 1;
+const SOCKETS_DENOMINATOR: usize = 8;
+
+/// What a VM lets a process use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VmLimits {
+    /// The memory, in bytes.
+    pub memory_bytes: usize,
+    /// The number of descriptors.
+    pub descriptors_max: usize,
+}
+
+impl Default for VmLimits {
+    fn default() -> Self {
+        Self {
+            memory_bytes: MEMORY_DEFAULT_BYTES,
+            descriptors_max: DESCRIPTORS_DEFAULT,
+        }
+    }
+}
+
+impl VmLimits {
+    /// Returns the memory of each kind of holding.
+    const fn share_bytes(&self) -> usize {
+        self.memory_bytes.saturating_sub(OWN_BYTES) / SHARES
+    }
+
+    fn connections_max(&self, sockets_numerator: usize) -> usize {
+        let sockets = self.descriptors_max.saturating_sub(FILES_MAX);
+        let by_descriptors = sockets * sockets_numerator / SOCKETS_DENOMINATOR;
+        let by_memory = self.share_bytes() / CONNECTION_BYTES;
+        by_descriptors.min(by_memory).max(CONNECTIONS_MIN)
+    }
+}
+
+/// What an entry may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryShares {
+    /// The bodies of requests, in bytes.
+    pub requests_bytes: usize,
+    /// The bodies of responses, in bytes.
+    pub responses_bytes: usize,
+    /// Connections from callers.
+    pub callers_max: usize,
+    /// Connections to each of the other ports.
+    pub internal_max: usize,
+}
+
+impl EntryShares {
+    /// Returns the shares on a VM.
+    #[must_use]
+    pub fn of(limits: &VmLimits) -> Self {
+        let bodies_bytes = limits.share_bytes().max(BODIES_MIN_BYTES);
+        Self {
+            requests_bytes: bodies_bytes,
+            responses_bytes: bodies_bytes,
+            callers_max: limits.connections_max(CALLERS_NUMERATOR),
+            internal_max: limits.connections_max(INTERNAL_NUMERATOR),
+        }
+    }
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,7 +6,7 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    clock, engine_contact, id, idle_limit, lowered_timeouts, refusal_rate, routes, routing::score,
+    clock, engine_contact, id, idle_limit, lowered_timeouts, memory_shares, refusal_rate, routes, routing::score,
     shutdown, upstreams,
 };
 use pimentohook_platform::store;
@@ -135,10 +135,6 @@
 /// The share of the configuration grace period after which an unconfirmed configuration is stale.
 /// An entry with a stale configuration doesn't respond that a route or a key doesn't exist.
 const STALE_AFTER_PERCENT: u32 = 85;
-/// The maximum size of all responses that are being read, a part of an entry VM's memory.
-const RESPONSES_MAX_BYTES: usize = 48 << 20;
-/// The maximum size of the bodies of all requests that are being read or handled.
-const REQUESTS_MAX_BYTES: usize = 48 << 20;
 /// An entry that has run for this long has discovered the others of its region.
 const SETTLING_TIME: time::Duration = time::Duration::from_secs(2);
 
@@ -146,6 +142,7 @@
     /// Creates the state of an entry that has not fetched anything yet.
     #[must_use]
     pub fn new(settings: settings::DirectSettings) -> Self {
+        let shares = memory_shares::EntryShares::of(&settings.vm_limits);
         let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock);
         let local_ip = settings.callers.ip();
         let store_client = sync::Arc::new(client::Client::new(local_ip));
@@ -155,8 +152,8 @@
             metrics_registry,
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::new(local_ip),
-            response_budget: sync::Arc::new(body::BodyBudget::new(RESPONSES_MAX_BYTES)),
-            request_budget: sync::Arc::new(body::BodyBudget::new(REQUESTS_MAX_BYTES)),
+            response_budget: sync::Arc::new(body::BodyBudget::new(shares.responses_bytes)),
+            request_budget: sync::Arc::new(body::BodyBudget::new(shares.requests_bytes)),
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -2,8 +2,8 @@
 
 use std::{net, path, time};
 
-use pimentohook_core::size;
-use pimentohook_runtime::settings;
+use pimentohook_core::{memory_shares, size};
+use pimentohook_runtime::{settings, vm_limits};
 
 use crate::settings as gateway;
 
@@ -81,6 +81,8 @@
     pub shutdown_delay: time::Duration,
     /// How long after the start of its graceful shutdown an entry ends, even if requests still run.
     pub shutdown_timeout: time::Duration,
+    /// What the VM lets this process use.
+    pub vm_limits: memory_shares::VmLimits,
     /// How long a caller's connection may be idle.
     pub idle_timeout: time::Duration,
     /// How long after a change of the configuration the previous one may still be applied.
@@ -160,6 +162,7 @@
         let retry_burst = checker.number("retry_burst", RETRY_BURST_DEFAULT, 0..=100_000);
         let retry_window_s = checker.number("retry_window_s", RETRY_WINDOW_DEFAULT_S, 1..=60);
         let retry_window = time::Duration::from_secs(retry_window_s);
+        let vm_limits = vm_limits::check(&mut checker);
         let metrics = checker.optional("metrics", ADDRESS);
         let log_level = checker
             .optional("log_level", "error, warn, info, debug or trace")
@@ -185,6 +188,7 @@
                 directory_ttl,
                 shutdown_delay,
                 shutdown_timeout,
+                vm_limits,
                 idle_timeout,
                 configuration_grace,
                 weights_grace,
--- a/crates/entry/tests/crowds/entry.rs
+++ b/crates/entry/tests/crowds/entry.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, net, path, process, sync, sync::atomic, thread, time};
 
-use crate::{client, standins};
+use crate::{DESCRIPTORS_MAX, MEMORY_MAX_MB, client, standins};
 
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const SAMPLE_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -113,6 +113,6 @@
     format!(
         "entry: entry-1\nfailure_domain: domain-1\ncallers: {callers}\nready: {ready}\n\
          directory: {directory}\npeers: {peers}\nagent_port: 7204\nobject_store: {store}\n\
-         log_level: warn\n"
+         log_level: warn\nmemory_mb: {MEMORY_MAX_MB}\ndescriptors_max: {DESCRIPTORS_MAX}\n"
     )
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod server;
 pub mod settings;
 pub mod standstill;
+pub mod vm_limits;
--- a/crates/runtime/src/server/call.rs
+++ b/crates/runtime/src/server/call.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt as _;
 use hyper::{HeaderMap, Method, StatusCode, Uri, header};
 use serde::de;
-use snafu::{Snafu, ensure};
+use snafu::{OptionExt as _, Snafu, ensure};
 use tokio::time as tokio_time;
 
 use crate::body;
@@ -126,12 +126,15 @@
             discard(limited);
             return NoRoomSnafu.fail();
         };
+        let evicted = read.until_evicted();
         let reading = read_to_end(&mut limited, &mut read, max_bytes);
         let result = tokio::select! {
             biased;
             result = tokio_time::timeout(BODY_READ_TIMEOUT, reading) => {
                 result.unwrap_or_else(|_| IncompleteSnafu.fail())
             }
+            // Who stopped sending is not waited for any more.
+            () = evicted => return NoRoomSnafu.fail(),
             () = over => {
                 discard(limited);
                 return IncompleteSnafu.fail();
@@ -140,7 +143,7 @@
         if matches!(result, Err(BodyError::NoRoom)) {
             discard(limited);
         }
-        result.map(|()| read.into_bytes())
+        result.and_then(|()| read.into_bytes().context(NoRoomSnafu))
     }
 
     /// Reads the body to its end in the background and discards it, so that the response can be sent
--- a/crates/runtime/tests/body_budget.rs
+++ b/crates/runtime/tests/body_budget.rs
@@ -87,7 +87,7 @@
     let budget = sync::Arc::new(BodyBudget::new(BODY_BYTES));
     let mut body = BudgetedBody::reserve(&budget, 0).expect("room");
     assert!(body.push(&[0; 1_000]));
-    let bytes = body.into_bytes();
+    let bytes = body.into_bytes().expect("its room");
     let copy = bytes.slice(10..20);
     drop(bytes);
     assert_eq!(budget.free_bytes(), BODY_BYTES - 1_000);
