Bound connections and what they buffer, and let those go first that stand still

A crowd of connections took an entry's memory and descriptors: 8,192 were accepted in every process, on VMs with 4,100 descriptors too; each could buffer 64 KiB that nothing counted, and pieces of a body that waited held a buffer each; who stopped in a body, or left an answer unread, stayed.

A port has a bound of connections, which follows the VM's descriptors and memory. When it is reached, the one that has stood still for longest is closed for the new one: those that were never served or stop in a body first, then idle ones, then those that leave a response unread; if there is none, the new one waits, as before. Heads are bounded by 20 KiB and each read by 8 KiB, so that a connection holds 40 KiB at most. Responses get all of their room before they are read; while there is none, the connections whose clients have read nothing for longest (1 s at least) are closed for it. A response of which nothing is taken for 20 s is given up. What a client still sends after its response is read and discarded for a second, so that no reset overtakes it. Messages to a port share one budget.

--- a/crates/core/src/memory_shares.rs
+++ b/crates/core/src/memory_shares.rs
@@ -4,7 +4,7 @@
 //! use pimentohook_core::memory_shares;
 //!
 //! let shares = memory_shares::EntryShares::of(&memory_shares::VmLimits::default());
-//! assert_eq!(shares.requests_bytes, 48_000_000);
+//! assert_eq!(shares.requests_bytes, 28_800_000);
 //! ```
 
 /// The memory of the smallest VM on which entries run, in bytes.
@@ -15,18 +15,22 @@
 const FILES_MAX: usize = 200;
 /// What a process uses that serves nobody, and what is lost between allocations.
 const OWN_BYTES: usize = 16_000_000;
-/// Requests, responses and connections each get this part of the rest.
-const SHARES: usize = 3;
+/// Requests and responses get one of so many parts of the rest each, connections two; one is left for
+/// gaps between allocations.
+const PARTS: usize = 5;
+const CONNECTIONS_PARTS: usize = 2;
 /// The least for bodies, so that one of 4 MiB finds room on any VM.
-const BODIES_MIN_BYTES: usize = 8 << 20;
+const BODIES_MIN_BYTES: usize = 6 << 20;
 /// The most that a connection holds beside bodies: its buffers, its request's head, its task.
-const CONNECTION_BYTES: usize = 24 << 10;
+const CONNECTION_BYTES: usize = 40 << 10;
 const CONNECTIONS_MIN: usize = 64;
 /// The share of the sockets that callers' connections may take: the others lead to upstreams and to
 /// other processes of the system.
 const CALLERS_NUMERATOR: usize = 5;
 /// The share of each internal port.
 const INTERNAL_NUMERATOR: usize = 1;
+/// The share of an agent's port.
+const AGENT_PEERS_NUMERATOR: usize = 4;
 const SOCKETS_DENOMINATOR: usize = 8;
 
 /// What a VM lets a process use.
@@ -48,15 +52,15 @@
 }
 
 impl VmLimits {
-    /// Returns the memory of each kind of holding.
-    const fn share_bytes(&self) -> usize {
-        self.memory_bytes.saturating_sub(OWN_BYTES) / SHARES
+    /// Returns one of the parts of the memory.
+    const fn part_bytes(&self) -> usize {
+        self.memory_bytes.saturating_sub(OWN_BYTES) / PARTS
     }
 
     fn connections_max(&self, sockets_numerator: usize) -> usize {
         let sockets = self.descriptors_max.saturating_sub(FILES_MAX);
         let by_descriptors = sockets * sockets_numerator / SOCKETS_DENOMINATOR;
-        let by_memory = self.share_bytes() / CONNECTION_BYTES;
+        let by_memory = CONNECTIONS_PARTS * self.part_bytes() / CONNECTION_BYTES;
         by_descriptors.min(by_memory).max(CONNECTIONS_MIN)
     }
 }
@@ -78,7 +82,7 @@
     /// Returns the shares on a VM.
     #[must_use]
     pub fn of(limits: &VmLimits) -> Self {
-        let bodies_bytes = limits.share_bytes().max(BODIES_MIN_BYTES);
+        let bodies_bytes = limits.part_bytes().max(BODIES_MIN_BYTES);
         Self {
             requests_bytes: bodies_bytes,
             responses_bytes: bodies_bytes,
@@ -87,3 +91,23 @@
         }
     }
 }
+
+/// What an agent may hold for others; the rest is for the weights that it passes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgentShares {
+    /// Connections from entries and other agents.
+    pub peers_max: usize,
+    /// Connections that read metrics.
+    pub metrics_max: usize,
+}
+
+impl AgentShares {
+    /// Returns the shares on a VM.
+    #[must_use]
+    pub fn of(limits: &VmLimits) -> Self {
+        Self {
+            peers_max: limits.connections_max(AGENT_PEERS_NUMERATOR),
+            metrics_max: limits.connections_max(INTERNAL_NUMERATOR),
+        }
+    }
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,17 +6,17 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    clock, engine_contact, id, idle_limit, lowered_timeouts, memory_shares, refusal_rate, routes, routing::score,
+    clock, engine_contact, id, idle_limit, lowered_timeouts, refusal_rate, routes, routing::score,
     shutdown, upstreams,
 };
 use pimentohook_platform::store;
-use pimentohook_runtime::{announcements, body, client, metrics, standstill};
+use pimentohook_runtime::{announcements, client, metrics, standstill};
 use pimentohook_wire::direct;
 
 use strum::IntoEnumIterator as _;
 
 use super::{
-    cache, crash_evidence, restored, retries, settings, shutdown_state, upstream_limits,
+    cache, crash_evidence, holdings, restored, retries, settings, shutdown_state, upstream_limits,
     upstream_notices,
 };
 
@@ -77,10 +77,8 @@
     pub clock: sync::Arc<dyn clock::Clock>,
     /// The client for upstreams.
     pub upstreams: client::Client,
-    /// Bounds the memory of responses from upstreams.
-    pub response_budget: sync::Arc<body::BodyBudget>,
-    /// The memory for the bodies of requests, until they have their final response.
-    pub request_budget: sync::Arc<body::BodyBudget>,
+    /// The bounds on what callers and upstreams make the entry hold.
+    pub holdings: holdings::Holdings,
     /// The client for agents and entries.
     pub internal: client::Client,
     /// The client for the object store.
@@ -142,7 +140,6 @@
     /// Creates the state of an entry that has not fetched anything yet.
     #[must_use]
     pub fn new(settings: settings::DirectSettings) -> Self {
-        let shares = memory_shares::EntryShares::of(&settings.vm_limits);
         let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock);
         let local_ip = settings.callers.ip();
         let store_client = sync::Arc::new(client::Client::new(local_ip));
@@ -152,8 +149,7 @@
             metrics_registry,
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::new(local_ip),
-            response_budget: sync::Arc::new(body::BodyBudget::new(shares.responses_bytes)),
-            request_budget: sync::Arc::new(body::BodyBudget::new(shares.requests_bytes)),
+            holdings: holdings::Holdings::new(&settings.vm_limits),
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -321,7 +321,7 @@
         let address = placement.candidate.upstream.address;
         let (head, body) = self.response.into_parts();
         let response = Response::new(body);
-        let budget = &app.response_budget;
+        let budget = &app.holdings.responses;
         let read = body::read_body_within(address, response, RESPONSE_MAX_BYTES, budget);
         let read = tokio::time::timeout(self.timeout, read).await;
         if let Ok(Err(error)) = &read {
--- /dev/null
+++ b/crates/entry/src/direct/holdings.rs
@@ -0,0 +1,48 @@
+//! What callers and upstreams may make this entry hold, within the VM's memory and descriptors.
+
+use std::sync;
+
+use pimentohook_core::memory_shares;
+use pimentohook_runtime::{body, metrics, server};
+
+use super::app;
+
+/// The bounds on what the entry holds.
+#[derive(Debug)]
+pub struct Holdings {
+    /// The shares that the bounds follow.
+    pub shares: memory_shares::EntryShares,
+    /// The connections from callers.
+    pub connections: sync::Arc<server::Connections>,
+    /// The memory for the bodies of requests, until they have their final response.
+    pub requests: sync::Arc<body::BodyBudget>,
+    /// The memory for responses, until callers have read them.
+    pub responses: sync::Arc<body::BodyBudget>,
+}
+
+impl Holdings {
+    /// Creates the bounds of an entry on a VM.
+    #[must_use]
+    pub fn new(vm_limits: &memory_shares::VmLimits) -> Self {
+        let shares = memory_shares::EntryShares::of(vm_limits);
+        let connections = server::Connections::new(shares.callers_max);
+        let readers = connections.clone();
+        let relieve = move || readers.close_slowest_reader();
+        let responses = body::BodyBudget::with_relief(shares.responses_bytes, relieve);
+        Self {
+            shares,
+            connections,
+            requests: sync::Arc::new(body::BodyBudget::new(shares.requests_bytes)),
+            responses: sync::Arc::new(responses),
+        }
+    }
+}
+
+/// Reports how many connections and bodies have lost their room to others.
+pub fn report(app: &app::App) {
+    let holdings = &app.holdings;
+    let closed_count = holdings.connections.closed_count();
+    metrics::Registry::set(&app.metrics, "connections_closed_for_others", closed_count);
+    let evicted_count = holdings.requests.evicted_count();
+    metrics::Registry::set(&app.metrics, "bodies_evicted", evicted_count);
+}
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -68,7 +68,7 @@
         }
     };
     let body_max = admitted.table.body_max_bytes.unwrap_or(BODY_MAX_BYTES);
-    let budget = &app.request_budget;
+    let budget = &app.holdings.requests;
     let body = call.read_body_within(body_max, budget, admitted.until_over());
     let body = body.await.map_err(|error| {
         let rejection = match error {
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -21,6 +21,7 @@
 //!   requests for a while.
 //! * [`crash_evidence`], [`stream_evidence`] and [`prompt_admission`]: which parts of prompts crash
 //!   engines, and requests that are held back because of them.
+//! * [`holdings`]: bounds on what callers and upstreams make the entry hold.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
 //! * [`shutdown_state`]: the graceful shutdown, as requests see it.
@@ -42,6 +43,7 @@
 pub mod engine_silence;
 pub mod feed;
 pub mod final_response;
+pub mod holdings;
 pub mod intake;
 pub mod limit_gossip;
 pub mod limited_upstream;
@@ -138,12 +140,14 @@
         None => None,
     };
     let app = sync::Arc::new(app::App::new(settings));
+    let internal_max = app.holdings.shares.internal_max;
     if let Some(listener) = metrics {
         let metrics_handler = server::endpoint(&app.metrics_registry, metrics::serve);
-        tokio::spawn(server::serve(
+        tokio::spawn(server::serve_within(
             listener,
             metrics_handler,
             process::StopSignal::new(),
+            internal_max,
         ));
     }
     let stop = process::StopSignal::new();
@@ -152,16 +156,26 @@
         app.settings.entry,
         app.settings.callers
     );
-    let internal = server::serve(peers, peer_router(&app), process::StopSignal::new());
-    tokio::spawn(internal);
+    tokio::spawn(server::serve_within(
+        peers,
+        peer_router(&app),
+        process::StopSignal::new(),
+        internal_max,
+    ));
     let directory = server::endpoint(&app, directory::resolve);
-    tokio::spawn(server::serve(
+    tokio::spawn(server::serve_within(
         resolve,
         directory,
         process::StopSignal::new(),
+        internal_max,
     ));
     let readiness = server::endpoint(&app, directory::ready);
-    tokio::spawn(server::serve(ready, readiness, process::StopSignal::new()));
+    tokio::spawn(server::serve_within(
+        ready,
+        readiness,
+        process::StopSignal::new(),
+        internal_max,
+    ));
     let proxy = server::endpoint(&app, proxy::handle);
     let idle_app = app.clone();
     let idle_timeout = move || caller_connections::idle_timeout(&idle_app);
@@ -169,6 +183,7 @@
         callers,
         proxy,
         stop.clone(),
+        app.holdings.connections.clone(),
         idle_timeout,
     ));
     feed::start(&app);
--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -70,6 +70,12 @@
 ) -> Result<Bytes, client_error::ClientError> {
     let mut body = response.into_body();
     let mut read = budget::GrowingBytes::new(budget);
+    // Responses that hold a part of their room each could wait for each other.
+    let announced_bytes = body.size_hint().exact().unwrap_or(0);
+    let announced_bytes = usize::try_from(announced_bytes).unwrap_or(usize::MAX);
+    if announced_bytes > max_bytes || !read.wait_for_room(announced_bytes).await {
+        return Err(client_error::ClientError::TooLarge { address, max_bytes });
+    }
     let mut counted_bytes: usize = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| client_error::ClientError::Broken { address })?;
@@ -77,7 +83,9 @@
             continue;
         };
         counted_bytes += bytes.len().max(PIECE_MIN_BYTES);
-        let fits = counted_bytes <= max_bytes && read.push(&bytes, 0);
+        let fits = counted_bytes <= max_bytes
+            && (read.push(&bytes, 0)
+                || (read.wait_for_room(bytes.len()).await && read.push(&bytes, 0)));
         if !fits {
             return Err(client_error::ClientError::TooLarge { address, max_bytes });
         }
--- a/crates/runtime/src/body/budget.rs
+++ b/crates/runtime/src/body/budget.rs
@@ -3,7 +3,7 @@
 //! What a body allocates is reserved before. When there is no room, the bodies that have gone longest
 //! without progress lose theirs.
 
-use std::{sync, sync::atomic, time};
+use std::{mem, sync, sync::atomic, time};
 
 use bytes::Bytes;
 use indexmap::IndexMap;
@@ -11,14 +11,26 @@
 
 /// A body that has made no progress for this long may lose its room to another.
 const EVICTABLE_AFTER: time::Duration = time::Duration::from_secs(1);
+/// How long room for a response is waited for, longer than a client may leave one unread when room is
+/// short.
+const ROOM_WAIT: time::Duration = time::Duration::from_secs(3);
+const RELIEF_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// The part of a budget that only small bodies may use, as a divisor.
 const SMALL_SHARE_DIVISOR: usize = 8;
 /// The size of a small body, which is common, in bytes.
 const SMALL_MAX_BYTES: usize = 64 << 10;
-/// The least that is allocated for a body that has any bytes.
-const ALLOCATION_MIN_BYTES: usize = 256;
-/// A body that outgrows its allocation gets this part of it more, as a divisor.
-const GROWTH_DIVISOR: usize = 4;
+/// A body of unknown length gets segments as long as what has come of it, within these bounds.
+const SEGMENT_MIN_BYTES: usize = 256;
+const SEGMENT_MAX_BYTES: usize = 64 << 10;
+
+/// Frees room that is held by others than the bodies that are being read.
+struct Relief(Box<dyn Fn() + Send + Sync>);
+
+impl std::fmt::Debug for Relief {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Relief").finish_non_exhaustive()
+    }
+}
 
 /// A bound on the memory of all bodies of a kind at the same time.
 #[derive(Debug)]
@@ -29,6 +41,7 @@
     readings: sync::Mutex<IndexMap<u64, sync::Arc<Reading>>>,
     next_id: atomic::AtomicU64,
     evicted_count: atomic::AtomicU64,
+    relief: Option<Relief>,
 }
 
 impl BodyBudget {
@@ -41,6 +54,19 @@
             readings: sync::Mutex::default(),
             next_id: atomic::AtomicU64::new(0),
             evicted_count: atomic::AtomicU64::new(0),
+            relief: None,
+        }
+    }
+
+    /// Like [`BodyBudget::new`]; `relieve` is called again and again while room is waited for.
+    #[must_use]
+    pub fn with_relief<R>(max_bytes: usize, relieve: R) -> Self
+    where
+        R: Fn() + Send + Sync + 'static,
+    {
+        Self {
+            relief: Some(Relief(Box::new(relieve))),
+            ..Self::new(max_bytes)
         }
     }
 
@@ -68,6 +94,21 @@
             .is_ok()
     }
 
+    /// Waits a while for `bytes` to be free, as far as anything can free them.
+    async fn wait_for(&self, bytes: usize) {
+        let Some(Relief(relieve)) = &self.relief else {
+            return;
+        };
+        let gives_up_at = tokio_time::Instant::now() + ROOM_WAIT;
+        while bytes <= self.max_bytes
+            && self.free_bytes() < bytes
+            && tokio_time::Instant::now() < gives_up_at
+        {
+            relieve();
+            tokio_time::sleep(RELIEF_INTERVAL).await;
+        }
+    }
+
     fn readings(&self) -> sync::MutexGuard<'_, IndexMap<u64, sync::Arc<Reading>>> {
         self.readings
             .lock()
@@ -120,13 +161,24 @@
 }
 
 /// Bytes that never allocate more than they have reserved.
+///
+/// They are kept in segments until they are whole, as allocations that grow leave gaps between them
+/// which nothing else fits in.
 #[derive(Debug)]
 pub(super) struct GrowingBytes {
-    bytes: Vec<u8>,
+    segments: Vec<Vec<u8>>,
+    len: usize,
     reservation: Reservation,
 }
 
-impl AsRef<[u8]> for GrowingBytes {
+/// The bytes of a body that has been read, which are reserved until they are dropped.
+#[derive(Debug)]
+struct HeldBytes {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for HeldBytes {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
@@ -139,46 +191,78 @@
             bytes: 0,
         };
         Self {
-            bytes: Vec::new(),
+            segments: Vec::new(),
+            len: 0,
             reservation,
         }
     }
 
+    /// Allocates `missing` bytes, for which it waits a while; returns false if there is no room.
+    pub(super) async fn wait_for_room(&mut self, missing: usize) -> bool {
+        if self.allocate(missing, 0) {
+            return true;
+        }
+        let budget = self.reservation.budget.clone();
+        budget.wait_for(missing).await;
+        self.allocate(missing, 0)
+    }
+
     /// Appends a piece; returns false if there is no room beside `kept_bytes`.
     pub(super) fn push(&mut self, piece: &[u8], kept_bytes: usize) -> bool {
-        let len = self.bytes.len() + piece.len();
-        let has_room = self.make_room(len, kept_bytes);
+        let missing = piece.len().saturating_sub(self.spare());
+        let wished = missing.max(self.len.clamp(SEGMENT_MIN_BYTES, SEGMENT_MAX_BYTES));
+        let has_room =
+            missing == 0 || self.allocate(wished, kept_bytes) || self.allocate(missing, kept_bytes);
         if has_room {
-            self.bytes.extend_from_slice(piece);
+            self.append(piece);
         }
         has_room
     }
 
-    /// Allocates room for `len` bytes, with some to spare if there is enough.
-    fn make_room(&mut self, len: usize, kept_bytes: usize) -> bool {
-        let allocated = self.reservation.bytes;
-        if len <= allocated {
-            return true;
-        }
-        let spare = allocated + allocated / GROWTH_DIVISOR;
-        let wished = len.max(spare).max(ALLOCATION_MIN_BYTES);
-        self.allocate(wished, kept_bytes) || self.allocate(len, kept_bytes)
+    /// Returns what fits into the segments that have room.
+    fn spare(&self) -> usize {
+        self.reservation.bytes - self.len
     }
 
-    /// Allocates exactly `len` bytes, which are more than before.
-    fn allocate(&mut self, len: usize, kept_bytes: usize) -> bool {
-        let missing = len - self.reservation.bytes;
-        let is_reserved = self.reservation.budget.try_reserve(missing, kept_bytes);
-        if is_reserved {
-            self.reservation.bytes = len;
-            self.bytes.reserve_exact(len - self.bytes.len());
+    /// Adds a segment of so many bytes.
+    fn allocate(&mut self, bytes: usize, kept_bytes: usize) -> bool {
+        let is_reserved = self.reservation.budget.try_reserve(bytes, kept_bytes);
+        if is_reserved && bytes > 0 {
+            self.reservation.bytes += bytes;
+            let mut segment = Vec::new();
+            segment.reserve_exact(bytes);
+            self.segments.push(segment);
         }
         is_reserved
     }
 
+    /// Fills the last two segments, of which only one has been begun.
+    fn append(&mut self, piece: &[u8]) {
+        self.len += piece.len();
+        let mut rest = piece;
+        let first = self.segments.len().saturating_sub(2);
+        for segment in &mut self.segments[first..] {
+            let fitting = rest.len().min(segment.capacity() - segment.len());
+            segment.extend_from_slice(&rest[..fitting]);
+            rest = &rest[fitting..];
+        }
+    }
+
     /// Returns the bytes, which stay reserved until their last copy is dropped.
-    pub(super) fn into_bytes(self) -> Bytes {
-        Bytes::from_owner(self)
+    pub(super) fn into_bytes(mut self) -> Bytes {
+        let bytes = if self.segments.len() > 1 {
+            let mut bytes = Vec::with_capacity(self.len);
+            for segment in mem::take(&mut self.segments) {
+                bytes.extend_from_slice(&segment);
+            }
+            bytes
+        } else {
+            self.segments.pop().unwrap_or_default()
+        };
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _reservation: self.reservation,
+        })
     }
 }
 
@@ -258,9 +342,8 @@
             id,
             reading,
         };
-        let grow = |bytes: &mut GrowingBytes, kept_bytes| {
-            expected_bytes == 0 || bytes.allocate(expected_bytes, kept_bytes)
-        };
+        let grow =
+            |bytes: &mut GrowingBytes, kept_bytes| bytes.allocate(expected_bytes, kept_bytes);
         body.grow(expected_bytes, expected_bytes, grow)
             .then_some(body)
     }
@@ -268,7 +351,7 @@
     /// Appends a piece; returns false if it does not fit into the budget.
     pub fn push(&mut self, piece: &[u8]) -> bool {
         self.reading.record_progress();
-        let len = self.reading.bytes().as_ref().map(|bytes| bytes.bytes.len());
+        let len = self.reading.bytes().as_ref().map(|bytes| bytes.len);
         let len = len.unwrap_or(0) + piece.len();
         let grow = |bytes: &mut GrowingBytes, kept_bytes| bytes.push(piece, kept_bytes);
         self.grow(len, piece.len(), grow)
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -6,19 +6,23 @@
 //!
 //! [`Endpoint`] turns an async function of the application and a [`Call`] into a gotham handler.
 
+mod activity;
 mod call;
 mod connection;
+mod connections;
 mod endpoint;
 mod response;
+mod socket;
 
 use std::{io, net, sync, time};
 
 use gotham::handler::NewHandler;
 use snafu::{ResultExt, Snafu};
-use tokio::{net::TcpListener, sync::Semaphore, task::JoinSet, time as tokio_time};
+use tokio::{net::TcpListener, task::JoinSet, time as tokio_time};
 
 pub use self::{
     call::{BodyError, Call},
+    connections::Connections,
     endpoint::{Endpoint, NamePath, endpoint},
     response::{full, respond, respond_json, respond_message, respond_text},
 };
@@ -26,6 +30,8 @@
 
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 const CONNECTIONS_MAX: usize = 8_192;
+/// The most that the bodies of messages to an internal port take together.
+const INTERNAL_MESSAGES_MAX_BYTES: usize = 8 << 20;
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
 /// An error from starting a server.
@@ -57,27 +63,39 @@
 where
     H: NewHandler + 'static,
 {
-    serve_with_idle_timeout(listener, handler, stop, || IDLE_TIMEOUT).await;
+    let connections = Connections::new(CONNECTIONS_MAX);
+    serve_with_idle_timeout(listener, handler, stop, connections, || IDLE_TIMEOUT).await;
+}
+
+/// Like [`serve`], with a bound on the connections, and a lower one on the bodies that are read.
+pub async fn serve_within<H>(
+    listener: TcpListener,
+    handler: H,
+    stop: process::StopSignal,
+    connections_max: usize,
+) where
+    H: NewHandler + 'static,
+{
+    let connections = Connections::with_messages(connections_max, INTERNAL_MESSAGES_MAX_BYTES);
+    serve_with_idle_timeout(listener, handler, stop, connections, || IDLE_TIMEOUT).await;
 }
 
 /// Like [`serve`], but connections are closed after they have been idle, or have been sending a
-/// request head, for as long as `idle_timeout` then says.
+/// request head, for as long as `idle_timeout` then says. One that comes when there are too many takes
+/// the place of another.
 pub async fn serve_with_idle_timeout<H, I>(
     listener: TcpListener,
     handler: H,
     stop: process::StopSignal,
+    connections: sync::Arc<Connections>,
     idle_timeout: I,
 ) where
     H: NewHandler + 'static,
     I: Fn() -> time::Duration + Clone + Send + Sync + 'static,
 {
     let handler = sync::Arc::new(handler);
-    let permits = sync::Arc::new(Semaphore::new(CONNECTIONS_MAX));
-    let mut connections = JoinSet::new();
+    let mut tasks = JoinSet::new();
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            break;
-        };
         tokio::select! {
             () = stop.wait() => break,
             accepted = listener.accept() => {
@@ -88,25 +106,29 @@
                     continue;
                 };
                 let _ = socket.set_nodelay(true);
+                let place = tokio::select! {
+                    () = stop.wait() => break,
+                    place = connections.place() => place,
+                };
                 let connection = connection::serve(
                     socket,
-                    peer,
+                    connections.register(peer),
                     handler.clone(),
                     stop.clone(),
                     idle_timeout.clone(),
                 );
-                connections.spawn(async move {
+                tasks.spawn(async move {
                     connection.await;
-                    drop(permit);
+                    drop(place);
                 });
             }
-            Some(result) = connections.join_next(), if !connections.is_empty() => {
+            Some(result) = tasks.join_next(), if !tasks.is_empty() => {
                 log_panic(&result);
             }
         }
     }
     drop(listener);
-    while let Some(result) = connections.join_next().await {
+    while let Some(result) = tasks.join_next().await {
         log_panic(&result);
     }
 }
--- /dev/null
+++ b/crates/runtime/src/server/activity.rs
@@ -0,0 +1,181 @@
+//! What is under way on a connection, and since when nothing moves.
+
+use std::{net, sync, sync::atomic, time};
+
+use tokio::{sync::Notify, time as tokio_time};
+
+/// A request that makes no progress for this long may lose its connection when room is short.
+const STALLED_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// The requests that are under way on a connection, and since when there is none.
+#[derive(Debug)]
+pub(super) struct Activity {
+    pub(super) peer: net::SocketAddr,
+    opened_at: tokio_time::Instant,
+    request_count: atomic::AtomicUsize,
+    /// Bodies of requests of which the end has not come.
+    open_bodies: atomic::AtomicUsize,
+    /// Whether a body was given up before its end, so that the client may still send.
+    is_cut: atomic::AtomicBool,
+    /// When the last request ended, in milliseconds from `opened_at`.
+    last_end_ms: atomic::AtomicU64,
+    /// When the client last sent bytes, in milliseconds from `opened_at`.
+    last_read_ms: atomic::AtomicU64,
+    /// Since when the client takes no bytes, in milliseconds from `opened_at`; 0 if it takes them.
+    blocked_since_ms: atomic::AtomicU64,
+    /// Set by who wants the place of this connection for another.
+    closes: Notify,
+}
+
+impl Activity {
+    pub(super) fn new(peer: net::SocketAddr) -> Self {
+        Self {
+            peer,
+            opened_at: tokio_time::Instant::now(),
+            request_count: atomic::AtomicUsize::new(0),
+            open_bodies: atomic::AtomicUsize::new(0),
+            is_cut: atomic::AtomicBool::new(false),
+            last_end_ms: atomic::AtomicU64::new(0),
+            last_read_ms: atomic::AtomicU64::new(0),
+            blocked_since_ms: atomic::AtomicU64::new(0),
+            closes: Notify::new(),
+        }
+    }
+
+    /// Returns the time since the connection was opened, which is never 0.
+    fn now_ms(&self) -> u64 {
+        let now_ms = u64::try_from(self.opened_at.elapsed().as_millis());
+        now_ms.unwrap_or(u64::MAX).max(1)
+    }
+
+    fn at(&self, time_ms: u64) -> tokio_time::Instant {
+        self.opened_at + time::Duration::from_millis(time_ms)
+    }
+
+    /// Returns since when the connection is idle; `None` while a request is under way.
+    pub(super) fn idle_since(&self) -> Option<tokio_time::Instant> {
+        // The end is written before the count falls.
+        let request_count = self.request_count.load(atomic::Ordering::Acquire);
+        let last_end_ms = self.last_end_ms.load(atomic::Ordering::Relaxed);
+        (request_count == 0).then_some(self.at(last_end_ms))
+    }
+
+    /// Returns whether a request has ended.
+    fn has_served(&self) -> bool {
+        self.last_end_ms.load(atomic::Ordering::Relaxed) > 0
+    }
+
+    /// Returns since when the client sends nothing of a body whose end has not come.
+    fn body_stalled_since(&self) -> Option<tokio_time::Instant> {
+        let is_open = self.open_bodies.load(atomic::Ordering::Relaxed) > 0;
+        let since = self.at(self.last_read_ms.load(atomic::Ordering::Relaxed));
+        (is_open && since.elapsed() >= STALLED_AFTER).then_some(since)
+    }
+
+    /// Returns since when the client takes nothing of what it has asked for.
+    pub(super) fn blocked_since(&self) -> Option<tokio_time::Instant> {
+        let since_ms = self.blocked_since_ms.load(atomic::Ordering::Relaxed);
+        (since_ms > 0).then(|| self.at(since_ms))
+    }
+
+    /// Like [`Activity::blocked_since`], if that is long ago.
+    pub(super) fn reader_stalled_since(&self) -> Option<tokio_time::Instant> {
+        let since = self.blocked_since()?;
+        (since.elapsed() >= STALLED_AFTER).then_some(since)
+    }
+
+    /// Returns how readily the connection is closed for another one: the least first.
+    pub(super) fn rank(&self) -> Option<(u8, tokio_time::Instant)> {
+        if let Some(since) = self.idle_since() {
+            return Some((u8::from(self.has_served()), since));
+        }
+        if let Some(since) = self.body_stalled_since() {
+            return Some((0, since));
+        }
+        Some((2, self.reader_stalled_since()?))
+    }
+
+    /// Returns whether the client may still be sending a body that nobody reads.
+    pub(super) fn may_still_send(&self) -> bool {
+        self.is_cut.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Records that a body was given up before its end.
+    pub(super) fn record_cut(&self) {
+        self.is_cut.store(true, atomic::Ordering::Relaxed);
+    }
+
+    pub(super) fn record_read(&self) {
+        let ordering = atomic::Ordering::Relaxed;
+        self.last_read_ms.store(self.now_ms(), ordering);
+    }
+
+    /// Records whether the client took what was written.
+    pub(super) fn record_write(&self, is_blocked: bool) {
+        let ordering = atomic::Ordering::Relaxed;
+        let was_blocked = self.blocked_since_ms.load(ordering) > 0;
+        if is_blocked != was_blocked {
+            let since_ms = if is_blocked { self.now_ms() } else { 0 };
+            self.blocked_since_ms.store(since_ms, ordering);
+        }
+    }
+
+    fn record_end(&self) {
+        let ordering = atomic::Ordering::Relaxed;
+        self.last_end_ms.store(self.now_ms(), ordering);
+        self.request_count.fetch_sub(1, atomic::Ordering::AcqRel);
+    }
+
+    /// Asks the connection to close, if what it is doing still allows that.
+    pub(super) fn close(&self) {
+        self.closes.notify_one();
+    }
+
+    /// Waits until the connection is to be closed for another one.
+    pub(super) async fn until_closed(&self) {
+        loop {
+            self.closes.notified().await;
+            if self.rank().is_some() {
+                return;
+            }
+        }
+    }
+}
+
+/// Counts a request as under way until it is dropped.
+#[derive(Debug)]
+pub(super) struct ActivityGuard(sync::Arc<Activity>);
+
+impl ActivityGuard {
+    pub(super) fn new(activity: &sync::Arc<Activity>) -> Self {
+        activity
+            .request_count
+            .fetch_add(1, atomic::Ordering::AcqRel);
+        Self(activity.clone())
+    }
+}
+
+impl Drop for ActivityGuard {
+    fn drop(&mut self) {
+        self.0.record_end();
+    }
+}
+
+/// Counts the body of a request as open until it is dropped.
+#[derive(Debug)]
+pub(super) struct OpenBodyGuard(sync::Arc<Activity>);
+
+impl OpenBodyGuard {
+    pub(super) fn new(activity: &sync::Arc<Activity>) -> Self {
+        let ordering = atomic::Ordering::Relaxed;
+        activity.open_bodies.fetch_add(1, ordering);
+        Self(activity.clone())
+    }
+}
+
+impl Drop for OpenBodyGuard {
+    fn drop(&mut self) {
+        let ordering = atomic::Ordering::Relaxed;
+        self.0.open_bodies.fetch_sub(1, ordering);
+    }
+}
--- a/crates/runtime/src/server/call.rs
+++ b/crates/runtime/src/server/call.rs
@@ -1,6 +1,6 @@
 //! A request as it is passed to handlers, and how its body is read.
 
-use std::{net, sync, time};
+use std::{future, net, sync, time};
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -14,6 +14,9 @@
 
 const BODY_READ_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// How long the next piece of a body that is discarded is waited for.
+const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// An error from reading a request body.
 #[derive(Debug, Snafu)]
 pub enum BodyError {
@@ -64,6 +67,8 @@
     /// The remote address of the connection.
     pub peer: Option<net::SocketAddr>,
     pub(super) body: Body,
+    /// The room for bodies that have no budget of their own.
+    pub(super) messages: sync::Arc<body::BodyBudget>,
 }
 
 impl Call {
@@ -87,14 +92,11 @@
     /// # Errors
     ///
     /// Returns [`BodyError`] if the body is larger than `max_bytes`, is interrupted or takes too
-    /// long.
+    /// long, and if there is no room beside the others that the port reads.
     pub async fn read_body(self, max_bytes: usize) -> Result<Bytes, BodyError> {
-        let limited = http_body_util::Limited::new(self.body, max_bytes);
-        match tokio_time::timeout(BODY_READ_TIMEOUT, limited.collect()).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) => Err(body_error(&*error, max_bytes)),
-            Err(_) => IncompleteSnafu.fail(),
-        }
+        let room = self.messages.clone();
+        self.read_body_within(max_bytes, &room, future::pending())
+            .await
     }
 
     /// Like [`Call::read_body`], but the rest of the body is discarded in the background once `over`
@@ -222,6 +224,7 @@
 /// Reads a body to its end in the background.
 fn discard(mut body: http_body_util::Limited<Body>) {
     tokio::spawn(tokio_time::timeout(BODY_READ_TIMEOUT, async move {
-        while let Some(Ok(_)) = body.frame().await {}
+        // A body that does not go on is given up, which closes its connection.
+        while let Ok(Some(Ok(_))) = tokio_time::timeout(DISCARD_TIMEOUT, body.frame()).await {}
     }));
 }
--- a/crates/runtime/src/server/connection.rs
+++ b/crates/runtime/src/server/connection.rs
@@ -1,6 +1,6 @@
 //! Serves one connection, and closes it when it has been idle for too long.
 
-use std::{io, net, panic, pin, sync, sync::atomic, task, time};
+use std::{io, net, panic, pin, sync, task, time};
 
 use bytes::Bytes;
 use futures_util::FutureExt as _;
@@ -12,82 +12,88 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpStream, time as tokio_time};
 
+use super::{
+    activity::{Activity, ActivityGuard, OpenBodyGuard},
+    connections, endpoint,
+    socket::Socket,
+};
 use crate::process;
 
 /// The minimum time after which a connection with a request under way is looked at again.
 const CHECK_INTERVAL_MIN: time::Duration = time::Duration::from_millis(100);
 const HEADERS_MAX: usize = 64;
 /// The maximum size of a connection's read buffer, which also limits the size of a request head.
-const BUFFER_MAX_BYTES: usize = 64 << 10;
-
-/// The requests that are under way on a connection, and since when there is none.
-#[derive(Debug)]
-struct Activity {
-    opened_at: tokio_time::Instant,
-    request_count: atomic::AtomicUsize,
-    /// When the last request ended, from `opened_at`.
-    last_end_ms: atomic::AtomicU64,
+const BUFFER_MAX_BYTES: usize = 20 << 10;
+
+/// A connection whose client takes nothing for this long is closed.
+const UNREAD_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+
+/// Waits until a connection has been idle for as long as `idle_timeout` then says, or has taken nothing
+/// of a response for too long.
+async fn wait_until_idle<I>(activity: &Activity, idle_timeout: &I)
+where
+    I: Fn() -> time::Duration,
+{
+    loop {
+        let now = tokio_time::Instant::now();
+        let blocked_until = activity.blocked_since().map(|since| since + UNREAD_TIMEOUT);
+        let due = match activity.idle_since() {
+            Some(since) if since + idle_timeout() <= now => return,
+            Some(since) => since + idle_timeout(),
+            None if blocked_until.is_some_and(|until| until <= now) => return,
+            None => now + idle_timeout().clamp(CHECK_INTERVAL_MIN, UNREAD_TIMEOUT),
+        };
+        tokio_time::sleep_until(due).await;
+    }
+}
+
+/// The body of a request, which is open until its end or until it is given up.
+struct RequestBody {
+    body: Incoming,
+    activity: sync::Arc<Activity>,
+    guard: Option<OpenBodyGuard>,
 }
 
-impl Activity {
-    fn new() -> Self {
+impl RequestBody {
+    fn new(body: Incoming, activity: &sync::Arc<Activity>) -> Self {
+        let is_empty = body::Body::is_end_stream(&body);
         Self {
-            opened_at: tokio_time::Instant::now(),
-            request_count: atomic::AtomicUsize::new(0),
-            last_end_ms: atomic::AtomicU64::new(0),
+            body,
+            activity: activity.clone(),
+            guard: (!is_empty).then(|| OpenBodyGuard::new(activity)),
         }
     }
+}
 
-    /// Returns since when the connection is idle; `None` while a request is under way.
-    fn idle_since(&self) -> Option<tokio_time::Instant> {
-        // The end is written before the count falls.
-        let request_count = self.request_count.load(atomic::Ordering::Acquire);
-        let last_end_ms = self.last_end_ms.load(atomic::Ordering::Relaxed);
-        let last_end = self.opened_at + time::Duration::from_millis(last_end_ms);
-        (request_count == 0).then_some(last_end)
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        if self.guard.is_some() && !body::Body::is_end_stream(&self.body) {
+            self.activity.record_cut();
+        }
     }
+}
 
-    fn record_end(&self) {
-        let last_end_ms = u64::try_from(self.opened_at.elapsed().as_millis());
-        let last_end_ms = last_end_ms.unwrap_or(u64::MAX);
-        let ordering = atomic::Ordering::Relaxed;
-        self.last_end_ms.store(last_end_ms, ordering);
-        self.request_count.fetch_sub(1, atomic::Ordering::AcqRel);
-    }
+impl body::Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
 
-    /// Waits until the connection has been idle for as long as `idle_timeout` then says.
-    async fn wait_until_idle<I>(&self, idle_timeout: &I)
-    where
-        I: Fn() -> time::Duration,
-    {
-        loop {
-            let now = tokio_time::Instant::now();
-            let due = match self.idle_since() {
-                Some(since) if since + idle_timeout() <= now => return,
-                Some(since) => since + idle_timeout(),
-                None => now + idle_timeout().max(CHECK_INTERVAL_MIN),
-            };
-            tokio_time::sleep_until(due).await;
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, Self::Error>>> {
+        let poll = pin::Pin::new(&mut self.body).poll_frame(context);
+        if matches!(poll, task::Poll::Ready(None)) {
+            self.guard = None;
         }
+        poll
     }
-}
-
-/// Counts a request as under way until it is dropped.
-#[derive(Debug)]
-struct ActivityGuard(sync::Arc<Activity>);
 
-impl ActivityGuard {
-    fn new(activity: &sync::Arc<Activity>) -> Self {
-        activity
-            .request_count
-            .fetch_add(1, atomic::Ordering::AcqRel);
-        Self(activity.clone())
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
     }
-}
 
-impl Drop for ActivityGuard {
-    fn drop(&mut self) {
-        self.0.record_end();
+    fn size_hint(&self) -> body::SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -120,7 +126,7 @@
 /// Serves a connection until it is closed, is idle, or `stop` is set and its request has ended.
 pub(super) async fn serve<H, I>(
     socket: TcpStream,
-    peer: net::SocketAddr,
+    registered: connections::Registered,
     handler: sync::Arc<H>,
     stop: process::StopSignal,
     idle_timeout: I,
@@ -128,11 +134,15 @@
     H: NewHandler + 'static,
     I: Fn() -> time::Duration,
 {
-    let activity = sync::Arc::new(Activity::new());
+    let activity = registered.activity.clone();
+    let peer = activity.peer;
+    let messages = registered.messages();
     let service_activity = activity.clone();
     let service = hyper::service::service_fn(move |request: Request<Incoming>| {
         let guard = ActivityGuard::new(&service_activity);
-        let state = State::from_request(request, peer);
+        let request = request.map(|body| RequestBody::new(body, &service_activity));
+        let mut state = State::from_request(request, peer);
+        state.put(endpoint::MessageRoom(messages.clone()));
         gotham::service::call_handler(handler.clone(), panic::AssertUnwindSafe(state)).map(
             |result| {
                 let track = |body| TrackedBody {
@@ -150,20 +160,24 @@
         .header_read_timeout(None)
         .max_headers(HEADERS_MAX)
         .max_buf_size(BUFFER_MAX_BYTES)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(TokioIo::new(Socket::new(socket, activity.clone())), service);
     let mut connection = std::pin::pin!(connection);
     // The connection goes first, so that a request that has just arrived keeps it open.
     tokio::select! {
         biased;
         result = connection.as_mut() => return log_end(peer, result),
         () = stop.wait() => {}
-        () = activity.wait_until_idle(&idle_timeout) => {
+        () = wait_until_idle(&activity, &idle_timeout) => {
             log::debug!("server: event=connection_idle peer={peer}");
             return;
         }
+        () = activity.until_closed() => return,
     }
     connection.as_mut().graceful_shutdown();
-    log_end(peer, connection.await);
+    tokio::select! {
+        result = connection => log_end(peer, result),
+        () = activity.until_closed() => {}
+    }
 }
 
 /// Writes a line if a connection has ended in any other way than by being closed.
--- a/crates/runtime/src/server/endpoint.rs
+++ b/crates/runtime/src/server/endpoint.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 
 use super::call::Call;
+use crate::body;
 
 /// The parameter of a path such as `/v1/services/:name`.
 #[derive(Debug, Deserialize, StateData, StaticResponseExtender)]
@@ -20,6 +21,10 @@
     name: String,
 }
 
+/// The room for the bodies of messages to a port.
+#[derive(StateData)]
+pub(super) struct MessageRoom(pub(super) sync::Arc<body::BodyBudget>);
+
 /// A gotham handler that calls an async function with a shared application and a [`Call`].
 pub struct Endpoint<A, F> {
     app: sync::Arc<A>,
@@ -73,6 +78,7 @@
             name: NamePath::try_take_from(&mut state).map_or_else(String::new, |path| path.name),
             peer: gotham::state::client_addr(&state),
             body: Body::take_from(&mut state),
+            messages: MessageRoom::take_from(&mut state).0,
         };
         let response = (self.handle)(self.app, call);
         response.map(move |response| Ok((state, response))).boxed()
