Bound the connections of agents by their VMs' descriptors and memory

An agent's port accepted 8,192 connections on VMs with 2,048 descriptors, and read messages of 1 MiB on each. The settings and the environment variables are those of entries. No crowd of its own tests this yet; `core::memory_shares` has the share.

--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -44,6 +44,7 @@
     prelude::{DefineSingleRoute as _, DrawRoutes as _},
     router,
 };
+use pimentohook_core::memory_shares;
 use pimentohook_runtime::{metrics, process, server};
 use pimentohook_wire::direct;
 use snafu::{ResultExt, Snafu};
@@ -75,10 +76,16 @@
         Some(address) => Some(server::bind(address).await.context(DirectSnafu)?),
         None => None,
     };
+    let shares = memory_shares::AgentShares::of(&settings.vm_limits);
     let app = app::App::new(settings);
     if let Some(listener) = metrics {
         let handler = server::endpoint(&app.metrics_registry, metrics::serve);
-        tokio::spawn(server::serve(listener, handler, process::StopSignal::new()));
+        tokio::spawn(server::serve_within(
+            listener,
+            handler,
+            process::StopSignal::new(),
+            shares.metrics_max,
+        ));
     }
     let stop = process::StopSignal::new();
     log::info!(
@@ -86,7 +93,12 @@
         app.settings.vm,
         app.settings.engine
     );
-    tokio::spawn(server::serve(listener, router(&app), stop.clone()));
+    tokio::spawn(server::serve_within(
+        listener,
+        router(&app),
+        stop.clone(),
+        shares.peers_max,
+    ));
     feed::start(&app);
     tokio::spawn(store_eras::run(app.clone()));
     tokio::spawn(swarm::run(app.clone(), stop.clone()));
--- a/crates/agent/src/direct/settings.rs
+++ b/crates/agent/src/direct/settings.rs
@@ -2,8 +2,8 @@
 
 use std::{net, path, time};
 
-use pimentohook_core::{burst, id, size};
-use pimentohook_runtime::settings;
+use pimentohook_core::{burst, id, memory_shares, size};
+use pimentohook_runtime::{settings, vm_limits};
 
 use crate::settings as gateway;
 
@@ -73,6 +73,8 @@
     pub weights_grace: time::Duration,
     /// Whether to minimise bytes from the origin or time first.
     pub policy: burst::Policy,
+    /// What the VM lets this process use.
+    pub vm_limits: memory_shares::VmLimits,
     /// The address that serves metrics; `None` to serve none.
     pub metrics: Option<net::SocketAddr>,
     /// The log level.
@@ -107,6 +109,7 @@
         let policy = checker
             .optional("policy", "origin_first or time_first")
             .unwrap_or_default();
+        let vm_limits = vm_limits::check(&mut checker);
         let metrics = checker.optional("metrics", ADDRESS);
         let log_level = checker
             .optional("log_level", "error, warn, info, debug or trace")
@@ -124,6 +127,7 @@
                 weights_rate: weights_rate?,
                 weights_grace,
                 policy,
+                vm_limits,
                 metrics,
                 log_level,
             })
