--- a/crates/agent/src/direct/settings.rs
+++ b/crates/agent/src/direct/settings.rs
@@ -2,8 +2,8 @@
 
 use std::{env, net, path, time};
 
-use pimentohook_core::{burst, id, size};
-use pimentohook_runtime::settings;
+use pimentohook_core::{burst, id, memory_shares, size};
+use pimentohook_runtime::{settings, vm_limits};
 
 use crate::settings as gateway;
 
@@ -86,6 +86,8 @@
     pub policy: burst::Policy,
     /// How the engine is filled after it has started or recovered.
     pub pace: Pace,
+    /// What the VM lets this process use.
+    pub vm_limits: memory_shares::VmLimits,
     /// The address that serves metrics; `None` to serve none.
     pub metrics: Option<net::SocketAddr>,
     /// The log level.
@@ -123,6 +125,7 @@
         let pace = checker
             .optional("pace", "at_once or by_answers")
             .unwrap_or_default();
+        let vm_limits = vm_limits::check(&mut checker);
         let metrics = checker.optional("metrics", ADDRESS);
         let log_level = checker
             .optional("log_level", "error, warn, info, debug or trace")
@@ -141,6 +144,7 @@
                 weights_grace,
                 policy,
                 pace,
+                vm_limits,
                 metrics,
                 log_level,
             })
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 //! * [`rank`]: how urgent a request is.
 //! * [`evacuation`]: which failure domains get nothing more.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
+//! * [`memory_shares`]: the shares of a VM's memory and descriptors.
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
 //! * [`engine`]: how long an engine takes to respond.
@@ -84,6 +85,7 @@
 pub mod limits;
 pub mod lowered_timeouts;
 pub mod membership;
+pub mod memory_shares;
 pub mod pace;
 pub mod paged_list;
 pub mod position;
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -10,13 +10,13 @@
     routes, routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
-use pimentohook_runtime::{announcements, body, client, metrics, standstill};
+use pimentohook_runtime::{announcements, client, metrics, standstill};
 use pimentohook_wire::direct;
 
 use strum::IntoEnumIterator as _;
 
 use super::{
-    cache, crash_evidence, restored, retries, settings, shutdown_state, upstream_limits,
+    cache, crash_evidence, holdings, restored, retries, settings, shutdown_state, upstream_limits,
     upstream_notices,
 };
 
@@ -77,10 +77,8 @@
     pub clock: sync::Arc<dyn clock::Clock>,
     /// The client for upstreams.
     pub upstreams: client::Client,
-    /// Bounds the memory of responses from upstreams.
-    pub response_budget: sync::Arc<body::BodyBudget>,
-    /// The memory for the bodies of requests, until they have their final response.
-    pub request_budget: sync::Arc<body::BodyBudget>,
+    /// The bounds on what callers and upstreams make the entry hold.
+    pub holdings: holdings::Holdings,
     /// The client for agents and entries.
     pub internal: client::Client,
     /// The client for the object store.
@@ -137,10 +135,6 @@
 /// The share of the configuration grace period after which an unconfirmed configuration is stale.
 /// An entry with a stale configuration doesn't respond that a route or a key doesn't exist.
 const STALE_AFTER_PERCENT: u32 = 85;
-/// The maximum size of all responses that are being read, a part of an entry VM's memory.
-const RESPONSES_MAX_BYTES: usize = 48 << 20;
-/// The maximum size of the bodies of all requests that are being read or handled.
-const REQUESTS_MAX_BYTES: usize = 48 << 20;
 /// An entry that has run for this long has discovered the others of its region.
 const SETTLING_TIME: time::Duration = time::Duration::from_secs(2);
 
@@ -157,8 +151,7 @@
             metrics_registry,
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::new(local_ip),
-            response_budget: sync::Arc::new(body::BodyBudget::new(RESPONSES_MAX_BYTES)),
-            request_budget: sync::Arc::new(body::BodyBudget::new(REQUESTS_MAX_BYTES)),
+            holdings: holdings::Holdings::new(&settings.vm_limits),
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
--- a/crates/runtime/src/server/call.rs
+++ b/crates/runtime/src/server/call.rs
@@ -1,19 +1,22 @@
 //! A request as it is passed to handlers, and how its body is read.
 
-use std::{net, sync, time};
+use std::{future, net, sync, time};
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http_body_util::BodyExt as _;
 use hyper::{HeaderMap, Method, StatusCode, Uri, header};
 use serde::de;
-use snafu::{Snafu, ensure};
+use snafu::{OptionExt as _, Snafu, ensure};
 use tokio::time as tokio_time;
 
 use crate::body;
 
 const BODY_READ_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// How long the next piece of a body that is discarded is waited for.
+const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// An error from reading a request body.
 #[derive(Debug, Snafu)]
 pub enum BodyError {
@@ -64,6 +67,8 @@
     /// The remote address of the connection.
     pub peer: Option<net::SocketAddr>,
     pub(super) body: Body,
+    /// The room for bodies that have no budget of their own.
+    pub(super) messages: sync::Arc<body::BodyBudget>,
 }
 
 impl Call {
@@ -87,14 +92,11 @@
     /// # Errors
     ///
     /// Returns [`BodyError`] if the body is larger than `max_bytes`, is interrupted or takes too
-    /// long.
+    /// long, and if there is no room beside the others that the port reads.
     pub async fn read_body(self, max_bytes: usize) -> Result<Bytes, BodyError> {
-        let limited = http_body_util::Limited::new(self.body, max_bytes);
-        match tokio_time::timeout(BODY_READ_TIMEOUT, limited.collect()).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) => Err(body_error(&*error, max_bytes)),
-            Err(_) => IncompleteSnafu.fail(),
-        }
+        let room = self.messages.clone();
+        self.read_body_within(max_bytes, &room, future::pending())
+            .await
     }
 
     /// Like [`Call::read_body`], but the rest of the body is discarded in the background once `over`
@@ -126,12 +128,15 @@
             discard(limited);
             return NoRoomSnafu.fail();
         };
+        let evicted = read.until_evicted();
         let reading = read_to_end(&mut limited, &mut read, max_bytes);
         let result = tokio::select! {
             biased;
             result = tokio_time::timeout(BODY_READ_TIMEOUT, reading) => {
                 result.unwrap_or_else(|_| IncompleteSnafu.fail())
             }
+            // Who stopped sending is not waited for any more.
+            () = evicted => return NoRoomSnafu.fail(),
             () = over => {
                 discard(limited);
                 return IncompleteSnafu.fail();
@@ -140,7 +145,7 @@
         if matches!(result, Err(BodyError::NoRoom)) {
             discard(limited);
         }
-        result.map(|()| read.into_bytes())
+        result.and_then(|()| read.into_bytes().context(NoRoomSnafu))
     }
 
     /// Reads the body to its end in the background and discards it, so that the response can be sent
@@ -219,6 +224,7 @@
 /// Reads a body to its end in the background.
 fn discard(mut body: http_body_util::Limited<Body>) {
     tokio::spawn(tokio_time::timeout(BODY_READ_TIMEOUT, async move {
-        while let Some(Ok(_)) = body.frame().await {}
+        // A body that does not go on is given up, which closes its connection.
+        while let Ok(Some(Ok(_))) = tokio_time::timeout(DISCARD_TIMEOUT, body.frame()).await {}
     }));
 }
