--- a/crates/entry/src/direct/cold_upstreams.rs
+++ b/crates/entry/src/direct/cold_upstreams.rs
@@ -5,10 +5,7 @@
 
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
-use pimentohook_core::{cold, routes, upstreams};
-use pimentohook_platform::store;
-
-use super::{app, restored};
+use pimentohook_core::{cold, upstreams};
 
 /// The listed upstreams, by instance.
 #[derive(Debug, Default)]
@@ -56,62 +53,33 @@
             known.registered.remaining(now)
         })
     }
-}
-
-/// Returns how much longer an engine is cold, as its agent is told.
-#[must_use]
-pub fn remaining_ms(app: &app::App, instance: &str) -> u32 {
-    let cold = &app.upstream_limits.cold;
-    let remaining = cold.remaining(app.clock.now(), instance);
-    u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX)
-}
 
-/// Returns whether a request may be sent to an engine without asking its agent, as far as the engine
-/// may be cold, and counts it.
-///
-/// An entry that doesn't know the current registrations takes every engine as cold.
-#[must_use]
-pub fn admits_unwatched(app: &app::App, candidate: &app::Candidate) -> bool {
-    let upstream = &candidate.upstream;
-    let table = app.table.load();
-    let service = table
-        .as_ref()
-        .and_then(|table| table.services.get(&upstream.service));
-    let Some(limit) = service.and_then(|service| service.cold) else {
-        return true;
-    };
-    let now = app.clock.now();
-    let known = app.upstream_limits.cold.by_instance.load();
-    let Some(known) = known.get(&upstream.instance) else {
-        return false;
-    };
-    let ceiling = unwatched_ceiling(app, &upstream.instance, &limit);
-    let mut unwatched = known
-        .unwatched
-        .lock()
-        .unwrap_or_else(sync::PoisonError::into_inner);
-    unwatched.forget(now, ceiling);
-    let is_cold = !known.registered.remaining(now).is_zero() || !knows_registrations(app, &limit);
-    if is_cold && unwatched.wait(now, ceiling).is_some() {
-        app.count("cold_denied");
-        return false;
+    /// Returns whether a request may be sent to an engine without asking its agent, and counts it.
+    ///
+    /// `knows_registrations` says whether an instance that had become cold would be known to be;
+    /// otherwise every one is taken as cold.
+    #[must_use]
+    pub fn admits_unwatched(
+        &self,
+        now: time::Instant,
+        instance: &str,
+        ceiling: cold::Ceiling,
+        knows_registrations: bool,
+    ) -> bool {
+        let by_instance = self.by_instance.load();
+        let Some(known) = by_instance.get(instance) else {
+            return false;
+        };
+        let mut unwatched = known
+            .unwatched
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        unwatched.forget(now, ceiling);
+        let is_cold = !knows_registrations || !known.registered.remaining(now).is_zero();
+        if is_cold && unwatched.wait(now, ceiling).is_some() {
+            return false;
+        }
+        unwatched.record(now);
+        true
     }
-    unwatched.record(now);
-    true
-}
-
-/// Returns whether an instance that had become cold would be known to be.
-fn knows_registrations(app: &app::App, limit: &routes::ColdLimit) -> bool {
-    let age = app.cached(store::Kind::Upstreams).age(app.clock.boot_now());
-    age.is_some_and(|age| age < limit.duration)
-}
-
-fn unwatched_ceiling(app: &app::App, instance: &str, limit: &routes::ColdLimit) -> cold::Ceiling {
-    let own = app.settings.entry.as_str();
-    let registered = restored::registered_entries(app);
-    let peers = app.peers.load();
-    let mut entries: indexmap::IndexSet<&str> = registered.iter().map(String::as_str).collect();
-    entries.extend(peers.keys().map(String::as_str));
-    entries.insert(own);
-    cold::Ceiling::of_unwatched(limit, instance, own, entries)
 }
--- a/crates/entry/src/direct/engine_placement.rs
+++ b/crates/entry/src/direct/engine_placement.rs
@@ -6,7 +6,7 @@
 use pimentohook_core::{ask_order, engine, engine_contact::Access, upstream_notice};
 use rand::RngExt as _;
 
-use super::{app, cold_upstreams, engine_question, permits, placement, slot, weights_versions};
+use super::{app, engine_question, permits, placement, slot, weights_versions};
 
 /// Maximum number of agents that are asked for a slot for a request that has already missed its goal.
 const SLOT_REQUESTS_LATE_MAX: usize = 4;
@@ -287,10 +287,7 @@
 ) -> Option<placement::ProbeGuard> {
     let (contact, now_ms) = (&candidate.state.contact, app.now_ms());
     let is_due = contact.access(now_ms, may_probe) == Access::Probe;
-    if !is_due
-        || !cold_upstreams::admits_unwatched(app, candidate)
-        || !contact.try_begin_probe(now_ms)
-    {
+    if !is_due || !slot::admits_cold(app, candidate) || !contact.try_begin_probe(now_ms) {
         return None;
     }
     let instance = &candidate.upstream.instance;
--- a/crates/entry/src/direct/slot.rs
+++ b/crates/entry/src/direct/slot.rs
@@ -2,11 +2,13 @@
 
 use std::{sync, sync::atomic, time};
 
-use pimentohook_core::{engine, engine_contact::Access, latest_start};
+use indexmap::IndexSet;
+use pimentohook_core::{cold, engine, engine_contact::Access, latest_start};
+use pimentohook_platform::store;
 use pimentohook_runtime::client;
 use pimentohook_wire::direct;
 
-use super::{app, cold_upstreams, engine_silence, placement};
+use super::{app, engine_silence, placement, restored};
 
 /// How long an engine that refused a slot is ranked after the others.
 const REFUSAL_BACKOFF_MS: u64 = 30;
@@ -63,7 +65,7 @@
         let instance = &candidate.upstream.instance;
         may_wait_unwatched(app, request.profile, instance, request.grace_remaining)
             && is_within_share(app, request.profile, state)
-            && cold_upstreams::admits_unwatched(app, candidate)
+            && admits_cold(app, candidate)
     };
     if state.contact.access(now_ms, false) != Access::Agent {
         return is_admitted_without_agent();
@@ -79,7 +81,7 @@
         first_token_max_ms: u32::try_from(first_token_max.as_millis()).unwrap_or(u32::MAX),
         version_min: request.version_min,
         spare_only: request.placement.spare_only,
-        cold_remaining_ms: cold_upstreams::remaining_ms(app, &candidate.upstream.instance),
+        cold_remaining_ms: cold_remaining_ms(app, &candidate.upstream.instance),
     };
     let agent = app.agent_address(&candidate.upstream);
     let call = app.internal.call(
@@ -134,3 +136,42 @@
     let share = app.upstream_limits.shares().of_slots(profile.slot_count);
     state.in_flight.load(atomic::Ordering::Relaxed) < share
 }
+
+/// Returns how much longer an engine is cold by its registration.
+fn cold_remaining_ms(app: &app::App, instance: &str) -> u32 {
+    let cold = &app.upstream_limits.cold;
+    let remaining = cold.remaining(app.clock.now(), instance);
+    u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Returns whether a request may be sent to an engine without asking its agent, as far as the engine
+/// may be cold, and counts it.
+#[must_use]
+pub fn admits_cold(app: &app::App, candidate: &app::Candidate) -> bool {
+    let upstream = &candidate.upstream;
+    let table = app.table.load();
+    let table = table.as_ref();
+    let service = table.and_then(|table| table.services.get(&upstream.service));
+    let Some(limit) = service.and_then(|service| service.cold) else {
+        return true;
+    };
+    let own = app.settings.entry.as_str();
+    let registered = restored::registered_entries(app);
+    let peers = app.peers.load();
+    let mut entries: IndexSet<&str> = registered.iter().map(String::as_str).collect();
+    entries.extend(peers.keys().map(String::as_str));
+    entries.insert(own);
+    let ceiling = cold::Ceiling::of_unwatched(&limit, &upstream.instance, own, entries);
+    let list_age = app.cached(store::Kind::Upstreams).age(app.clock.boot_now());
+    let knows_registrations = list_age.is_some_and(|age| age < limit.duration);
+    let is_admitted = app.upstream_limits.cold.admits_unwatched(
+        app.clock.now(),
+        &upstream.instance,
+        ceiling,
+        knows_registrations,
+    );
+    if !is_admitted {
+        app.count("cold_denied");
+    }
+    is_admitted
+}
