--- a/crates/core/tests/scheduling.rs
+++ b/crates/core/tests/scheduling.rs
@@ -84,6 +84,10 @@
     value as u32
 }
 
+fn exact(value_ms: u64) -> f64 {
+    f64::from(u32::try_from(value_ms).expect("a short time"))
+}
+
 #[derive(Clone, Debug)]
 struct Request {
     kind: usize,
@@ -105,15 +109,15 @@
 
 impl Engine {
     fn advance(&mut self, profile: &engine::EngineProfile, now_ms: u64, tally: &mut [Tally; 3]) {
-        while self.busy_until_ms <= now_ms as f64 {
+        while self.busy_until_ms <= exact(now_ms) {
             for request in self.started.drain(..) {
-                let after_ms = self.busy_until_ms - request.first_at_ms as f64;
-                let is_in_goal = after_ms <= KINDS[request.kind].goal_ms as f64;
+                let after_ms = self.busy_until_ms - exact(request.first_at_ms);
+                let is_in_goal = after_ms <= exact(KINDS[request.kind].goal_ms);
                 tally[request.kind].count_served(&request, is_in_goal);
             }
             self.decoding.retain(|tokens| *tokens > 0.0);
             if self.waiting.is_empty() && self.decoding.is_empty() {
-                self.busy_until_ms = now_ms as f64 + 1.0;
+                self.busy_until_ms = exact(now_ms) + 1.0;
                 return;
             }
             let mut room = f64::from(profile.read_chunk_tokens);
