Name the priority of refused requests in the log

An operator sees who is refused: `proxy: event=refused … priority=…`, with `-` where requests of the service are equally urgent.

--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -95,6 +95,12 @@
     }
 }
 
+impl fmt::Display for Priority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 impl From<u8> for Priority {
     /// Returns the priority with a number; greater ones than 9 count as 9.
     fn from(number: u8) -> Self {
--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -101,11 +101,12 @@
     };
     app.count("refused");
     log::info!(
-        "proxy: event=refused request={} route={} service={} reason={denial} tried={} \
+        "proxy: event=refused request={} route={} service={} priority={} reason={denial} tried={} \
          after_ms={} retry_after_ms={}",
         request.id(),
         request.route.name,
         request.service,
+        request.priority_text(),
         history.tried.len(),
         request.arrived_at.elapsed().as_millis(),
         retry_after.as_millis()
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -91,6 +91,12 @@
         fingerprint::Fingerprint::of(&identity, &self.body)
     }
 
+    /// Returns the request's priority for log lines; `-` if it has none.
+    pub(super) fn priority_text(&self) -> String {
+        let priority = self.priority.map(|priority| priority.to_string());
+        priority.unwrap_or_else(|| String::from("-"))
+    }
+
     /// Returns the name of the caller's organisation.
     pub(super) fn organisation_name(&self) -> Option<&str> {
         let organisation = self.organisation.as_ref()?;
