--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -114,11 +114,12 @@
     app.count("refused");
     app.count(&format!("refused_{denial}"));
     log::info!(
-        "proxy: event=refused request={} route={} service={} reason={denial} regions={} \
+        "proxy: event=refused request={} route={} service={} priority={} reason={denial} regions={} \
          tried={} after_ms={} retry_after_ms={}",
         request.id(),
         request.route.name,
         request.service,
+        request.priority_text(),
         request.regions,
         history.tried.len(),
         request.arrived_at.elapsed().as_millis(),
