--- a/crates/runtime/tests/body_budget.rs
+++ b/crates/runtime/tests/body_budget.rs
@@ -125,3 +125,37 @@
     drop(body);
     assert_eq!(budget.free_bytes(), 1 << 20);
 }
+
+/// Bodies that stop take no room from others for longer than a second.
+#[tokio::test]
+async fn a_body_without_progress_loses_its_room_to_another() {
+    let budget = sync::Arc::new(BodyBudget::new(1 << 20));
+    let stalled = BudgetedBody::reserve(&budget, 800 << 10).expect("room");
+    let reserve = || BudgetedBody::reserve(&budget, 400 << 10);
+    assert!(reserve().is_none(), "it may still go on");
+    tokio::time::sleep(time::Duration::from_millis(1_050)).await;
+    let mut other = reserve().expect("its room");
+    stalled.until_evicted().await;
+    assert!(stalled.into_bytes().is_none());
+    assert!(other.push(&[1; 400 << 10]));
+    assert_eq!(other.into_bytes().expect("its room").len(), 400 << 10);
+    assert_eq!(budget.evicted_count(), 1);
+    assert_eq!(budget.free_bytes(), 1 << 20);
+}
+
+/// A body of unknown length is kept in segments, and is whole in the end.
+#[test]
+fn a_body_in_many_pieces_is_whole() {
+    let budget = sync::Arc::new(BodyBudget::new(1 << 20));
+    let mut body = BudgetedBody::reserve(&budget, 0).expect("room");
+    let sent: Vec<u8> = (0..300_000_u32)
+        .map(|number| number.to_le_bytes()[0])
+        .collect();
+    let (tiny, large) = sent.split_at(3_000);
+    let pieces = tiny.chunks(1).chain(large.chunks(7_001));
+    for piece in pieces {
+        assert!(body.push(piece));
+    }
+    assert!(budget.free_bytes() >= (1 << 20) - sent.len() - (64 << 10));
+    assert_eq!(body.into_bytes().expect("its room"), sent);
+}
