--- a/crates/core/src/memory_shares.rs
+++ b/crates/core/src/memory_shares.rs
@@ -4,7 +4,7 @@
 //! use pimentohook_core::memory_shares;
 //!
 //! let shares = memory_shares::EntryShares::of(&memory_shares::VmLimits::default());
-//! assert_eq!(shares.requests_bytes, 28_800_000);
+//! assert_eq!(shares.requests_bytes, 27_200_000);
 //! ```
 
 /// The memory of the smallest VM on which entries run, in bytes.
@@ -13,8 +13,8 @@
 const DESCRIPTORS_DEFAULT: usize = 4_100;
 /// Descriptors that are reserved for files.
 const FILES_MAX: usize = 200;
-/// What a process uses that serves nobody, and what is lost between allocations.
-const OWN_BYTES: usize = 16_000_000;
+/// What a process uses that serves nobody, and what its allocator keeps.
+const OWN_BYTES: usize = 24_000_000;
 /// Requests and responses get one of so many parts of the rest each, connections two; one is left for
 /// gaps between allocations.
 const PARTS: usize = 5;
