--- a/crates/runtime/tests/body_budget.rs
+++ b/crates/runtime/tests/body_budget.rs
@@ -137,7 +137,7 @@
     let mut other = reserve().expect("its room");
     stalled.until_evicted().await;
     assert!(stalled.into_bytes().is_none());
-    assert!(other.push(&[1; 400 << 10]));
+    assert!(other.push(&vec![1; 400 << 10]));
     assert_eq!(other.into_bytes().expect("its room").len(), 400 << 10);
     assert_eq!(budget.evicted_count(), 1);
     assert_eq!(budget.free_bytes(), 1 << 20);
--- a/crates/runtime/tests/connections.rs
+++ b/crates/runtime/tests/connections.rs
@@ -106,7 +106,7 @@
     let head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000\r\n\r\n";
     let mut stream = connect(address, head).await;
     for _ in 0..50 {
-        let sent = stream.write_all(&[0; 64 << 10]).await;
+        let sent = stream.write_all(&vec![0; 64 << 10]).await;
         sent.expect("what it sends is taken");
     }
     assert!(receive(&mut stream).await.ends_with("served"));
