Take no connection for idle while its client still reads a response

hyper ends a request when it has taken the last bytes of its response, which the client may not have read yet. At the bound of connections, such a one counted as idle and could be closed for another at once, in the middle of its answer. Found by reading; no test shows it alone.

--- a/crates/runtime/src/server/activity.rs
+++ b/crates/runtime/src/server/activity.rs
@@ -86,13 +86,14 @@
 
     /// Returns how readily the connection is closed for another one: the least first.
     pub(super) fn rank(&self) -> Option<(u8, tokio_time::Instant)> {
+        // The end of a response may be written after its request has ended.
+        if self.blocked_since().is_some() {
+            return Some((2, self.reader_stalled_since()?));
+        }
         if let Some(since) = self.idle_since() {
             return Some((u8::from(self.has_served()), since));
         }
-        if let Some(since) = self.body_stalled_since() {
-            return Some((0, since));
-        }
-        Some((2, self.reader_stalled_since()?))
+        Some((0, self.body_stalled_since()?))
     }
 
     /// Returns whether the client may still be sending a body that nobody reads.
