--- a/crates/entry/src/direct/engine_placement.rs
+++ b/crates/entry/src/direct/engine_placement.rs
@@ -6,7 +6,7 @@
 use pimentohook_core::{ask_order, engine, engine_contact::Access, rank, upstream_notice};
 use rand::RngExt as _;
 
-use super::{app, eligibility, engine_question, permits, placement, slot, weights_versions};
+use super::{app, engine_question, permits, placement, slot, weights_versions};
 
 /// Maximum number of agents that are asked for a slot for a request that has already missed its goal.
 const SLOT_REQUESTS_LATE_MAX: usize = 4;
@@ -43,7 +43,7 @@
         profile,
         model,
         allowed,
-        denials: placement::PermitDenials::default(),
+        denials: permits::PermitDenials::default(),
         slot_requests_max,
         slot_request_count: 0,
     };
@@ -65,7 +65,7 @@
     model: &'a str,
     /// The versions of the weights that the request may run on.
     allowed: weights_versions::AllowedVersions,
-    denials: placement::PermitDenials,
+    denials: permits::PermitDenials,
     /// The maximum number of agents that are asked for a slot.
     slot_requests_max: usize,
     /// The number of agents that were asked for a slot.
@@ -196,8 +196,10 @@
 
     /// Returns why no engine takes the request.
     const fn denial(&self) -> placement::Denial {
-        match self.denials.denial() {
-            Some(denial) if self.slot_request_count == 0 => denial,
+        match self.denials.retry_after() {
+            Some(retry_after) if self.slot_request_count == 0 => {
+                placement::Denial::Limited { retry_after }
+            }
             _ => placement::Denial::Full,
         }
     }
@@ -257,8 +259,8 @@
         probe: probe.map(sync::Arc::new),
     };
     let is_allowed = !placement.is_withdrawn()
-        && eligibility::is_usable(app, candidate, request)
-        && eligibility::is_still_ready(app, request.service, candidate);
+        && placement::is_usable(app, candidate, request)
+        && placement::is_still_ready(app, request.service, candidate);
     is_allowed.then_some(placement)
 }
 
@@ -268,7 +270,7 @@
     app: &app::App,
     candidate: &app::Candidate,
     may_probe: bool,
-    denials: &mut placement::PermitDenials,
+    denials: &mut permits::PermitDenials,
 ) -> Option<placement::ProbeGuard> {
     // A probe that a denied permit prevents does not count as one.
     if !denials.acquire(app, candidate).await {
--- a/crates/entry/src/direct/feed/apply.rs
+++ b/crates/entry/src/direct/feed/apply.rs
@@ -6,13 +6,11 @@
 use pimentohook_core::{announcement, collection, routes};
 use pimentohook_platform::{decode, skipped, store};
 
-use crate::direct::{
-    app, caller_connections, holdings, request_timeout, restored, weights_versions,
-};
+use crate::direct::{app, caller_connections, request_timeout, restored, weights_versions};
 
 /// Puts changes of a kind into force, or records that there were none.
 pub(super) fn apply(app: &app::App, kind: store::Kind, is_changed: bool, read: announcement::Read) {
-    holdings::report(app);
+    app.holdings.report(&app.metrics);
     if !is_changed {
         if kind == store::Kind::Weights {
             app.announced.confirm_read(read);
--- a/crates/entry/src/direct/holdings.rs
+++ b/crates/entry/src/direct/holdings.rs
@@ -2,11 +2,10 @@
 
 use std::sync;
 
+use cadence::StatsdClient;
 use pimentohook_core::memory_shares;
 use pimentohook_runtime::{body, metrics, server};
 
-use super::app;
-
 /// The bounds on what the entry holds.
 #[derive(Debug)]
 pub struct Holdings {
@@ -36,13 +35,12 @@
             responses: sync::Arc::new(responses),
         }
     }
-}
 
-/// Reports how many connections and bodies have lost their room to others.
-pub fn report(app: &app::App) {
-    let holdings = &app.holdings;
-    let closed_count = holdings.connections.closed_count();
-    metrics::Registry::set(&app.metrics, "connections_closed_for_others", closed_count);
-    let evicted_count = holdings.requests.evicted_count();
-    metrics::Registry::set(&app.metrics, "bodies_evicted", evicted_count);
+    /// Reports how many connections and bodies have lost their room to others.
+    pub fn report(&self, client: &StatsdClient) {
+        let closed_count = self.connections.closed_count();
+        metrics::Registry::set(client, "connections_closed_for_others", closed_count);
+        let evicted_count = self.requests.evicted_count();
+        metrics::Registry::set(client, "bodies_evicted", evicted_count);
+    }
 }
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -38,7 +38,6 @@
 pub mod cold_upstreams;
 pub mod crash_evidence;
 pub mod directory;
-pub mod eligibility;
 pub mod end_questions;
 pub mod ending;
 pub mod engine_placement;
--- a/crates/entry/src/direct/permits.rs
+++ b/crates/entry/src/direct/permits.rs
@@ -14,6 +14,9 @@
 
 const PERMIT_TIMEOUT: time::Duration = time::Duration::from_millis(60);
 const MESSAGE_MAX_BYTES: usize = 1 << 12;
+/// Maximum number of coordinators that deny a permit for one request, one after the other. After
+/// that, limited upstreams are passed over.
+const PERMIT_DENIALS_MAX: usize = 3;
 
 /// There is no permit for a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +43,38 @@
     },
 }
 
+/// The permits that were denied for one request.
+#[derive(Debug, Default)]
+pub(super) struct PermitDenials {
+    /// The number of coordinators that were asked.
+    asked_count: usize,
+    /// When there may be a permit; `None` if none was denied.
+    retry_after: Option<time::Duration>,
+}
+
+impl PermitDenials {
+    /// Acquires a permit for an upstream; returns false if it is denied.
+    pub(super) async fn acquire(&mut self, app: &app::App, candidate: &app::Candidate) -> bool {
+        let instance = &candidate.upstream.instance;
+        let is_limited = app.upstream_limits.limited(instance).is_some();
+        if is_limited && self.asked_count == PERMIT_DENIALS_MAX {
+            return false;
+        }
+        let Err(denied) = acquire(app, instance).await else {
+            return true;
+        };
+        self.asked_count += usize::from(denied.is_asked);
+        let earliest = self.retry_after.unwrap_or(denied.retry_after);
+        self.retry_after = Some(earliest.min(denied.retry_after));
+        false
+    }
+
+    /// Returns when there may be a permit; `None` if none was denied.
+    pub(super) const fn retry_after(&self) -> Option<time::Duration> {
+        self.retry_after
+    }
+}
+
 /// Acquires a permit for a request to an upstream. If the upstream has no limit, none is needed.
 ///
 /// # Errors
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -10,18 +10,15 @@
 use pimentohook_core::{
     engine, evacuation, id, rank, regions, rolling_update,
     routing::{choice, score},
-    upstream_notice,
+    upstream_notice, upstreams,
 };
 use rand::RngExt as _;
 
-use super::{app, eligibility, engine_placement, permits, weights_versions};
+use super::{app, engine_placement, permits, weights_versions};
 
 /// How much likelier than others a limited upstream is to be tried first, so that it is used up to
 /// its limit.
 const LIMITED_PREFERENCE: usize = 2;
-/// Maximum number of coordinators that deny a permit for one request, one after the other. After
-/// that, limited upstreams are passed over.
-const PERMIT_DENIALS_MAX: usize = 3;
 
 /// What a request requires of an upstream.
 #[derive(Clone, Debug)]
@@ -181,7 +178,7 @@
     let Some(listed) = all.get(request.service) else {
         return Err(Denial::Nobody);
     };
-    let usable = |candidate: &&app::Candidate| eligibility::is_usable(app, candidate, request);
+    let usable = |candidate: &&app::Candidate| is_usable(app, candidate, request);
     let usable: Vec<&app::Candidate> = listed.iter().filter(usable).collect();
     let chosen = match (request.profile, request.model) {
         (Some(profile), Some(model)) => {
@@ -191,7 +188,7 @@
     };
     chosen.map_err(|denial| match back_off_end(app, request, listed) {
         Some(retry_after) => Denial::BackingOff { retry_after },
-        None => match eligibility::closed(app, request, listed) {
+        None => match closed(app, request, listed) {
             Some(evacuation::Closed::Evacuated) => Denial::Evacuated,
             Some(evacuation::Closed::Unknown) => Denial::EvacuationsUnknown,
             None if denial == Denial::Nobody && request.regions.is_restricted() => {
@@ -202,6 +199,57 @@
     })
 }
 
+/// Returns why evacuations keep a request from all ready upstreams in its regions; `None` if they
+/// don't.
+fn closed(
+    app: &app::App,
+    request: &PlacementRequest<'_>,
+    listed: &[app::Candidate],
+) -> Option<evacuation::Closed> {
+    let allowed = listed.iter();
+    let allowed = allowed.filter(|candidate| is_in_region(app, candidate, request));
+    let upstreams = allowed.map(|candidate| &candidate.upstream);
+    let ready = upstreams.filter(|upstream| upstream.state == upstreams::State::Ready);
+    let domains = ready.map(|upstream| upstream.failure_domain.as_str());
+    app.evacuations.load().closed(domains)
+}
+
+/// Returns whether an upstream may get a request: it is open, has not failed the request before, and
+/// wants requests.
+pub(super) fn is_usable(
+    app: &app::App,
+    candidate: &app::Candidate,
+    request: &PlacementRequest<'_>,
+) -> bool {
+    is_open(app, candidate, request)
+        && !request.excluded.contains(&candidate.upstream.instance)
+        && app
+            .upstream_notices
+            .allows_requests(&candidate.upstream, app.clock.now())
+}
+
+/// Returns whether a request may run in the region of an upstream.
+fn is_in_region(
+    app: &app::App,
+    candidate: &app::Candidate,
+    request: &PlacementRequest<'_>,
+) -> bool {
+    let regions = &app.settings.regions;
+    regions.allows(request.regions, &candidate.upstream.failure_domain)
+}
+
+/// Returns whether an upstream is in an allowed region, listed as ready, still has its address and is
+/// not evacuated.
+fn is_open(app: &app::App, candidate: &app::Candidate, request: &PlacementRequest<'_>) -> bool {
+    is_in_region(app, candidate, request)
+        && candidate.upstream.state == upstreams::State::Ready
+        && app
+            .evacuations
+            .load()
+            .allows(&candidate.upstream.failure_domain)
+        && !candidate.state.is_replaced.load(atomic::Ordering::Relaxed)
+}
+
 /// Returns when the first back-off ends if all upstreams that could take the request back off.
 ///
 /// Those that have already failed the request count too, because the caller's next one may go there.
@@ -217,7 +265,7 @@
         let serves = allowed
             .as_ref()
             .is_none_or(|(model, allowed)| allowed.allows(candidate.served_version(model)));
-        eligibility::is_open(app, candidate, request) && serves
+        is_open(app, candidate, request) && serves
     };
     let notices = &app.upstream_notices;
     let standing = |candidate: &app::Candidate| notices.standing(&candidate.upstream, now);
@@ -246,6 +294,18 @@
     }
 }
 
+/// Returns whether an upstream is listed as ready now, after it was selected.
+pub(super) fn is_still_ready(
+    app: &app::App,
+    service: &id::ServiceName,
+    selected: &app::Candidate,
+) -> bool {
+    let all = app.candidates.load();
+    let listed = all.get(service).into_iter().flatten();
+    let mut same = listed.filter(|listed| listed.upstream.instance == selected.upstream.instance);
+    same.any(|listed| listed.upstream.state == upstreams::State::Ready)
+}
+
 async fn choose_plain(app: &app::App, usable: &[&app::Candidate]) -> Result<Placement, Denial> {
     let mut shuffled = without_hinted(app, usable);
     let usable_count = shuffled.len();
@@ -294,7 +354,7 @@
     let now_ms = app.now_ms();
     let is_tried =
         |candidate: &&&app::Candidate| !(skips_ejected && candidate.state.stats.is_ejected(now_ms));
-    let mut denials = PermitDenials::default();
+    let mut denials = permits::PermitDenials::default();
     for candidate in limited.iter().filter(is_tried) {
         if denials.acquire(app, candidate).await {
             return Ok(Placement {
@@ -304,39 +364,10 @@
             });
         }
     }
-    Err(denials.denial().unwrap_or(Denial::Nobody))
-}
-
-/// The permits that were denied for one request.
-#[derive(Debug, Default)]
-pub(super) struct PermitDenials {
-    /// The number of coordinators that were asked.
-    asked_count: usize,
-    /// When there may be a permit; `None` if none was denied.
-    retry_after: Option<time::Duration>,
-}
-
-impl PermitDenials {
-    /// Acquires a permit for an upstream; returns false if it is denied.
-    pub(super) async fn acquire(&mut self, app: &app::App, candidate: &app::Candidate) -> bool {
-        let instance = &candidate.upstream.instance;
-        let is_limited = app.upstream_limits.limited(instance).is_some();
-        if is_limited && self.asked_count == PERMIT_DENIALS_MAX {
-            return false;
-        }
-        let Err(denied) = permits::acquire(app, instance).await else {
-            return true;
-        };
-        self.asked_count += usize::from(denied.is_asked);
-        let earliest = self.retry_after.unwrap_or(denied.retry_after);
-        self.retry_after = Some(earliest.min(denied.retry_after));
-        false
-    }
-
-    pub(super) const fn denial(&self) -> Option<Denial> {
-        match self.retry_after {
-            Some(retry_after) => Some(Denial::Limited { retry_after }),
-            None => None,
-        }
-    }
+    let limited = denials.retry_after();
+    Err(
+        limited.map_or(Denial::Nobody, |retry_after| Denial::Limited {
+            retry_after,
+        }),
+    )
 }
