Log by what evidence a request counts as not run, and when it is sent again

A line attempt_failed with fault=not_run did not say by which evidence: no connection, a connection that closed before the write, the mark, 421 or a withdrawal. That a request was sent again, on which route and whether it may have run, stood in no line; nor did a broken body or a response that is not as an upstream makes it; an unfinished request did not name its caller's connection. No logic changes: Fault::NotRun bears its evidence.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -21,12 +21,30 @@
 const SLOW_AFTER_GOALS: u32 = 4;
 const SLOW_AFTER_MIN: time::Duration = time::Duration::from_millis(150);
 
+/// Why it is certain that an upstream did not run a request and will not run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum NotRunEvidence {
+    /// The request could not be built.
+    NotBuilt,
+    /// The request was due to be withdrawn before it was sent.
+    Withdrawn,
+    /// There was no connection to the upstream.
+    NotConnected,
+    /// The connection closed before the request was written to it.
+    ClosedBeforeWrite,
+    /// The upstream's response bears the mark of a request that was not run.
+    Marked,
+    /// The response says that another instance has the address; it may lack the mark.
+    OtherInstance,
+}
+
 /// Why an attempt got no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Fault {
     /// The request certainly did not run.
-    NotRun,
+    NotRun(NotRunEvidence),
     /// The request may be running or may have run.
     MayHaveRun,
 }
@@ -63,7 +81,7 @@
                 "attempt: event=build_failed request={} error={error:?}",
                 request.id()
             );
-            return Outcome::Fault(Fault::NotRun);
+            return Outcome::Fault(Fault::NotRun(NotRunEvidence::NotBuilt));
         }
     };
     // The domain may have been evacuated while the request waited for its turn.
@@ -71,7 +89,7 @@
     let start_timeout = placement.start_timeout(request.remaining());
     let Some(start_timeout) = start_timeout.filter(|_| is_allowed) else {
         app.count("withdrawn");
-        return Outcome::Fault(Fault::NotRun);
+        return Outcome::Fault(Fault::NotRun(NotRunEvidence::Withdrawn));
     };
     if let Some(limited) = app.upstream_limits.get(&upstream.instance) {
         limited.count_send(reason);
@@ -106,17 +124,25 @@
     }
     match class {
         request::ResponseClass::Answer => {}
-        request::ResponseClass::NotRun => return Outcome::Fault(Fault::NotRun),
+        request::ResponseClass::NotRun => {
+            return Outcome::Fault(Fault::NotRun(NotRunEvidence::Marked));
+        }
         request::ResponseClass::OtherInstance => {
             // An upstream that doesn't serve the expected version responds in the same way, so only
             // a request without one shows that another instance has the address.
             if placement.expected_weights().is_none() {
                 state.is_replaced.store(true, atomic::Ordering::Relaxed);
             }
-            return Outcome::Fault(Fault::NotRun);
+            return Outcome::Fault(Fault::NotRun(NotRunEvidence::OtherInstance));
         }
         request::ResponseClass::Invalid | request::ResponseClass::Foreign => {
             state.stats.record_failure(app.now_ms());
+            log::info!(
+                "attempt: event=invalid_response request={} instance={} status={}",
+                request.id(),
+                upstream.instance,
+                response.status().as_u16()
+            );
             return Outcome::Fault(Fault::MayHaveRun);
         }
     }
@@ -217,10 +243,14 @@
         candidate.upstream.instance
     );
     candidate.state.stats.record_failure(app.now_ms());
-    if error.is_unsent() {
-        return Outcome::Fault(Fault::NotRun);
+    if !error.is_unsent() {
+        return Outcome::Fault(Fault::MayHaveRun);
     }
-    Outcome::Fault(Fault::MayHaveRun)
+    let evidence = match error {
+        client::ClientError::Connect { .. } => NotRunEvidence::NotConnected,
+        _ => NotRunEvidence::ClosedBeforeWrite,
+    };
+    Outcome::Fault(Fault::NotRun(evidence))
 }
 
 fn build(
@@ -332,6 +362,12 @@
         }
         let Ok(Ok(body)) = read else {
             state.stats.record_failure(app.now_ms());
+            log::info!(
+                "attempt: event=response_broken request={} instance={} status={}",
+                request.id(),
+                placement.candidate.upstream.instance,
+                head.status.as_u16()
+            );
             return Outcome::Fault(Fault::MayHaveRun);
         };
         drop(self.in_flight);
--- a/crates/entry/src/direct/ending.rs
+++ b/crates/entry/src/direct/ending.rs
@@ -55,8 +55,9 @@
         }
         self.app.count("unfinished");
         log::info!(
-            "proxy: event=unfinished request={} route={} phase={} {}",
+            "proxy: event=unfinished request={} peer={:?} route={} phase={} {}",
             self.request.id(),
+            self.request.peer,
             self.request.route.name,
             self.phase,
             Timing::new(&self.app, &self.request)
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -120,6 +120,7 @@
     let (method, uri, headers) = (call.method.clone(), call.uri.clone(), call.headers.clone());
     Ok(proxy::ProxiedRequest {
         caller,
+        peer: call.peer,
         method,
         uri,
         host,
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -1,6 +1,6 @@
 //! Handles a caller's request, from its arrival to the final response.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -24,6 +24,8 @@
 pub struct ProxiedRequest {
     /// The values of the caller's headers.
     pub caller: request::CallerHeaders,
+    /// The remote address of the caller's connection.
+    pub peer: Option<net::SocketAddr>,
     /// The method.
     pub method: Method,
     /// The request target.
@@ -233,11 +235,7 @@
             .tried
             .push(placement.candidate.upstream.instance.clone());
         let instance = placement.candidate.upstream.instance.clone();
-        let reason = if history.tried.len() > 1 {
-            limited_upstream::SendReason::Retry
-        } else {
-            limited_upstream::SendReason::First
-        };
+        let reason = send_reason(request, history, &instance);
         let (tried, run_count) = (&history.tried, history.run_count);
         let moved = engine_silence::next_placement(app, request, &placement, tried, run_count);
         history.is_under_way = true;
@@ -273,12 +271,7 @@
                 history.run_count += 1;
             }
             Outcome::Fault(fault) => {
-                log::warn!(
-                    "proxy: event=attempt_failed request={} instance={instance} fault={fault} \
-                     after_ms={}{placement}",
-                    request.id(),
-                    request.arrived_at.elapsed().as_millis()
-                );
+                log_failed_attempt(request, &placement, fault);
                 if fault == Fault::MayHaveRun {
                     history.may_have_run = true;
                     history.run_count += 1;
@@ -295,6 +288,48 @@
     }
 }
 
+/// Returns why a request is sent now; writes a line if it has been sent before.
+fn send_reason(
+    request: &ProxiedRequest,
+    history: &final_response::AttemptHistory,
+    instance: &str,
+) -> limited_upstream::SendReason {
+    if history.tried.len() <= 1 {
+        return limited_upstream::SendReason::First;
+    }
+    log::info!(
+        "proxy: event=sent_again request={} instance={instance} attempt={} may_have_run={} \
+         route={} may_repeat={} configuration={}",
+        request.id(),
+        history.tried.len(),
+        history.may_have_run,
+        request.route.name,
+        request.route.may_repeat(),
+        request.table.version
+    );
+    limited_upstream::SendReason::Retry
+}
+
+/// Writes a line on an attempt without a response, with what shows that the request did not run.
+fn log_failed_attempt(
+    request: &ProxiedRequest,
+    placement: &placement::Placement,
+    fault: attempt::Fault,
+) {
+    let evidence = match fault {
+        Fault::NotRun(evidence) => evidence.to_string(),
+        Fault::MayHaveRun => String::from("-"),
+    };
+    log::warn!(
+        "proxy: event=attempt_failed request={} instance={} fault={fault} evidence={evidence} \
+         may_repeat={} after_ms={}{placement}",
+        request.id(),
+        placement.candidate.upstream.instance,
+        request.route.may_repeat(),
+        request.arrived_at.elapsed().as_millis()
+    );
+}
+
 /// Selects an upstream that the request has not been sent to.
 ///
 /// # Errors
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -295,7 +295,7 @@
             Outcome::Stream(open) => open,
             Outcome::Fault(fault) => {
                 // A refusal is no run.
-                self.run_count -= u32::from(fault == attempt::Fault::NotRun);
+                self.run_count -= u32::from(matches!(fault, attempt::Fault::NotRun(_)));
                 return AttemptFailedSnafu { fault }.fail();
             }
             Outcome::Complete(_) | Outcome::ServerError(_) => {
