Send no request again that some configuration in force lets run only once

What callers would see: a POST that must run once ran twice. A request kept the route of its arrival, and whether it may repeat was read from that route alone, seconds later, when its upstream had failed. A configuration that had come into force meanwhile, or one replaced so shortly before the arrival that it still held, was not asked, also where only a longer prefix says that the path may not repeat.

The timeouts already followed the configuration; now core::replaced_routes keeps for both what the replaced routes allowed (was core::lowered_timeouts), and direct::repeats asks the arrival's route, the route in force and those replaced within the grace period before, at each repeat: a retry, a move away from a silent or slow upstream, a resumed stream, a probe.

--- a/crates/core/src/replaced_routes.rs
+++ b/crates/core/src/replaced_routes.rs
@@ -1,30 +1,32 @@
-//! Timeouts of routes that configurations have lowered.
+//! What routes allowed before configurations replaced them.
 //!
 //! For a while after a change either configuration may be used, and a request that is under way meets
 //! several of them in a series of changes. So what ends a stream is the longest timeout that its route
-//! had in the meantime; this is where the ones that are no longer in force are kept.
+//! had in the meantime, and a request may run again only if all of them allow it; this is where the
+//! routes that are no longer in force are kept, as far as they bind more.
 
 use std::time;
 
 use crate::routes;
 
-/// How long a lowered timeout is kept; no request lasts longer.
+/// How long a replaced route is kept; no request lasts longer.
 const RETENTION: time::Duration = time::Duration::from_mins(1);
-/// The maximum number of timeouts that are kept.
-const TIMEOUTS_MAX: usize = 8_192;
+/// The maximum number of replaced routes that are kept.
+const ROUTES_MAX: usize = 8_192;
 
-/// A timeout that a route had until a change.
+/// What a route allowed until a change.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct LoweredTimeout {
+struct ReplacedRoute {
     host: String,
     path_prefix: String,
     /// The prefixes of routes below it, which select their own paths.
     inner_prefixes: Vec<String>,
     timeout: time::Duration,
+    may_repeat: bool,
     replaced_at: time::Instant,
 }
 
-impl LoweredTimeout {
+impl ReplacedRoute {
     /// Returns whether the route selected this path until the change.
     fn selects(&self, path: &str) -> bool {
         let is_inner = |prefix: &String| path.starts_with(prefix.as_str());
@@ -32,54 +34,77 @@
     }
 }
 
-/// The timeouts that have been lowered lately, oldest first.
+/// The routes that have been replaced lately by ones that allow less time or more runs, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct LoweredTimeouts {
-    timeouts: Vec<LoweredTimeout>,
+pub struct ReplacedRoutes {
+    routes: Vec<ReplacedRoute>,
 }
 
-impl LoweredTimeouts {
-    /// Records the routes whose timeouts are lower in the configuration that comes into force.
+impl ReplacedRoutes {
+    /// Records the routes whose timeouts are lower, or whose requests may repeat only now, in the
+    /// configuration that comes into force.
     pub fn record(
         &mut self,
         now: time::Instant,
         before: &routes::RouteTable,
         after: &routes::RouteTable,
     ) {
-        self.timeouts
-            .retain(|lowered| now < lowered.replaced_at + RETENTION);
+        self.routes
+            .retain(|replaced| now < replaced.replaced_at + RETENTION);
         for (host, routes) in &before.hosts {
-            let lowered = routes.iter().filter(|route| is_lowered(host, route, after));
-            self.timeouts.extend(lowered.map(|route| LoweredTimeout {
+            let binding = routes.iter().filter(|route| binds_more(host, route, after));
+            self.routes.extend(binding.map(|route| ReplacedRoute {
                 host: host.clone(),
                 path_prefix: route.path_prefix.clone(),
                 inner_prefixes: inner_prefixes(route, routes),
                 timeout: route.timeout,
+                may_repeat: route.may_repeat(),
                 replaced_at: now,
             }));
         }
-        let excess = self.timeouts.len().saturating_sub(TIMEOUTS_MAX);
-        self.timeouts.drain(..excess);
+        let excess = self.routes.len().saturating_sub(ROUTES_MAX);
+        self.routes.drain(..excess);
     }
 
     /// Returns the longest timeout that was replaced after `since` for a host and a path.
     #[must_use]
-    pub fn longest_since(
+    pub fn longest_timeout_since(
         &self,
         since: time::Instant,
         host: &str,
         path: &str,
     ) -> Option<time::Duration> {
-        let matching = self.timeouts.iter().filter(|lowered| {
-            lowered.replaced_at > since && lowered.host == host && lowered.selects(path)
-        });
-        matching.map(|lowered| lowered.timeout).max()
+        let replaced = self.replaced_since(since, host, path);
+        replaced.map(|replaced| replaced.timeout).max()
+    }
+
+    /// Returns whether all routes that were replaced after `since` for a host and a path let requests
+    /// run again that may have run.
+    #[must_use]
+    pub fn may_repeat_since(&self, since: time::Instant, host: &str, path: &str) -> bool {
+        let mut replaced = self.replaced_since(since, host, path);
+        replaced.all(|replaced| replaced.may_repeat)
+    }
+
+    fn replaced_since(
+        &self,
+        since: time::Instant,
+        host: &str,
+        path: &str,
+    ) -> impl Iterator<Item = &ReplacedRoute> {
+        self.routes.iter().filter(move |replaced| {
+            replaced.replaced_at > since && replaced.host == host && replaced.selects(path)
+        })
     }
 }
 
-fn is_lowered(host: &str, route: &routes::Route, after: &routes::RouteTable) -> bool {
+fn binds_more(host: &str, route: &routes::Route, after: &routes::RouteTable) -> bool {
     let now = after.select(host, &route.path_prefix);
-    now.is_some_and(|now| now.timeout < route.timeout)
+    now.is_some_and(|now| {
+        let is_lowered = now.timeout < route.timeout;
+        let repeats_only_now = now.may_repeat() && !route.may_repeat();
+        is_lowered || repeats_only_now
+    })
 }
 
 /// Returns the prefixes of the routes of a host that are below a route.
--- a/crates/core/tests/replaced_routes.rs
+++ b/crates/core/tests/replaced_routes.rs
@@ -1,8 +1,8 @@
-//! Tests of the timeouts that configurations have lowered.
+//! Tests of what routes allowed before they were replaced.
 
 use std::time;
 
-use pimentohook_core::{lowered_timeouts, rank, regions, routes};
+use pimentohook_core::{rank, regions, replaced_routes, routes};
 
 const HOST: &str = "drafts.example";
 
@@ -33,27 +33,30 @@
 
 #[test]
 fn the_longest_timeout_since_the_arrival_is_found_in_a_series_of_changes() {
-    let mut lowered = lowered_timeouts::LoweredTimeouts::default();
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
     let start = time::Instant::now();
     let second = time::Duration::from_secs(1);
     let timeouts_s = [6, 3, 5, 2];
     for (number, pair) in (1..).zip(timeouts_s.windows(2)) {
-        lowered.record(start + second * number, &table(pair[0]), &table(pair[1]));
+        replaced.record(start + second * number, &table(pair[0]), &table(pair[1]));
     }
-    let longest = |since| lowered.longest_since(since, HOST, "/notes/1");
+    let longest = |since| replaced.longest_timeout_since(since, HOST, "/notes/1");
     assert_eq!(longest(start), Some(second * 6));
     assert_eq!(longest(start + second), Some(second * 5));
     assert_eq!(longest(start + second * 3), None, "a raise is not recorded");
-    assert_eq!(lowered.longest_since(start, HOST, "/other/"), None);
+    assert_eq!(replaced.longest_timeout_since(start, HOST, "/other/"), None);
 }
 
 #[test]
 fn a_lowered_timeout_is_forgotten_after_a_while() {
-    let mut lowered = lowered_timeouts::LoweredTimeouts::default();
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
     let start = time::Instant::now();
-    lowered.record(start + time::Duration::from_secs(1), &table(6), &table(3));
-    lowered.record(start + time::Duration::from_mins(2), &table(3), &table(3));
-    assert_eq!(lowered.longest_since(start, HOST, "/notes/1"), None);
+    replaced.record(start + time::Duration::from_secs(1), &table(6), &table(3));
+    replaced.record(start + time::Duration::from_mins(2), &table(3), &table(3));
+    assert_eq!(
+        replaced.longest_timeout_since(start, HOST, "/notes/1"),
+        None
+    );
 }
 
 /// A stream on a route below one whose timeout was lowered lasted as long as that one had allowed.
@@ -64,12 +67,45 @@
         table.insert(String::from(HOST), route("/notes/drafts/", 2));
         table
     };
-    let mut lowered = lowered_timeouts::LoweredTimeouts::default();
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
     let start = time::Instant::now();
     let changed_at = start + time::Duration::from_secs(1);
-    lowered.record(changed_at, &with_inner_route(10), &with_inner_route(5));
-    let longest = lowered.longest_since(start, HOST, "/notes/drafts/1");
+    replaced.record(changed_at, &with_inner_route(10), &with_inner_route(5));
+    let longest = replaced.longest_timeout_since(start, HOST, "/notes/drafts/1");
     assert_eq!(longest, None);
-    let longest = lowered.longest_since(start, HOST, "/notes/1");
+    let longest = replaced.longest_timeout_since(start, HOST, "/notes/1");
     assert_eq!(longest, Some(time::Duration::from_secs(10)));
 }
+
+fn table_of_kind(kinds: &[(&str, routes::RepeatPolicy)]) -> routes::RouteTable {
+    let mut table = routes::RouteTable::default();
+    for (path_prefix, repeat) in kinds {
+        let route = routes::Route {
+            streaming: false,
+            repeat: *repeat,
+            ..route(path_prefix, 4)
+        };
+        table.insert(String::from(HOST), route);
+    }
+    table
+}
+
+#[test]
+fn a_request_repeats_only_if_all_routes_since_its_arrival_allow_it() {
+    let (once, repeats) = (
+        routes::RepeatPolicy::AtMostOnce,
+        routes::RepeatPolicy::Idempotent,
+    );
+    let with_own = table_of_kind(&[("/", repeats), ("/notes/", once)]);
+    let without = table_of_kind(&[("/", repeats)]);
+    let start = time::Instant::now();
+    let changed_at = start + time::Duration::from_secs(1);
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
+    replaced.record(changed_at, &with_own, &without);
+    assert!(!replaced.may_repeat_since(start, HOST, "/notes/1"));
+    assert!(replaced.may_repeat_since(changed_at, HOST, "/notes/1"));
+    assert!(replaced.may_repeat_since(start, HOST, "/other/"));
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
+    replaced.record(changed_at, &without, &with_own);
+    assert!(replaced.may_repeat_since(start, HOST, "/notes/1"));
+}
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,7 +6,7 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    ask_order, clock, engine_contact, evacuation, id, idle_limit, lowered_timeouts, refusal_rate,
+    ask_order, clock, engine_contact, evacuation, id, idle_limit, refusal_rate, replaced_routes,
     routes, routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
@@ -118,7 +118,7 @@
     /// The retry budgets.
     pub retries: retries::Retries,
     /// The timeouts of routes that were longer before.
-    pub lowered_timeouts: ArcSwap<lowered_timeouts::LoweredTimeouts>,
+    pub replaced_routes: ArcSwap<replaced_routes::ReplacedRoutes>,
     /// How long callers' idle connections are kept.
     pub idle_limit: ArcSwap<idle_limit::IdleLimit>,
     /// The graceful shutdown of this entry.
@@ -180,7 +180,7 @@
                 settings.retry_window,
                 clock.now(),
             ),
-            lowered_timeouts: ArcSwap::default(),
+            replaced_routes: ArcSwap::default(),
             idle_limit: ArcSwap::from_pointee(idle_limit::IdleLimit::new(settings.idle_timeout)),
             shutdown: sync::Arc::default(),
             started_at: clock.now(),
--- a/crates/entry/src/direct/engine_silence.rs
+++ b/crates/entry/src/direct/engine_silence.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom as _;
 use tokio::time as tokio_time;
 
-use super::{app, attempt, permits, placement, proxy, retries};
+use super::{app, attempt, permits, placement, proxy, repeats, retries};
 
 /// An agent that has not responded for this long is treated as silent.
 pub const AGENT_TIMEOUT: time::Duration = time::Duration::from_millis(60);
@@ -257,7 +257,7 @@
     run_count: u32,
 ) -> placement::Placement {
     let is_last = run_count + 1 >= request.route.attempts_max;
-    if !request.route.may_repeat() || is_last {
+    if !repeats::may_repeat(app, request) || is_last {
         return std::future::pending().await;
     }
     let slow_at = tokio_time::Instant::now() + attempt::slow_after(request);
@@ -269,6 +269,10 @@
             tokio_time::sleep(CHECK_INTERVAL).await;
             continue;
         }
+        // Another configuration may have come into force meanwhile.
+        if !repeats::may_repeat(app, request) {
+            return std::future::pending().await;
+        }
         if let Some(placement) = choose_retry(app, request, tried).await {
             log::info!(
                 "silence: event=moved request={} from={} to={} is_silent={is_silent} after_ms={}",
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -55,6 +55,7 @@
 pub mod placement;
 pub mod prompt_admission;
 pub mod proxy;
+mod repeats;
 pub mod request_timeout;
 pub mod restored;
 pub mod retries;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -13,7 +13,7 @@
     app,
     attempt::{self, Fault, Outcome},
     crash_evidence, ending, engine_silence, final_response, intake, limited_upstream, permits,
-    placement, prompt_admission, request_timeout, retries, shutdown_state, stream,
+    placement, prompt_admission, repeats, request_timeout, retries, shutdown_state, stream,
 };
 
 /// Subtracted from the deadline, so that a failure reaches the caller in time.
@@ -235,7 +235,7 @@
             .tried
             .push(placement.candidate.upstream.instance.clone());
         let instance = placement.candidate.upstream.instance.clone();
-        let reason = send_reason(request, history, &instance);
+        let reason = send_reason(app, request, history, &instance);
         let (tried, run_count) = (&history.tried, history.run_count);
         let moved = engine_silence::next_placement(app, request, &placement, tried, run_count);
         history.is_under_way = true;
@@ -271,7 +271,7 @@
                 history.run_count += 1;
             }
             Outcome::Fault(fault) => {
-                log_failed_attempt(request, &placement, fault);
+                log_failed_attempt(app, request, &placement, fault);
                 if fault == Fault::MayHaveRun {
                     history.may_have_run = true;
                     history.run_count += 1;
@@ -279,7 +279,7 @@
             }
         }
         let may_retry = !history.may_have_run
-            || (request.route.may_repeat()
+            || (repeats::may_repeat(app, request)
                 && history.run_count < request.route.attempts_max
                 && prompt_admission::may_resend(app, request).await);
         if !may_retry {
@@ -290,6 +290,7 @@
 
 /// Returns why a request is sent now; writes a line if it has been sent before.
 fn send_reason(
+    app: &app::App,
     request: &ProxiedRequest,
     history: &final_response::AttemptHistory,
     instance: &str,
@@ -304,7 +305,7 @@
         history.tried.len(),
         history.may_have_run,
         request.route.name,
-        request.route.may_repeat(),
+        repeats::may_repeat(app, request),
         request.table.version
     );
     limited_upstream::SendReason::Retry
@@ -312,6 +313,7 @@
 
 /// Writes a line on an attempt without a response, with what shows that the request did not run.
 fn log_failed_attempt(
+    app: &app::App,
     request: &ProxiedRequest,
     placement: &placement::Placement,
     fault: attempt::Fault,
@@ -325,7 +327,7 @@
          may_repeat={} after_ms={}{placement}",
         request.id(),
         placement.candidate.upstream.instance,
-        request.route.may_repeat(),
+        repeats::may_repeat(app, request),
         request.arrived_at.elapsed().as_millis()
     );
 }
@@ -356,7 +358,9 @@
         },
         spare_only: is_late || request.is_late_retry,
         priority: request.priority,
-        may_probe: tried.is_empty() && request.route.may_repeat() && request.route.attempts_max > 1,
+        may_probe: tried.is_empty()
+            && request.route.attempts_max > 1
+            && repeats::may_repeat(app, request),
         regions: &request.regions,
         excluded: tried,
     };
--- a/crates/entry/src/direct/request_timeout.rs
+++ b/crates/entry/src/direct/request_timeout.rs
@@ -7,8 +7,6 @@
 
 use std::{sync::atomic, time};
 
-use pimentohook_core::{lowered_timeouts, routes};
-
 use super::{app, proxy};
 
 /// Divisor of the grace period of a configuration. An earlier configuration holds for requests that
@@ -62,21 +60,8 @@
     let Some(since) = request.arrived_at.checked_sub(grace) else {
         return;
     };
-    let lowered = app.lowered_timeouts.load();
-    if let Some(timeout) = lowered.longest_since(since, host, path) {
+    let replaced = app.replaced_routes.load();
+    if let Some(timeout) = replaced.longest_timeout_since(since, host, path) {
         request.timeout.extend(timeout);
     }
 }
-
-/// Records which timeouts a configuration lowers that comes into force.
-pub fn record_lowered(app: &app::App, after: &routes::RouteTable) {
-    let Some(before) = app.table.load_full() else {
-        return;
-    };
-    let now = app.clock.now();
-    app.lowered_timeouts.rcu(|lowered| {
-        let mut lowered = lowered_timeouts::LoweredTimeouts::clone(lowered);
-        lowered.record(now, &before, after);
-        lowered
-    });
-}
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -13,7 +13,7 @@
     app,
     attempt::{self, Outcome},
     crash_evidence, ending, engine_silence, limited_upstream, open_stream, permits, placement,
-    prompt_admission, proxy, request_timeout, retries, stream_evidence,
+    prompt_admission, proxy, repeats, request_timeout, retries, stream_evidence,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -248,7 +248,8 @@
     ) -> Result<(), Interruption> {
         check_time(&self.app, &self.request)?;
         let route = &self.request.route;
-        let is_resumable = route.resumable && self.open.events.is_resumable();
+        let may_repeat = repeats::may_repeat(&self.app, &self.request);
+        let is_resumable = route.resumable && may_repeat && self.open.events.is_resumable();
         snafu::ensure!(is_resumable, NotResumableSnafu);
         snafu::ensure!(self.run_count < route.attempts_max, AttemptsSpentSnafu);
         let may_resume = prompt_admission::may_resume(&self.app, &self.request, is_open).await;
