Bound a body's bytes and its pieces each for itself

What callers saw: 502 in place of a whole answer of 8 MiB, the bound of a body, now and then.

Reads split a body where the bytes happen to come; a last piece of a few bytes put a body at its bound over it.

Change: the bytes count as they are, and there may be one piece for each 128 bytes of the bound, which bounds the time as before.

--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -52,16 +52,17 @@
     last.is_some_and(|last| last.trim().eq_ignore_ascii_case(CHUNKED))
 }
 
-/// What a piece of a body counts for at least, so that one in tiny pieces costs bounded time.
-const PIECE_MIN_BYTES: usize = 128;
+/// A body has at most one piece for each so many bytes of its bound, so that one in tiny pieces costs
+/// bounded time.
+const BYTES_PER_PIECE: usize = 128;
 
 /// Like [`read_body`], but fails as well when all responses that are being read with the same
 /// budget exceed it together.
 ///
 /// # Errors
 ///
-/// Returns [`client_error::ClientError`] if the body was interrupted or is larger than `max_bytes`, where each
-/// piece counts for 128 bytes at least, or larger than what is left of the budget.
+/// Returns [`client_error::ClientError`] if the body was interrupted, is larger than `max_bytes` or than what
+/// is left of the budget, or comes in more pieces than one for each 128 bytes of `max_bytes`.
 pub async fn read_body_within(
     address: net::SocketAddr,
     response: Response<Incoming>,
@@ -76,14 +77,17 @@
     if announced_bytes > max_bytes || !read.wait_for_room(announced_bytes).await {
         return Err(client_error::ClientError::TooLarge { address, max_bytes });
     }
-    let mut counted_bytes: usize = 0;
+    let pieces_max = max_bytes / BYTES_PER_PIECE;
+    let (mut received_bytes, mut piece_count): (usize, usize) = (0, 0);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| client_error::ClientError::Broken { address })?;
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        counted_bytes += bytes.len().max(PIECE_MIN_BYTES);
-        let fits = counted_bytes <= max_bytes
+        received_bytes += bytes.len();
+        piece_count += 1;
+        let fits = received_bytes <= max_bytes
+            && piece_count <= pieces_max
             && (read.push(&bytes, 0)
                 || (read.wait_for_room(bytes.len()).await && read.push(&bytes, 0)));
         if !fits {
