Decide in one type whether a request may be sent again or be said not to have run

Cause: the proof was spread over booleans of the attempts' history that each path of the entry has to set, so a path that forgets one compiles.

Change: core/at_most_once.rs, pure. A record of one request gives one permit at a time, which one send consumes; the send borrows the record, so nothing else is sent and nothing promised while it is under way. A send that ends in any way that is not recorded counts as one that may have run, its drop by a cancellation too, and also a send that is neither ended nor dropped. The rule on repeats is an argument of the call that gives the permit. A promise "not run" consumes the record, so nothing is sent after it. Doc tests show seven programs that don't compile.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 //! Direct mode, in which entries send requests to upstreams without an agent in between:
 //!
 //! * [`routes`]: which service a request goes to, and how it may be handled.
+//! * [`at_most_once`]: whether a request may be sent again, or be said not to have run.
 //! * [`configuration_check`]: what is wrong with a configuration, and what it would change.
 //! * [`regions`]: where a request may be served.
 //! * [`rank`]: how urgent a request is.
@@ -62,6 +63,7 @@
 pub mod admission;
 pub mod announcement;
 pub mod ask_order;
+pub mod at_most_once;
 pub mod burst;
 pub mod carryover;
 pub mod clock;
