--- a/crates/core/src/at_most_once.rs
+++ b/crates/core/src/at_most_once.rs
@@ -11,7 +11,7 @@
 //!     policy: routes::RepeatPolicy::AtMostOnce,
 //!     attempts_max: 1,
 //! };
-//! let mut record = at_most_once::RunRecord::default();
+//! let mut record = at_most_once::RunRecord::begin();
 //! let under_way = record.permit("runner-1", once).unwrap().send();
 //! let _ = under_way.not_run(at_most_once::NotRunEvidence::Marked);
 //! let under_way = record.permit("runner-2", once).unwrap().send();
@@ -27,7 +27,7 @@
 //! # use pimentohook_core::{at_most_once, routes};
 //! # let policy = routes::RepeatPolicy::Idempotent;
 //! # let rule = at_most_once::RepeatRule { policy, attempts_max: 2 };
-//! let mut record = at_most_once::RunRecord::default();
+//! let mut record = at_most_once::RunRecord::begin();
 //! let permit = record.permit("runner-1", rule).unwrap();
 //! let first = permit.send();
 //! let second = permit.send();
@@ -39,7 +39,7 @@
 //! # use pimentohook_core::{at_most_once, routes};
 //! # let policy = routes::RepeatPolicy::Idempotent;
 //! # let rule = at_most_once::RepeatRule { policy, attempts_max: 2 };
-//! let mut record = at_most_once::RunRecord::default();
+//! let mut record = at_most_once::RunRecord::begin();
 //! let permit = record.permit("runner-1", rule).unwrap();
 //! let other = at_most_once::Permit { ..permit };
 //! ```
@@ -50,7 +50,7 @@
 //! # use pimentohook_core::{at_most_once, routes};
 //! # let policy = routes::RepeatPolicy::Idempotent;
 //! # let rule = at_most_once::RepeatRule { policy, attempts_max: 2 };
-//! let mut record = at_most_once::RunRecord::default();
+//! let mut record = at_most_once::RunRecord::begin();
 //! let under_way = record.permit("runner-1", rule).unwrap().send();
 //! let other = record.permit("runner-2", rule).unwrap().send();
 //! drop(under_way);
@@ -62,7 +62,7 @@
 //! # use pimentohook_core::{at_most_once, routes};
 //! # let policy = routes::RepeatPolicy::Idempotent;
 //! # let rule = at_most_once::RepeatRule { policy, attempts_max: 2 };
-//! let mut record = at_most_once::RunRecord::default();
+//! let mut record = at_most_once::RunRecord::begin();
 //! let under_way = record.permit("runner-1", rule).unwrap().send();
 //! let promise = record.settle();
 //! drop(under_way);
@@ -74,16 +74,22 @@
 //! # use pimentohook_core::{at_most_once, routes};
 //! # let policy = routes::RepeatPolicy::Idempotent;
 //! # let rule = at_most_once::RepeatRule { policy, attempts_max: 2 };
-//! let mut record = at_most_once::RunRecord::default();
+//! let mut record = at_most_once::RunRecord::begin();
 //! let promise = record.settle();
 //! let under_way = record.permit("runner-1", rule).unwrap().send();
 //! ```
 //!
-//! A record is not copied, and a promise is not made by hand:
+//! A record is neither copied nor emptied, and a promise is not made by hand:
+//!
+//! ```compile_fail,E0277
+//! # use pimentohook_core::at_most_once;
+//! let mut record = at_most_once::RunRecord::begin();
+//! let emptied = std::mem::take(&mut record);
+//! ```
 //!
 //! ```compile_fail,E0599
 //! # use pimentohook_core::at_most_once;
-//! let record = at_most_once::RunRecord::default();
+//! let record = at_most_once::RunRecord::begin();
 //! let copy = record.clone();
 //! ```
 //!
@@ -191,13 +197,22 @@
 }
 
 /// Where a caller's request was sent and may have run.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RunRecord {
     sent_to: Vec<String>,
     runs: Runs,
 }
 
 impl RunRecord {
+    /// Begins the record of a request that was not sent yet. Each request has one record.
+    #[must_use]
+    pub fn begin() -> Self {
+        Self {
+            sent_to: Vec::new(),
+            runs: Runs::default(),
+        }
+    }
+
     /// Returns what is known of the request.
     #[must_use]
     pub const fn state(&self) -> State {
--- a/crates/core/tests/at_most_once.rs
+++ b/crates/core/tests/at_most_once.rs
@@ -193,7 +193,7 @@
 /// Plays the steps in their order, as far as permits are given, and ends the request then, as a
 /// shutdown or a deadline does.
 fn play(steps: &[Step]) {
-    let mut record = at_most_once::RunRecord::default();
+    let mut record = at_most_once::RunRecord::begin();
     let mut model = Model::default();
     for (step, instance) in steps.iter().zip(INSTANCES) {
         let is_allowed = model.allows(step.rule);
@@ -250,7 +250,7 @@
 #[case::not_used(Outcome::NotUsed, at_most_once::State::NotSent)]
 #[case::answered(Outcome::Answer, at_most_once::State::Answered)]
 fn the_state_after_a_send(#[case] outcome: Outcome, #[case] expected: at_most_once::State) {
-    let mut record = at_most_once::RunRecord::default();
+    let mut record = at_most_once::RunRecord::begin();
     let permit = record.permit(INSTANCES[0], rules()[0]).unwrap();
     outcome.play(permit);
     assert_eq!(record.state(), expected);
@@ -259,7 +259,7 @@
 #[test]
 fn a_policy_that_changes_while_a_send_is_under_way_decides_the_repeat() {
     let [once, .., many] = <[_; 5]>::try_from(rules()).unwrap();
-    let mut record = at_most_once::RunRecord::default();
+    let mut record = at_most_once::RunRecord::begin();
     drop(record.permit(INSTANCES[0], many).unwrap().send());
     let error = record.permit(INSTANCES[1], once).unwrap_err();
     assert_eq!(error, at_most_once::NoPermit::Once);
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -6,7 +6,10 @@
 use gotham::helpers::http::Body;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, Uri, body::Incoming, header, http};
-use pimentohook_core::{event_stream, rank, upstream_limit::belief};
+use pimentohook_core::{
+    at_most_once::{self, Fault, NotRunEvidence},
+    event_stream, rank,
+};
 use pimentohook_platform::request;
 use pimentohook_runtime::{body, client, server};
 
@@ -17,37 +20,6 @@
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 const EVENT_STREAM: &str = "text/event-stream";
-/// An attempt at a request that may be retried is slow after this multiple of the route's goal.
-const SLOW_AFTER_GOALS: u32 = 4;
-const SLOW_AFTER_MIN: time::Duration = time::Duration::from_millis(150);
-
-/// Why it is certain that an upstream did not run a request and will not run it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum NotRunEvidence {
-    /// The request could not be built.
-    NotBuilt,
-    /// The request was due to be withdrawn before it was sent.
-    Withdrawn,
-    /// There was no connection to the upstream.
-    NotConnected,
-    /// The connection closed before the request was written to it.
-    ClosedBeforeWrite,
-    /// The upstream's response bears the mark of a request that was not run.
-    Marked,
-    /// The response says that another instance has the address; it may lack the mark.
-    OtherInstance,
-}
-
-/// Why an attempt got no response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum Fault {
-    /// The request certainly did not run.
-    NotRun(NotRunEvidence),
-    /// The request may be running or may have run.
-    MayHaveRun,
-}
 
 /// The outcome of an attempt.
 #[derive(Debug)]
@@ -63,16 +35,18 @@
 }
 
 /// Sends a request to an upstream; `last_event_id` resumes a stream after that event.
+///
+/// If this is cancelled once the request is being sent, the request may have run.
 pub async fn run(
     app: &app::App,
     request: &proxy::ProxiedRequest,
     placement: &placement::Placement,
+    permit: at_most_once::Permit<'_>,
     reason: limited_upstream::SendReason,
     last_event_id: Option<u64>,
 ) -> Outcome {
     let upstream = &placement.candidate.upstream;
-    let state = &placement.candidate.state;
-    let in_flight = placement::InFlightGuard::new(state.clone(), app.now_ms());
+    let in_flight = placement::InFlightGuard::new(placement.candidate.state.clone(), app.now_ms());
     let started_at = time::Instant::now();
     let upstream_request = match build(request, placement, last_event_id) {
         Ok(upstream_request) => upstream_request,
@@ -81,7 +55,7 @@
                 "attempt: event=build_failed request={} error={error:?}",
                 request.id()
             );
-            return Outcome::Fault(Fault::NotRun(NotRunEvidence::NotBuilt));
+            return Outcome::Fault(permit.not_built());
         }
     };
     // The domain may have been evacuated while the request waited for its turn.
@@ -89,78 +63,39 @@
     let start_timeout = placement.start_timeout(request.remaining());
     let Some(start_timeout) = start_timeout.filter(|_| is_allowed) else {
         app.count("withdrawn");
-        return Outcome::Fault(Fault::NotRun(NotRunEvidence::Withdrawn));
+        return Outcome::Fault(permit.withdraw());
     };
     if let Some(limited) = app.upstream_limits.get(&upstream.instance) {
         limited.count_send(reason);
     }
+    let under_way = permit.send();
     let result = app
         .upstreams
         .send(upstream.address, upstream_request, start_timeout)
         .await;
-    let response = match result {
-        Ok(response) => response,
-        Err(_) if placement.is_withdrawn() => {
-            app.count("withdrawn");
-            return Outcome::Fault(Fault::MayHaveRun);
-        }
-        Err(error) => {
-            let progress = crash_evidence::Progress::NoResponse;
-            let candidate = &placement.candidate;
-            crash_evidence::record_failure(app, request, candidate, &error, progress);
-            return send_failed(app, request, candidate, &error);
+    let outcome = match result {
+        Ok(response) => {
+            let response = UpstreamResponse {
+                response,
+                in_flight,
+                started_at,
+                is_resumed: reason == limited_upstream::SendReason::Resume,
+                last_event_id,
+            };
+            response.receive(app, request, placement).await
         }
+        Err(error) => Outcome::Fault(send_failed(app, request, placement, &error)),
     };
-    let class = request::classify_response(response.status(), response.headers(), &request.headers);
-    if class == request::ResponseClass::Foreign {
-        return discard(app, request, &placement.candidate, &response);
-    }
-    record_sign(app, &placement.candidate);
-    record_limit(app, &upstream.instance, class, &response, started_at);
-    let statement = request::upstream_statement(response.status(), response.headers(), class);
-    upstream_notices::record_response(app, request.id(), upstream, &statement);
-    if crash_evidence::shows_life(class) {
-        crash_evidence::record_alive(app, &placement.candidate, started_at);
-    }
-    match class {
-        request::ResponseClass::Answer => {}
-        request::ResponseClass::NotRun => {
-            return Outcome::Fault(Fault::NotRun(NotRunEvidence::Marked));
-        }
-        request::ResponseClass::OtherInstance => {
-            // An upstream that doesn't serve the expected version responds in the same way, so only
-            // a request without one shows that another instance has the address.
-            if placement.expected_weights().is_none() {
-                state.is_replaced.store(true, atomic::Ordering::Relaxed);
-            }
-            return Outcome::Fault(Fault::NotRun(NotRunEvidence::OtherInstance));
-        }
-        request::ResponseClass::Invalid | request::ResponseClass::Foreign => {
-            state.stats.record_failure(app.now_ms());
-            log::info!(
-                "attempt: event=invalid_response request={} instance={} status={}",
-                request.id(),
-                upstream.instance,
-                response.status().as_u16()
-            );
-            return Outcome::Fault(Fault::MayHaveRun);
+    match outcome {
+        Outcome::Fault(Fault::NotRun(evidence)) => Outcome::Fault(under_way.not_run(evidence)),
+        Outcome::Fault(Fault::MayHaveRun) => Outcome::Fault(under_way.in_doubt()),
+        Outcome::Complete(response) => {
+            under_way.answered();
+            Outcome::Complete(response)
         }
+        // It may be sent again if it may repeat.
+        Outcome::ServerError(_) | Outcome::Stream(_) => outcome,
     }
-    let upstream_response = UpstreamResponse {
-        response,
-        in_flight,
-        started_at,
-        timeout: request.remaining(),
-        start_timeout: placement
-            .start_timeout(request.remaining())
-            .unwrap_or_default(),
-        last_event_id,
-    };
-    let is_resumed = reason == limited_upstream::SendReason::Resume;
-    if is_resumed && !upstream_response.may_go_on() {
-        return upstream_response.leave(app, request, placement);
-    }
-    upstream_response.read(app, request, placement).await
 }
 
 /// Discards a response that does not certainly belong to the request, which may be running.
@@ -188,69 +123,31 @@
     engine_silence::log_change(app, &candidate.upstream.instance, change);
 }
 
-/// Returns after how long an attempt without a complete response, or without the first event of a
-/// stream, is given up if another upstream takes the request.
-pub fn slow_after(request: &proxy::ProxiedRequest) -> time::Duration {
-    let remaining = request.remaining();
-    let slow_after = (request.route.goal * SLOW_AFTER_GOALS).max(SLOW_AFTER_MIN);
-    // If less than this would remain for another upstream, the time is split in half.
-    if remaining > slow_after * 2 {
-        slow_after
-    } else {
-        (remaining / 2).max(SLOW_AFTER_MIN).min(remaining)
-    }
-}
-
-/// Records what a response states about the limit of the upstream.
-///
-/// If the response may not be from this instance, it is ignored; if it is not made as by an upstream,
-/// it can't withdraw a limit.
-fn record_limit(
-    app: &app::App,
-    instance: &str,
-    class: request::ResponseClass,
-    response: &Response<Incoming>,
-    sent_at: time::Instant,
-) {
-    let statement = request::limit_statement(response.headers());
-    let is_unlimited = statement == belief::Statement::Unlimited;
-    let is_ignored = match class {
-        request::ResponseClass::Answer | request::ResponseClass::NotRun => false,
-        request::ResponseClass::OtherInstance | request::ResponseClass::Foreign => true,
-        request::ResponseClass::Invalid => is_unlimited,
-    };
-    if is_ignored {
-        return;
-    }
-    let received_at = app.clock.now();
-    let response = belief::Response {
-        statement,
-        sent_at,
-        received_at,
-    };
-    upstream_limits::record_response(app, instance, &response);
-}
-
+/// Records that there is no response; returns what that says of the request.
 fn send_failed(
     app: &app::App,
     request: &proxy::ProxiedRequest,
-    candidate: &app::Candidate,
+    placement: &placement::Placement,
     error: &client::ClientError,
-) -> Outcome {
+) -> Fault {
+    if placement.is_withdrawn() {
+        app.count("withdrawn");
+        return Fault::MayHaveRun;
+    }
+    let candidate = &placement.candidate;
+    let progress = crash_evidence::Progress::NoResponse;
+    crash_evidence::record_failure(app, request, candidate, error, progress);
     log::info!(
         "attempt: event=unanswered request={} instance={} reason={error}",
         request.id(),
         candidate.upstream.instance
     );
     candidate.state.stats.record_failure(app.now_ms());
-    if !error.is_unsent() {
-        return Outcome::Fault(Fault::MayHaveRun);
+    match error {
+        client::ClientError::Connect { .. } => Fault::NotRun(NotRunEvidence::NotConnected),
+        error if error.is_unsent() => Fault::NotRun(NotRunEvidence::ClosedBeforeWrite),
+        _ => Fault::MayHaveRun,
     }
-    let evidence = match error {
-        client::ClientError::Connect { .. } => NotRunEvidence::NotConnected,
-        _ => NotRunEvidence::ClosedBeforeWrite,
-    };
-    Outcome::Fault(Fault::NotRun(evidence))
 }
 
 fn build(
@@ -289,14 +186,61 @@
     response: Response<Incoming>,
     in_flight: placement::InFlightGuard,
     started_at: time::Instant,
-    timeout: time::Duration,
-    /// Within what time a stream has to start.
-    start_timeout: time::Duration,
+    /// Whether the request resumes a stream.
+    is_resumed: bool,
     /// The last event that an earlier upstream sent, if the request resumes a stream.
     last_event_id: Option<u64>,
 }
 
 impl UpstreamResponse {
+    /// Classifies the response, and reads it if it is the answer.
+    async fn receive(
+        self,
+        app: &app::App,
+        request: &proxy::ProxiedRequest,
+        placement: &placement::Placement,
+    ) -> Outcome {
+        let (candidate, response) = (&placement.candidate, &self.response);
+        let (status, headers) = (response.status(), response.headers());
+        let class = request::classify_response(status, headers, &request.headers);
+        if class == request::ResponseClass::Foreign {
+            return discard(app, request, candidate, response);
+        }
+        record_sign(app, candidate);
+        let instance = &candidate.upstream.instance;
+        upstream_limits::record_head(app, instance, class, headers, self.started_at);
+        let statement = request::upstream_statement(status, headers, class);
+        upstream_notices::record_response(app, request.id(), &candidate.upstream, &statement);
+        if crash_evidence::shows_life(class) {
+            crash_evidence::record_alive(app, candidate, self.started_at);
+        }
+        match class {
+            request::ResponseClass::Answer if self.is_resumed && !self.may_go_on() => {
+                self.leave(app, request, placement)
+            }
+            request::ResponseClass::Answer => self.read(app, request, placement).await,
+            request::ResponseClass::NotRun => Outcome::Fault(Fault::NotRun(NotRunEvidence::Marked)),
+            request::ResponseClass::OtherInstance => {
+                // An upstream that doesn't serve the expected version responds in the same way, so
+                // only a request without one shows that another instance has the address.
+                if placement.expected_weights().is_none() {
+                    let is_replaced = &candidate.state.is_replaced;
+                    is_replaced.store(true, atomic::Ordering::Relaxed);
+                }
+                Outcome::Fault(Fault::NotRun(NotRunEvidence::OtherInstance))
+            }
+            request::ResponseClass::Invalid | request::ResponseClass::Foreign => {
+                candidate.state.stats.record_failure(app.now_ms());
+                log::info!(
+                    "attempt: event=invalid_response request={} instance={instance} status={}",
+                    request.id(),
+                    status.as_u16()
+                );
+                Outcome::Fault(Fault::MayHaveRun)
+            }
+        }
+    }
+
     fn is_event_stream(&self) -> bool {
         let content_type = self.response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
@@ -354,7 +298,7 @@
         let response = Response::new(body);
         let budget = &app.holdings.responses;
         let read = body::read_body_within(address, response, RESPONSE_MAX_BYTES, budget);
-        let read = tokio::time::timeout(self.timeout, read).await;
+        let read = tokio::time::timeout(request.remaining(), read).await;
         if let Ok(Err(error)) = &read {
             let progress = crash_evidence::Progress::Begun;
             let candidate = &placement.candidate;
@@ -401,7 +345,9 @@
             in_flight: self.in_flight,
             evidence: stream_evidence::StreamEvidence::new(self.started_at),
         };
-        let first = tokio::time::timeout(self.start_timeout, open.fill(app)).await;
+        let start_timeout = placement.start_timeout(request.remaining());
+        let start_timeout = start_timeout.unwrap_or_default();
+        let first = tokio::time::timeout(start_timeout, open.fill(app)).await;
         if first.is_err() && placement.is_withdrawn() {
             app.count("withdrawn");
             return Outcome::Fault(Fault::MayHaveRun);
--- a/crates/entry/src/direct/ending.rs
+++ b/crates/entry/src/direct/ending.rs
@@ -1,10 +1,12 @@
-//! Log lines on requests that end without a complete response.
+//! Log lines on attempts that ended, and on requests that end without a complete response.
 
 use std::{fmt, sync, time};
 
-use pimentohook_core::id;
+use cadence::Timed as _;
+use hyper::StatusCode;
+use pimentohook_core::{at_most_once, crash_evidence::suspect_id, id};
 
-use super::{app, proxy};
+use super::{app, placement, proxy, repeats};
 
 /// What a request was waiting for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -100,3 +102,108 @@
         )
     }
 }
+
+/// Logs and counts a response of an upstream.
+pub(super) fn log_response(
+    app: &app::App,
+    request: &proxy::ProxiedRequest,
+    record: &at_most_once::RunRecord,
+    placement: &placement::Placement,
+    status: StatusCode,
+) {
+    app.count("answered");
+    let rates = app.refusal_rates(&request.service);
+    rates.of(request.priority).record(app.now_ms(), false);
+    if let Err(error) = app.metrics.time("first_byte", request.arrived_at.elapsed()) {
+        log::debug!("metrics: event=not_kept name=first_byte error={error:?}");
+    }
+    log::info!(
+        "proxy: event=answered request={} route={} instance={} status={} attempt={} \
+         after_ms={} configuration={}{placement}",
+        request.id(),
+        request.route.name,
+        placement.candidate.upstream.instance,
+        status.as_u16(),
+        record.sent_to().len(),
+        request.arrived_at.elapsed().as_millis(),
+        request.table.version
+    );
+}
+
+/// Writes a line on an attempt without a response, with what shows that the request did not run.
+pub(super) fn log_failed_attempt(
+    app: &app::App,
+    request: &proxy::ProxiedRequest,
+    placement: &placement::Placement,
+    fault: at_most_once::Fault,
+) {
+    let evidence = match fault {
+        at_most_once::Fault::NotRun(evidence) => evidence.to_string(),
+        at_most_once::Fault::MayHaveRun => String::from("-"),
+    };
+    log::warn!(
+        "proxy: event=attempt_failed request={} instance={} fault={fault} evidence={evidence} \
+         may_repeat={} after_ms={}{placement}",
+        request.id(),
+        placement.candidate.upstream.instance,
+        repeats::may_repeat(app, request),
+        request.arrived_at.elapsed().as_millis()
+    );
+}
+
+/// Counts and logs a request that ends because engines crash on a part of its prompt.
+pub(super) fn log_held_back(
+    app: &app::App,
+    request: &proxy::ProxiedRequest,
+    record: &at_most_once::RunRecord,
+    part: suspect_id::SuspectId,
+) {
+    app.count("held_back");
+    log::info!(
+        "proxy: event=held_back request={} route={} part={part} may_have_run={} tried={} \
+         after_ms={}",
+        request.id(),
+        request.route.name,
+        record.may_have_run(),
+        record.sent_to().len(),
+        request.arrived_at.elapsed().as_millis()
+    );
+}
+
+/// Counts and logs a request that no upstream answered.
+pub(super) fn log_failed(
+    app: &app::App,
+    request: &proxy::ProxiedRequest,
+    status: StatusCode,
+    sent_to: &[String],
+    reason: &str,
+) {
+    app.count("failed");
+    log::warn!(
+        "proxy: event=failed request={} route={} status={} may_have_run={} tried={sent_to:?} \
+         after_ms={} reason={reason:?}",
+        request.id(),
+        request.route.name,
+        status.as_u16(),
+        status != StatusCode::SERVICE_UNAVAILABLE,
+        request.arrived_at.elapsed().as_millis()
+    );
+}
+
+/// Counts and logs a request whose time is over, or that this entry can't wait for any longer.
+pub(super) fn log_timeout(
+    app: &app::App,
+    request: &proxy::ProxiedRequest,
+    status: StatusCode,
+    sent_to: &[String],
+) {
+    app.count("timed_out");
+    log::warn!(
+        "proxy: event=timeout request={} route={} status={} leaving={} tried={sent_to:?} {}",
+        request.id(),
+        request.route.name,
+        status.as_u16(),
+        request.is_cut_short(),
+        Timing::new(app, request)
+    );
+}
--- a/crates/entry/src/direct/engine_silence.rs
+++ b/crates/entry/src/direct/engine_silence.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom as _;
 use tokio::time as tokio_time;
 
-use super::{app, attempt, permits, placement, proxy, repeats, retries};
+use super::{app, permits, placement, proxy, repeats, retries};
 
 /// An agent that has not responded for this long is treated as silent.
 pub const AGENT_TIMEOUT: time::Duration = time::Duration::from_millis(60);
@@ -30,6 +30,10 @@
 const HINT_ENGINES_MAX: usize = 32;
 const HINT_MAX_BYTES: usize = 1 << 13;
 
+/// An attempt at a request that may be retried is slow after this multiple of the route's goal.
+const SLOW_AFTER_GOALS: u32 = 4;
+const SLOW_AFTER_MIN: time::Duration = time::Duration::from_millis(150);
+
 /// How long to wait before another upstream is looked for again; doubled each time.
 const MOVE_RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 const MOVE_RETRY_DELAY_MAX: time::Duration = time::Duration::from_millis(800);
@@ -248,7 +252,8 @@
 }
 
 /// Waits until the upstream of an attempt is silent or slow and another one takes the request;
-/// never returns for a request that may not be sent twice.
+/// never returns for a request that may not be sent again, once `run_count` upstreams may have run
+/// it.
 pub async fn next_placement(
     app: &sync::Arc<app::App>,
     request: &proxy::ProxiedRequest,
@@ -256,11 +261,11 @@
     tried: &[String],
     run_count: u32,
 ) -> placement::Placement {
-    let is_last = run_count + 1 >= request.route.attempts_max;
-    if !repeats::may_repeat(app, request) || is_last {
+    let may_move = || repeats::rule(app, request).check(run_count).is_ok();
+    if !may_move() {
         return std::future::pending().await;
     }
-    let slow_at = tokio_time::Instant::now() + attempt::slow_after(request);
+    let slow_at = tokio_time::Instant::now() + slow_after(request);
     tokio_time::sleep(time::Duration::from_millis(engine_contact::SILENCE_MIN_MS)).await;
     let mut delay = MOVE_RETRY_DELAY;
     loop {
@@ -270,7 +275,7 @@
             continue;
         }
         // Another configuration may have come into force meanwhile.
-        if !repeats::may_repeat(app, request) {
+        if !may_move() {
             return std::future::pending().await;
         }
         if let Some(placement) = choose_retry(app, request, tried).await {
@@ -293,6 +298,19 @@
     }
 }
 
+/// Returns after how long an attempt without a complete response, or without the first event of a
+/// stream, is given up if another upstream takes the request.
+fn slow_after(request: &proxy::ProxiedRequest) -> time::Duration {
+    let remaining = request.remaining();
+    let slow_after = (request.route.goal * SLOW_AFTER_GOALS).max(SLOW_AFTER_MIN);
+    // If less than this would remain for another upstream, the time is split in half.
+    if remaining > slow_after * 2 {
+        slow_after
+    } else {
+        (remaining / 2).max(SLOW_AFTER_MIN).min(remaining)
+    }
+}
+
 /// Selects another upstream for a request that has been sent, within the retry budget.
 async fn choose_retry(
     app: &sync::Arc<app::App>,
--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -1,15 +1,21 @@
-//! Final responses to requests, and the log lines on them.
+//! Final responses to requests that no upstream answered, and the log lines on refusals.
 
 use std::time;
 
-use cadence::Timed as _;
 use gotham::helpers::http::Body;
-use hyper::{Response, StatusCode, header};
-use pimentohook_core::crash_evidence::{VERDICT_LIFETIME, suspect_id};
-use pimentohook_runtime::server;
+use hyper::{Response, StatusCode};
+use pimentohook_core::{
+    at_most_once,
+    crash_evidence::{VERDICT_LIFETIME, suspect_id},
+};
 use rand::RngExt as _;
 
-use super::{app, ending, placement, proxy::ProxiedRequest};
+use super::{
+    app, ending, intake,
+    own_response::{self, DoubtStatus},
+    placement,
+    proxy::ProxiedRequest,
+};
 
 /// Callers honour a delay of at most their remaining time divided by this.
 const RETRY_AFTER_REMAINING_DIVISOR: u32 = 3;
@@ -18,75 +24,122 @@
 pub(super) const RETRY_AFTER_SHUTDOWN: time::Duration = time::Duration::from_millis(20);
 /// Why an entry that shuts down refuses a request.
 pub(super) const LEAVING: &str = "this entry is leaving";
+/// The status of refusals.
+const REFUSED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+const HELD_BACK: &str = "engines crash on a part of the prompt";
+const TIME_OVER: &str = "the time for this request is over";
 
 /// The attempts at a request so far.
-#[derive(Debug, Default)]
-pub(super) struct AttemptHistory {
-    /// Instances that the request was sent to.
-    pub(super) tried: Vec<String>,
-    /// The number of upstreams that may have run the request.
-    pub(super) run_count: u32,
-    /// Whether the request may be running or may have run.
-    pub(super) may_have_run: bool,
-    /// Whether an attempt is under way.
-    pub(super) is_under_way: bool,
+#[derive(Debug)]
+pub(super) struct Attempts {
+    /// Where the request was sent and may have run.
+    pub(super) record: at_most_once::RunRecord,
     /// The last error response from an upstream.
     pub(super) upstream_error: Option<Response<Body>>,
 }
 
-/// Builds an error response of the entry itself.
-pub(super) fn error_response(
-    status: StatusCode,
-    retry_after: Option<time::Duration>,
-    reason: &str,
+/// Why the attempts at a request end without an answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Ending {
+    /// No upstream can take the request now.
+    Denied(placement::Denial),
+    /// Engines crash on a part of its prompt.
+    HeldBack(suspect_id::SuspectId),
+    /// It may last longer than this entry.
+    Leaving,
+    /// It may not be sent again, for this reason.
+    Failed(&'static str),
+    /// Its time is over, or this entry can't wait for it any longer.
+    TimedOut,
+}
+
+/// Returns the final response to a request whose attempts have ended without an answer: with the last
+/// error response of an upstream if there is one, else with status 503 if the request did not run and
+/// 502 or 504 if it may have run.
+pub(super) fn end(
+    app: &app::App,
+    request: &ProxiedRequest,
+    attempts: Attempts,
+    ending: Ending,
 ) -> Response<Body> {
-    let mut response = server::respond_text(status, reason);
-    if let Some(retry_after) = retry_after {
-        let text = format!("{:.3}", retry_after.as_secs_f64());
-        if let Ok(value) = header::HeaderValue::from_str(&text) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
+    let record = attempts.record;
+    if let Ending::HeldBack(part) = ending {
+        ending::log_held_back(app, request, &record, part);
+    }
+    match (record.settle(), ending) {
+        (Ok(promise), ending) => refuse(app, request, &promise, ending),
+        (Err(doubt), Ending::TimedOut) => time_out(app, request, &doubt),
+        (Err(doubt), ending) => {
+            let fail = || fail(app, request, &doubt, ending.reason());
+            attempts.upstream_error.unwrap_or_else(fail)
         }
     }
-    response
 }
 
-/// Logs and counts a response of an upstream.
-pub(super) fn log_response(
+impl Ending {
+    /// Returns the reason that is given to the caller of a request that may have run.
+    const fn reason(self) -> &'static str {
+        match self {
+            Self::Denied(_) => "no other upstream can take it",
+            Self::HeldBack(_) => HELD_BACK,
+            Self::Leaving => LEAVING,
+            Self::Failed(reason) => reason,
+            Self::TimedOut => TIME_OVER,
+        }
+    }
+}
+
+/// Returns the response to a request that was not admitted.
+pub(super) fn reject(
+    record: at_most_once::RunRecord,
+    rejection: &intake::Rejection,
+) -> Response<Body> {
+    let (status, reason) = (rejection.status, rejection.reason);
+    match record.settle() {
+        Ok(promise) => own_response::not_run(&promise, status, rejection.retry_after, reason),
+        Err(doubt) => own_response::in_doubt(&doubt, DoubtStatus::BadGateway, reason),
+    }
+}
+
+/// Returns a refusal, which promises that the request has not run.
+fn refusal(
+    promise: &at_most_once::NotRunPromise,
+    retry_after: Option<time::Duration>,
+    reason: &str,
+) -> Response<Body> {
+    own_response::not_run(promise, REFUSED, retry_after, reason)
+}
+
+/// Refuses a request that has not run, for what ended its attempts.
+fn refuse(
     app: &app::App,
     request: &ProxiedRequest,
-    history: &AttemptHistory,
-    placement: &placement::Placement,
-    status: StatusCode,
-) {
-    app.count("answered");
-    let rates = app.refusal_rates(&request.service);
-    rates.of(request.priority).record(app.now_ms(), false);
-    if let Err(error) = app.metrics.time("first_byte", request.arrived_at.elapsed()) {
-        log::debug!("metrics: event=not_kept name=first_byte error={error:?}");
+    promise: &at_most_once::NotRunPromise,
+    ending: Ending,
+) -> Response<Body> {
+    match ending {
+        Ending::Denied(denial) => refuse_denied(app, request, promise, denial),
+        Ending::HeldBack(_) => refusal(promise, Some(VERDICT_LIFETIME), HELD_BACK),
+        Ending::TimedOut if !request.is_cut_short() => {
+            ending::log_timeout(app, request, REFUSED, promise.sent_to());
+            refusal(promise, None, TIME_OVER)
+        }
+        Ending::TimedOut | Ending::Leaving => leave(app, request, promise),
+        Ending::Failed(reason) => {
+            ending::log_failed(app, request, REFUSED, promise.sent_to(), reason);
+            let retry_after = retry_after(app, request);
+            refusal(promise, Some(retry_after), reason)
+        }
     }
-    log::info!(
-        "proxy: event=answered request={} route={} instance={} status={} attempt={} \
-         after_ms={} configuration={}{placement}",
-        request.id(),
-        request.route.name,
-        placement.candidate.upstream.instance,
-        status.as_u16(),
-        history.tried.len(),
-        request.arrived_at.elapsed().as_millis(),
-        request.table.version
-    );
 }
 
 /// Refuses a request that no upstream can take now.
-pub(super) fn refuse(
+fn refuse_denied(
     app: &app::App,
     request: &ProxiedRequest,
-    history: &mut AttemptHistory,
+    promise: &at_most_once::NotRunPromise,
     denial: placement::Denial,
 ) -> Response<Body> {
-    if history.may_have_run {
-        return fail(app, request, history, "no other upstream can take it");
-    }
     let retry_after = match denial {
         placement::Denial::Limited {
             retry_after: limited,
@@ -121,19 +174,18 @@
         request.service,
         request.priority_text(),
         request.regions,
-        history.tried.len(),
+        promise.sent_to().len(),
         request.arrived_at.elapsed().as_millis(),
         retry_after.as_millis()
     );
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    error_response(status, Some(retry_after), reason)
+    refusal(promise, Some(retry_after), reason)
 }
 
 /// Refuses a request that may last longer than this entry.
-pub(super) fn leave(
+fn leave(
     app: &app::App,
     request: &ProxiedRequest,
-    history: &AttemptHistory,
+    promise: &at_most_once::NotRunPromise,
 ) -> Response<Body> {
     app.count("refused");
     log::info!(
@@ -141,38 +193,10 @@
         request.id(),
         request.route.name,
         request.service,
-        history.tried.len(),
-        request.arrived_at.elapsed().as_millis()
-    );
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    error_response(status, Some(RETRY_AFTER_SHUTDOWN), LEAVING)
-}
-
-/// Ends a request because engines crash on a part of its prompt.
-///
-/// The delay tells the caller that coming back does not help.
-pub(super) fn hold_back(
-    app: &app::App,
-    request: &ProxiedRequest,
-    history: &mut AttemptHistory,
-    part: suspect_id::SuspectId,
-) -> Response<Body> {
-    app.count("held_back");
-    log::info!(
-        "proxy: event=held_back request={} route={} part={part} may_have_run={} tried={} \
-         after_ms={}",
-        request.id(),
-        request.route.name,
-        history.may_have_run,
-        history.tried.len(),
+        promise.sent_to().len(),
         request.arrived_at.elapsed().as_millis()
     );
-    let reason = "engines crash on a part of the prompt";
-    if history.may_have_run {
-        return fail(app, request, history, reason);
-    }
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    error_response(status, Some(VERDICT_LIFETIME), reason)
+    refusal(promise, Some(RETRY_AFTER_SHUTDOWN), LEAVING)
 }
 
 /// Counts a refusal and returns the delay after which the caller should retry.
@@ -184,62 +208,25 @@
     refusal_rate.retry_after(now_ms, request.remaining(), rand::rng().random())
 }
 
-/// Ends a request whose attempts failed: with the last error response of an upstream if there is
-/// one, else with status 503 if the request did not run and 502 if it may have run.
-pub(super) fn fail(
+/// Ends a request that may have run, and for which no upstream gave an error response.
+fn fail(
     app: &app::App,
     request: &ProxiedRequest,
-    history: &mut AttemptHistory,
+    doubt: &at_most_once::Doubt,
     reason: &str,
 ) -> Response<Body> {
-    if let Some(response) = history.upstream_error.take() {
-        return response;
-    }
-    let status = if history.may_have_run {
-        StatusCode::BAD_GATEWAY
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    app.count("failed");
-    log::warn!(
-        "proxy: event=failed request={} route={} status={} may_have_run={} tried={:?} \
-         after_ms={} reason={reason:?}",
-        request.id(),
-        request.route.name,
-        status.as_u16(),
-        history.may_have_run,
-        history.tried,
-        request.arrived_at.elapsed().as_millis()
-    );
-    let retry_after = (!history.may_have_run).then(|| retry_after(app, request));
-    error_response(status, retry_after, reason)
+    let status = DoubtStatus::BadGateway;
+    ending::log_failed(app, request, status.code(), doubt.sent_to(), reason);
+    own_response::in_doubt(doubt, status, reason)
 }
 
-/// Ends a request whose time is over, or that this entry can't wait for any longer.
-pub(super) fn time_out(
+/// Ends a request that may have run and whose time is over, or that this entry can't wait for.
+fn time_out(
     app: &app::App,
     request: &ProxiedRequest,
-    history: &AttemptHistory,
+    doubt: &at_most_once::Doubt,
 ) -> Response<Body> {
-    let is_cut_short = request.is_cut_short();
-    // An attempt that the timeout cancelled may still be running.
-    let may_be_running = history.may_have_run || history.is_under_way;
-    if is_cut_short && !may_be_running {
-        return leave(app, request, history);
-    }
-    let status = if may_be_running {
-        StatusCode::GATEWAY_TIMEOUT
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    app.count("timed_out");
-    log::warn!(
-        "proxy: event=timeout request={} route={} status={} leaving={is_cut_short} tried={:?} {}",
-        request.id(),
-        request.route.name,
-        status.as_u16(),
-        history.tried,
-        ending::Timing::new(app, request)
-    );
-    error_response(status, None, "the time for this request is over")
+    let status = DoubtStatus::GatewayTimeout;
+    ending::log_timeout(app, request, status.code(), doubt.sent_to());
+    own_response::in_doubt(doubt, status, TIME_OVER)
 }
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -7,7 +7,7 @@
 //! * [`feed`] and [`cache`]: the configuration, the upstreams, the entries and the announced
 //!   weights, from the store or from other entries.
 //! * [`proxy`]: a caller's request, from its arrival to the final response, with [`intake`], which
-//!   reads it, and [`final_response`].
+//!   reads it, [`final_response`] and `own_response`.
 //! * [`placement`], [`engine_placement`] and [`slot`]: the selection of an upstream, of an engine, and
 //!   the slots that agents grant.
 //! * [`weights_versions`]: the versions of weights that a request may run on.
@@ -50,6 +50,7 @@
 pub mod limit_gossip;
 pub mod limited_upstream;
 pub mod open_stream;
+mod own_response;
 pub mod peers;
 pub mod permits;
 pub mod placement;
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -5,19 +5,25 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, Uri, header};
-use pimentohook_core::{crash_evidence::prompt, fingerprint, id, rank, regions, routes};
+use pimentohook_core::{
+    at_most_once, crash_evidence::prompt, fingerprint, id, rank, regions, routes,
+};
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
 
 use super::{
     app,
-    attempt::{self, Fault, Outcome},
-    crash_evidence, ending, engine_silence, final_response, intake, limited_upstream, permits,
-    placement, prompt_admission, repeats, request_timeout, retries, shutdown_state, stream,
+    attempt::{self, Outcome},
+    crash_evidence, ending, engine_silence,
+    final_response::{self, Ending},
+    intake, limited_upstream, open_stream, permits, placement, prompt_admission, repeats,
+    request_timeout, retries, shutdown_state, stream,
 };
 
 /// Subtracted from the deadline, so that a failure reaches the caller in time.
 const RESPONSE_MARGIN: time::Duration = time::Duration::from_millis(20);
+/// Why a request is given up after an attempt.
+const FAILED: &str = "the upstream failed";
 
 /// A caller's request with its complete body.
 #[derive(Debug)]
@@ -147,10 +153,11 @@
 
 /// Handles a caller's request.
 pub async fn handle(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
+    let record = at_most_once::RunRecord::begin();
     let mut response = match intake::read_request(&app, call).await {
         Ok(request) => {
             crash_evidence::record_invalid(&app, &request);
-            serve(&app, request).await
+            serve(&app, request, record).await
         }
         Err((id, rejection)) => {
             app.count("rejected");
@@ -162,11 +169,7 @@
                 app.configuration_version(),
                 app.configuration_age().map(|age| age.as_millis())
             );
-            final_response::error_response(
-                rejection.status,
-                rejection.retry_after,
-                rejection.reason,
-            )
+            final_response::reject(record, &rejection)
         }
     };
     if app.is_shutting_down() {
@@ -176,134 +179,145 @@
     response
 }
 
-async fn serve(app: &sync::Arc<app::App>, request: ProxiedRequest) -> Response<Body> {
+async fn serve(
+    app: &sync::Arc<app::App>,
+    request: ProxiedRequest,
+    record: at_most_once::RunRecord,
+) -> Response<Body> {
     let request = sync::Arc::new(request);
     let phase = ending::Phase::Waiting;
     let mut unfinished = ending::UnfinishedGuard::new(app.clone(), request.clone(), phase);
     let timeout = request.timeout.get().saturating_sub(RESPONSE_MARGIN);
     let deadline = request.arrived_at + timeout;
-    let mut history = final_response::AttemptHistory::default();
-    let response = tokio::select! {
+    let mut attempts = final_response::Attempts {
+        record,
+        upstream_error: None,
+    };
+    let result = tokio::select! {
         biased;
-        response = run_attempts(app, &request, &mut history) => response,
-        () = request.shutdown.wait_until(deadline) => {
-            final_response::time_out(app, &request, &history)
-        }
+        result = run_attempts(app, &request, &mut attempts) => result,
+        () = request.shutdown.wait_until(deadline) => Err(Ending::TimedOut),
     };
     unfinished.finish();
-    response
+    match result {
+        Ok(Answer::Complete(response)) => response,
+        Ok(Answer::Stream(open)) => stream::respond(app.clone(), request, open, attempts.record),
+        Err(ending) => final_response::end(app, &request, attempts, ending),
+    }
+}
+
+/// The answer of an upstream.
+enum Answer {
+    Complete(Response<Body>),
+    Stream(Box<open_stream::OpenStream>),
 }
 
 async fn run_attempts(
     app: &sync::Arc<app::App>,
-    request: &sync::Arc<ProxiedRequest>,
-    history: &mut final_response::AttemptHistory,
-) -> Response<Body> {
+    request: &ProxiedRequest,
+    attempts: &mut final_response::Attempts,
+) -> Result<Answer, Ending> {
     retries::record_request(app, &request.service);
+    let record = &mut attempts.record;
     let mut next: Option<placement::Placement> = None;
     loop {
         if let Err(part) = prompt_admission::admit(app, request) {
             if let Some(placement) = next {
                 permits::give_back(app, &placement.candidate.upstream.instance);
             }
-            return final_response::hold_back(app, request, history, part);
+            return Err(Ending::HeldBack(part));
         }
-        let placement = if let Some(placement) = next.take() {
-            placement
-        } else {
-            let placement = match choose(app, request, &history.tried).await {
-                Ok(placement) => placement,
-                Err(denial) => return final_response::refuse(app, request, history, denial),
-            };
-            if !history.tried.is_empty()
-                && !retries::try_withdraw(app, &request.service, retries::Reason::Failed)
-            {
-                permits::give_back(app, &placement.candidate.upstream.instance);
-                return final_response::fail(app, request, history, "the retry budget is spent");
-            }
-            placement
+        let placement = match next.take() {
+            Some(placement) => placement,
+            None => place(app, request, record.sent_to()).await?,
         };
-        if let Some(part) = prompt_admission::held_back(app, request) {
-            permits::give_back(app, &placement.candidate.upstream.instance);
-            return final_response::hold_back(app, request, history, part);
-        }
-        if !history.may_have_run && !app.may_send(request.own_deadline()) {
-            permits::give_back(app, &placement.candidate.upstream.instance);
-            return final_response::leave(app, request, history);
-        }
-        history
-            .tried
-            .push(placement.candidate.upstream.instance.clone());
-        let instance = placement.candidate.upstream.instance.clone();
-        let reason = send_reason(app, request, history, &instance);
-        let (tried, run_count) = (&history.tried, history.run_count);
-        let moved = engine_silence::next_placement(app, request, &placement, tried, run_count);
-        history.is_under_way = true;
+        let instance = &placement.candidate.upstream.instance;
+        let permit = permit(app, request, record, instance)
+            .inspect_err(|_| permits::give_back(app, instance))?;
+        let reason = send_reason(app, request, &permit, instance);
+        let (sent_to, run_count) = (permit.sent_to(), permit.run_count());
+        let moved = engine_silence::next_placement(app, request, &placement, sent_to, run_count);
         let outcome = tokio::select! {
             biased;
-            outcome = attempt::run(app, request, &placement, reason, None) => outcome,
+            outcome = attempt::run(app, request, &placement, permit, reason, None) => outcome,
             moved = moved => {
-                // The upstream that is left may still run the request.
                 next = Some(moved);
-                history.may_have_run = true;
-                history.run_count += 1;
                 continue;
             }
             part = prompt_admission::until_held_back(app, request) => {
-                history.may_have_run = true;
-                return final_response::hold_back(app, request, history, part);
+                return Err(Ending::HeldBack(part));
             }
         };
-        history.is_under_way = false;
         match outcome {
             Outcome::Complete(response) => {
-                final_response::log_response(app, request, history, &placement, response.status());
-                return response;
+                ending::log_response(app, request, record, &placement, response.status());
+                return Ok(Answer::Complete(response));
             }
             Outcome::Stream(open) => {
-                final_response::log_response(app, request, history, &placement, open.head.status);
-                return stream::respond(app.clone(), request.clone(), open, history.run_count);
+                ending::log_response(app, request, record, &placement, open.head.status);
+                return Ok(Answer::Stream(open));
             }
             Outcome::ServerError(response) => {
-                final_response::log_response(app, request, history, &placement, response.status());
-                history.upstream_error = Some(response);
-                history.may_have_run = true;
-                history.run_count += 1;
-            }
-            Outcome::Fault(fault) => {
-                log_failed_attempt(app, request, &placement, fault);
-                if fault == Fault::MayHaveRun {
-                    history.may_have_run = true;
-                    history.run_count += 1;
-                }
+                ending::log_response(app, request, record, &placement, response.status());
+                attempts.upstream_error = Some(response);
             }
+            Outcome::Fault(fault) => ending::log_failed_attempt(app, request, &placement, fault),
         }
-        let may_retry = !history.may_have_run
-            || (repeats::may_repeat(app, request)
-                && history.run_count < request.route.attempts_max
-                && prompt_admission::may_resend(app, request).await);
-        if !may_retry {
-            return final_response::fail(app, request, history, "the upstream failed");
+        if !repeats::may_send_again(app, request, record).await {
+            return Err(Ending::Failed(FAILED));
         }
     }
 }
 
+/// Selects an upstream for a request, within the retry budget if it has been sent before.
+async fn place(
+    app: &sync::Arc<app::App>,
+    request: &ProxiedRequest,
+    sent_to: &[String],
+) -> Result<placement::Placement, Ending> {
+    let placement = choose(app, request, sent_to).await;
+    let placement = placement.map_err(Ending::Denied)?;
+    let is_retry = !sent_to.is_empty();
+    if is_retry && !retries::try_withdraw(app, &request.service, retries::Reason::Failed) {
+        permits::give_back(app, &placement.candidate.upstream.instance);
+        return Err(Ending::Failed("the retry budget is spent"));
+    }
+    Ok(placement)
+}
+
+/// Returns the permit to send a request to an instance, by what holds now.
+fn permit<'a>(
+    app: &app::App,
+    request: &ProxiedRequest,
+    record: &'a mut at_most_once::RunRecord,
+    instance: &str,
+) -> Result<at_most_once::Permit<'a>, Ending> {
+    if let Some(part) = prompt_admission::held_back(app, request) {
+        return Err(Ending::HeldBack(part));
+    }
+    if !record.may_have_run() && !app.may_send(request.own_deadline()) {
+        return Err(Ending::Leaving);
+    }
+    let permit = record.permit(instance, repeats::rule(app, request));
+    permit.map_err(|_| Ending::Failed(FAILED))
+}
+
 /// Returns why a request is sent now; writes a line if it has been sent before.
 fn send_reason(
     app: &app::App,
     request: &ProxiedRequest,
-    history: &final_response::AttemptHistory,
+    permit: &at_most_once::Permit<'_>,
     instance: &str,
 ) -> limited_upstream::SendReason {
-    if history.tried.len() <= 1 {
+    let attempt = permit.sent_to().len();
+    if attempt <= 1 {
         return limited_upstream::SendReason::First;
     }
     log::info!(
-        "proxy: event=sent_again request={} instance={instance} attempt={} may_have_run={} \
+        "proxy: event=sent_again request={} instance={instance} attempt={attempt} may_have_run={} \
          route={} may_repeat={} configuration={}",
         request.id(),
-        history.tried.len(),
-        history.may_have_run,
+        permit.run_count() > 1,
         request.route.name,
         repeats::may_repeat(app, request),
         request.table.version
@@ -311,27 +325,6 @@
     limited_upstream::SendReason::Retry
 }
 
-/// Writes a line on an attempt without a response, with what shows that the request did not run.
-fn log_failed_attempt(
-    app: &app::App,
-    request: &ProxiedRequest,
-    placement: &placement::Placement,
-    fault: attempt::Fault,
-) {
-    let evidence = match fault {
-        Fault::NotRun(evidence) => evidence.to_string(),
-        Fault::MayHaveRun => String::from("-"),
-    };
-    log::warn!(
-        "proxy: event=attempt_failed request={} instance={} fault={fault} evidence={evidence} \
-         may_repeat={} after_ms={}{placement}",
-        request.id(),
-        placement.candidate.upstream.instance,
-        repeats::may_repeat(app, request),
-        request.arrived_at.elapsed().as_millis()
-    );
-}
-
 /// Selects an upstream that the request has not been sent to.
 ///
 /// # Errors
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -7,6 +7,7 @@
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::{Response, body};
+use pimentohook_core::at_most_once;
 use snafu::Snafu;
 
 use super::{
@@ -46,18 +47,28 @@
     NoUpstream { denial: placement::Denial },
     /// The other upstream did not go on with it.
     #[snafu(display("attempt_{fault}"))]
-    AttemptFailed { fault: attempt::Fault },
+    AttemptFailed { fault: at_most_once::Fault },
+}
+
+/// Returns why a stream can't go on whose request may not be sent again.
+const fn interruption(no_permit: at_most_once::NoPermit) -> Interruption {
+    match no_permit {
+        at_most_once::NoPermit::AttemptsSpent => Interruption::AttemptsSpent,
+        at_most_once::NoPermit::Answered | at_most_once::NoPermit::Once => {
+            Interruption::NotResumable
+        }
+    }
 }
 
 /// Builds the response for a stream that has started.
 ///
-/// `run_count` is the number of upstreams that may have run the request before.
+/// `record` says that its upstream may have run the request.
 #[must_use]
 pub fn respond(
     app: sync::Arc<app::App>,
     request: sync::Arc<proxy::ProxiedRequest>,
     open: Box<open_stream::OpenStream>,
-    run_count: u32,
+    record: at_most_once::RunRecord,
 ) -> Response<Body> {
     let head = open.head.clone();
     let unfinished =
@@ -66,7 +77,7 @@
         app,
         request,
         open,
-        run_count: run_count + 1,
+        record,
         is_failed: false,
         unfinished,
     };
@@ -115,7 +126,7 @@
     app: sync::Arc<app::App>,
     request: sync::Arc<proxy::ProxiedRequest>,
     open: Box<open_stream::OpenStream>,
-    run_count: u32,
+    record: at_most_once::RunRecord,
     is_failed: bool,
     unfinished: ending::UnfinishedGuard,
 }
@@ -168,7 +179,7 @@
             self.request.route.name,
             self.open.instance(),
             self.open.events.last_id(),
-            self.run_count,
+            self.record.run_count(),
             ending::Timing::new(&self.app, &self.request)
         );
     }
@@ -248,10 +259,10 @@
     ) -> Result<(), Interruption> {
         check_time(&self.app, &self.request)?;
         let route = &self.request.route;
-        let may_repeat = repeats::may_repeat(&self.app, &self.request);
-        let is_resumable = route.resumable && may_repeat && self.open.events.is_resumable();
+        let is_resumable = route.resumable && self.open.events.is_resumable();
         snafu::ensure!(is_resumable, NotResumableSnafu);
-        snafu::ensure!(self.run_count < route.attempts_max, AttemptsSpentSnafu);
+        let rule = repeats::rule(&self.app, &self.request);
+        self.record.check(rule).map_err(interruption)?;
         let may_resume = prompt_admission::may_resume(&self.app, &self.request, is_open).await;
         snafu::ensure!(may_resume, HeldBackSnafu);
         let service = self.request.table.services.get(&self.request.service);
@@ -280,13 +291,20 @@
             permits::give_back(&self.app, &placement.candidate.upstream.instance);
             return HeldBackSnafu.fail();
         }
-        excluded.push(placement.candidate.upstream.instance.clone());
-        self.run_count += 1;
+        let instance = &placement.candidate.upstream.instance;
+        let rule = repeats::rule(&self.app, &self.request);
+        let permit = self.record.permit(instance, rule).map_err(|no_permit| {
+            permits::give_back(&self.app, instance);
+            interruption(no_permit)
+        })?;
+        excluded.push(instance.clone());
         let last = self.open.events.last_id();
         let reason = limited_upstream::SendReason::Resume;
         let outcome = tokio::select! {
             biased;
-            outcome = attempt::run(&self.app, &self.request, &placement, reason, last) => outcome,
+            outcome = attempt::run(
+                &self.app, &self.request, &placement, permit, reason, last,
+            ) => outcome,
             true = self.open.fill(&self.app), if is_open => return Ok(()),
             _ = prompt_admission::until_held_back(&self.app, &self.request) => {
                 return HeldBackSnafu.fail();
@@ -294,13 +312,9 @@
         };
         let open = match outcome {
             Outcome::Stream(open) => open,
-            Outcome::Fault(fault) => {
-                // A refusal is no run.
-                self.run_count -= u32::from(matches!(fault, attempt::Fault::NotRun(_)));
-                return AttemptFailedSnafu { fault }.fail();
-            }
+            Outcome::Fault(fault) => return AttemptFailedSnafu { fault }.fail(),
             Outcome::Complete(_) | Outcome::ServerError(_) => {
-                let fault = attempt::Fault::MayHaveRun;
+                let fault = at_most_once::Fault::MayHaveRun;
                 return AttemptFailedSnafu { fault }.fail();
             }
         };
--- a/crates/entry/src/direct/upstream_limits.rs
+++ b/crates/entry/src/direct/upstream_limits.rs
@@ -7,9 +7,10 @@
 use std::{sync, sync::atomic, time};
 
 use arc_swap::ArcSwap;
+use hyper::HeaderMap;
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::upstream_limit::{belief, fleet, rate};
-use pimentohook_platform::store;
+use pimentohook_platform::{request, store};
 use pimentohook_wire::direct;
 
 use super::{app, cold_upstreams, limited_upstream::LimitedUpstream, restored};
@@ -168,8 +169,38 @@
     limits.coordinators.store(sync::Arc::new(coordinators));
 }
 
+/// Records what the head of a response states about the limit of its upstream.
+///
+/// If the response may not be from this instance, it is ignored; if it is not made as by an upstream,
+/// it can't withdraw a limit.
+pub fn record_head(
+    app: &app::App,
+    instance: &str,
+    class: request::ResponseClass,
+    headers: &HeaderMap,
+    sent_at: time::Instant,
+) {
+    let statement = request::limit_statement(headers);
+    let is_unlimited = statement == belief::Statement::Unlimited;
+    let is_ignored = match class {
+        request::ResponseClass::Answer | request::ResponseClass::NotRun => false,
+        request::ResponseClass::OtherInstance | request::ResponseClass::Foreign => true,
+        request::ResponseClass::Invalid => is_unlimited,
+    };
+    if is_ignored {
+        return;
+    }
+    let received_at = app.clock.now();
+    let response = belief::Response {
+        statement,
+        sent_at,
+        received_at,
+    };
+    record_response(app, instance, &response);
+}
+
 /// Records what a response states about the limit of its upstream.
-pub fn record_response(app: &app::App, instance: &str, response: &belief::Response) {
+fn record_response(app: &app::App, instance: &str, response: &belief::Response) {
     let tracked = app.upstream_limits.get(instance);
     if let belief::Statement::Unreadable(text) = &response.statement {
         app.count("limit_unreadable");
