Bound what a connection to an upstream buffers

Cause: hyper's read buffer doubles when a read fills it, and the pool lets it grow to the largest head, 64 KiB, for which it allocates 112 KiB. It stays so while the rest of a response waits. Callers' connections have short reads for this reason since; those to upstreams had not, and no share counts them.

Change: one type for short reads, used by the server's sockets as before and by the connections to upstreams of an entry in direct mode. All other clients read as much as before.

Processor time was not measured.

--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -150,7 +150,7 @@
             metrics: metrics_registry.client("pimentohook.entry"),
             metrics_registry,
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
-            upstreams: client::Client::new(local_ip),
+            upstreams: client::Client::with_small_buffers(local_ip),
             holdings: holdings::Holdings::new(&settings.vm_limits),
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -25,13 +25,15 @@
 use crate::{
     body,
     client_error::{BuildSnafu, CodecSnafu, JoinedSnafu, JsonSnafu, StatusSnafu, TimeoutSnafu},
-    connector,
+    connector, short_reads,
 };
 
 const POOL_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
 /// The maximum size of the head of a response.
 const HEAD_MAX_BYTES: usize = 64 << 10;
+/// The most that one read takes, so that a connection's buffer is as large as a head.
+const READ_MAX_BYTES: u64 = 64 << 10;
 /// The maximum number of informational responses, with a status below 200, before a response.
 const INFORMATIONAL_MAX: u32 = 16;
 
@@ -52,17 +54,17 @@
     pool: ArcSwap<Pool>,
     idle_max: atomic::AtomicUsize,
     unpooled: Pool,
-    local_address: Option<net::IpAddr>,
+    connector: connector::Connector,
 }
 
-fn new_pool(idle_max: usize, local_address: Option<net::IpAddr>) -> Pool {
+fn new_pool(idle_max: usize, connector: &connector::Connector) -> Pool {
     legacy::Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
         .pool_timer(hyper_util::rt::TokioTimer::new())
         .pool_max_idle_per_host(idle_max)
         .http1_max_buf_size(HEAD_MAX_BYTES)
-        .build(connector::Connector::new(local_address))
+        .build(connector.clone())
 }
 
 const IDLE_CONNECTIONS_MAX: usize = 64;
@@ -80,19 +82,34 @@
     /// Like [`Client::new`], but keeps at most `idle_max` idle connections to each address.
     #[must_use]
     pub fn with_idle_max(local_address: net::IpAddr, idle_max: usize) -> Self {
+        Self::with_reads(local_address, idle_max, READ_MAX_BYTES)
+    }
+
+    /// Like [`Client::new`], but with small buffers, for a client that may have many connections.
+    #[must_use]
+    pub fn with_small_buffers(local_address: net::IpAddr) -> Self {
+        Self::with_reads(
+            local_address,
+            IDLE_CONNECTIONS_MAX,
+            short_reads::SMALL_MAX_BYTES,
+        )
+    }
+
+    fn with_reads(local_address: net::IpAddr, idle_max: usize, read_max_bytes: u64) -> Self {
         let local_address = Some(local_address).filter(|address| !address.is_unspecified());
+        let connector = connector::Connector::new(local_address, read_max_bytes);
         Self {
-            pool: ArcSwap::from_pointee(new_pool(idle_max, local_address)),
+            pool: ArcSwap::from_pointee(new_pool(idle_max, &connector)),
             idle_max: atomic::AtomicUsize::new(idle_max),
-            unpooled: new_pool(0, local_address),
-            local_address,
+            unpooled: new_pool(0, &connector),
+            connector,
         }
     }
 
     /// Closes all idle connections.
     pub fn drop_idle_connections(&self) {
         let idle_max = self.idle_max.load(atomic::Ordering::Relaxed);
-        let pool = new_pool(idle_max, self.local_address);
+        let pool = new_pool(idle_max, &self.connector);
         self.pool.store(sync::Arc::new(pool));
     }
 
--- a/crates/runtime/src/connector.rs
+++ b/crates/runtime/src/connector.rs
@@ -16,9 +16,10 @@
     client::legacy::connect::{self, Connected, Connection, HttpConnector},
     rt::TokioIo,
 };
-use tokio::net::TcpStream;
 use tower_service::Service;
 
+use crate::short_reads::ShortReads;
+
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
@@ -29,12 +30,14 @@
 #[derive(Clone, Debug)]
 pub struct Connector {
     http: HttpConnector,
+    read_max_bytes: u64,
 }
 
 impl Connector {
-    /// Creates a connector whose connections use `local_address` as their source address, if given.
+    /// Creates a connector whose connections use `local_address` as their source address, if given,
+    /// and read at most so many bytes at once.
     #[must_use]
-    pub fn new(local_address: Option<net::IpAddr>) -> Self {
+    pub fn new(local_address: Option<net::IpAddr>, read_max_bytes: u64) -> Self {
         let mut http = HttpConnector::new();
         http.set_local_address(local_address);
         http.set_nodelay(true);
@@ -43,7 +46,10 @@
         http.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         http.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         http.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
-        Self { http }
+        Self {
+            http,
+            read_max_bytes,
+        }
     }
 }
 
@@ -61,8 +67,10 @@
 
     fn call(&mut self, destination: Uri) -> Self::Future {
         let connecting = self.http.call(destination);
-        Box::pin(async {
-            let io = connecting.await?;
+        let read_max_bytes = self.read_max_bytes;
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            let io = TokioIo::new(ShortReads::new(stream, read_max_bytes));
             let is_cut_off = CutOff::default();
             Ok(CutOffStream { io, is_cut_off })
         })
@@ -96,13 +104,17 @@
 /// A connection that can be cut off, after which reads fail.
 #[derive(Debug)]
 pub struct CutOffStream {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<ShortReads>,
     is_cut_off: CutOff,
 }
 
 impl Connection for CutOffStream {
     fn connected(&self) -> Connected {
-        self.io.connected().extra(self.is_cut_off.clone())
+        self.io
+            .inner()
+            .stream()
+            .connected()
+            .extra(self.is_cut_off.clone())
     }
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod rate_limiter;
 pub mod server;
 pub mod settings;
+mod short_reads;
 pub mod standstill;
 pub mod vm_limits;
--- a/crates/runtime/src/server/socket.rs
+++ b/crates/runtime/src/server/socket.rs
@@ -3,21 +3,19 @@
 use std::{io, pin, sync, task, time};
 
 use tokio::{
-    io::{AsyncRead, AsyncReadExt as _, AsyncWrite, ReadBuf, Take},
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     time as tokio_time,
 };
 
 use super::activity::Activity;
+use crate::short_reads::{self, ShortReads};
 
 /// How long, and for how many bytes, what a client still sends is read after the last response. A
 /// socket that is closed before resets the connection, and the client may lose the response.
 const LINGER_TIME: time::Duration = time::Duration::from_secs(1);
 const LINGER_MAX_BYTES: usize = 16 << 20;
 const SCRATCH_BYTES: usize = 4 << 10;
-/// The most that one read takes. It is less than hyper's first buffer, which grows when a read fills
-/// it, and of which each piece of a body that waits keeps one.
-const READ_MAX_BYTES: u64 = (8 << 10) - 1;
 
 struct Linger {
     ends: pin::Pin<Box<tokio_time::Sleep>>,
@@ -26,7 +24,7 @@
 
 /// The socket of a connection.
 pub(super) struct Socket {
-    stream: Take<TcpStream>,
+    stream: ShortReads,
     activity: sync::Arc<Activity>,
     linger: Option<Linger>,
 }
@@ -34,7 +32,7 @@
 impl Socket {
     pub(super) fn new(stream: TcpStream, activity: sync::Arc<Activity>) -> Self {
         Self {
-            stream: stream.take(READ_MAX_BYTES),
+            stream: ShortReads::new(stream, short_reads::SMALL_MAX_BYTES),
             activity,
             linger: None,
         }
@@ -49,7 +47,7 @@
         loop {
             let mut scratch = [0; SCRATCH_BYTES];
             let mut buffer = ReadBuf::new(&mut scratch);
-            match pin::Pin::new(self.stream.get_mut()).poll_read(context, &mut buffer) {
+            match pin::Pin::new(self.stream.stream_mut()).poll_read(context, &mut buffer) {
                 task::Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
                     let left = linger.remaining_bytes.checked_sub(buffer.filled().len());
                     let Some(left) = left else {
@@ -74,7 +72,6 @@
         context: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        self.stream.set_limit(READ_MAX_BYTES);
         let poll = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
         if poll.is_ready() {
             self.activity.record_read();
@@ -89,7 +86,7 @@
         context: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        let poll = pin::Pin::new(self.stream.get_mut()).poll_write(context, bytes);
+        let poll = pin::Pin::new(self.stream.stream_mut()).poll_write(context, bytes);
         self.record_write(&poll);
         poll
     }
@@ -99,20 +96,20 @@
         context: &mut task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        let poll = pin::Pin::new(self.stream.get_mut()).poll_write_vectored(context, slices);
+        let poll = pin::Pin::new(self.stream.stream_mut()).poll_write_vectored(context, slices);
         self.record_write(&poll);
         poll
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.get_ref().is_write_vectored()
+        self.stream.stream().is_write_vectored()
     }
 
     fn poll_flush(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(self.stream.get_mut()).poll_flush(context)
+        pin::Pin::new(self.stream.stream_mut()).poll_flush(context)
     }
 
     fn poll_shutdown(
@@ -120,7 +117,7 @@
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
         if self.linger.is_none() {
-            task::ready!(pin::Pin::new(self.stream.get_mut()).poll_shutdown(context))?;
+            task::ready!(pin::Pin::new(self.stream.stream_mut()).poll_shutdown(context))?;
         }
         if !self.activity.may_still_send() {
             return task::Poll::Ready(Ok(()));
