Give the memory of large bodies back to the system

On a VM at its limit the entry would have been killed with all that it held.

Cause: the allocator raises the size from which allocations get pages of their own to that of the largest one that was freed with such pages. After the first body of 4 MiB all bodies lay in the heaps, between small allocations that stayed, and left gaps of up to 4 MiB there which no larger body fits in and which don't go back.

Change: an allocation of a body shrinks to 64 KiB before it is freed, which gives its pages back and leaves the size where it was. A body of unknown length is kept in segments up to 128 KiB and then in one allocation that grows; before, it was held twice, and reserved once, when its segments were joined. What grows within a budget has a file of its own.

Bound: what lies between small allocations still may leave gaps if something else than a body frees a large allocation, and up to that size.

--- a/crates/runtime/src/body/budget.rs
+++ b/crates/runtime/src/body/budget.rs
@@ -3,12 +3,14 @@
 //! What a body allocates is reserved before. When there is no room, the bodies that have gone longest
 //! without progress lose theirs.
 
-use std::{mem, sync, sync::atomic, time};
+use std::{sync, sync::atomic, time};
 
 use bytes::Bytes;
 use indexmap::IndexMap;
 use tokio::{sync::Notify, time as tokio_time};
 
+use super::growing_bytes::GrowingBytes;
+
 /// A body that has made no progress for this long may lose its room to another.
 const EVICTABLE_AFTER: time::Duration = time::Duration::from_secs(1);
 /// How long room for a response is waited for, longer than a client may leave one unread when room is
@@ -19,9 +21,6 @@
 const SMALL_SHARE_DIVISOR: usize = 8;
 /// The size of a small body, which is common, in bytes.
 const SMALL_MAX_BYTES: usize = 64 << 10;
-/// A body of unknown length gets segments as long as what has come of it, within these bounds.
-const SEGMENT_MIN_BYTES: usize = 256;
-const SEGMENT_MAX_BYTES: usize = 64 << 10;
 
 /// Frees room that is held by others than the bodies that are being read.
 struct Relief(Box<dyn Fn() + Send + Sync>);
@@ -83,7 +82,7 @@
     }
 
     /// Reserves bytes if at least `kept_bytes` stay free besides.
-    fn try_reserve(&self, bytes: usize, kept_bytes: usize) -> bool {
+    pub(super) fn try_reserve(&self, bytes: usize, kept_bytes: usize) -> bool {
         let ordering = atomic::Ordering::Relaxed;
         let reserve = |free_bytes: usize| {
             let left = free_bytes.checked_sub(bytes)?;
@@ -94,8 +93,13 @@
             .is_ok()
     }
 
+    /// Frees bytes that were reserved.
+    pub(super) fn release(&self, bytes: usize) {
+        self.free_bytes.fetch_add(bytes, atomic::Ordering::Relaxed);
+    }
+
     /// Waits a while for `bytes` to be free, as far as anything can free them.
-    async fn wait_for(&self, bytes: usize) {
+    pub(super) async fn wait_for(&self, bytes: usize) {
         let Some(Relief(relieve)) = &self.relief else {
             return;
         };
@@ -146,126 +150,6 @@
     }
 }
 
-/// The bytes of a budget that one body has reserved; they are free again when it is dropped.
-#[derive(Debug)]
-struct Reservation {
-    budget: sync::Arc<BodyBudget>,
-    bytes: usize,
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        let ordering = atomic::Ordering::Relaxed;
-        self.budget.free_bytes.fetch_add(self.bytes, ordering);
-    }
-}
-
-/// Bytes that never allocate more than they have reserved.
-///
-/// They are kept in segments until they are whole, as allocations that grow leave gaps between them
-/// which nothing else fits in.
-#[derive(Debug)]
-pub(super) struct GrowingBytes {
-    segments: Vec<Vec<u8>>,
-    len: usize,
-    reservation: Reservation,
-}
-
-/// The bytes of a body that has been read, which are reserved until they are dropped.
-#[derive(Debug)]
-struct HeldBytes {
-    bytes: Vec<u8>,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for HeldBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-impl GrowingBytes {
-    pub(super) fn new(budget: &sync::Arc<BodyBudget>) -> Self {
-        let reservation = Reservation {
-            budget: budget.clone(),
-            bytes: 0,
-        };
-        Self {
-            segments: Vec::new(),
-            len: 0,
-            reservation,
-        }
-    }
-
-    /// Allocates `missing` bytes, for which it waits a while; returns false if there is no room.
-    pub(super) async fn wait_for_room(&mut self, missing: usize) -> bool {
-        if self.allocate(missing, 0) {
-            return true;
-        }
-        let budget = self.reservation.budget.clone();
-        budget.wait_for(missing).await;
-        self.allocate(missing, 0)
-    }
-
-    /// Appends a piece; returns false if there is no room beside `kept_bytes`.
-    pub(super) fn push(&mut self, piece: &[u8], kept_bytes: usize) -> bool {
-        let missing = piece.len().saturating_sub(self.spare());
-        let wished = missing.max(self.len.clamp(SEGMENT_MIN_BYTES, SEGMENT_MAX_BYTES));
-        let has_room =
-            missing == 0 || self.allocate(wished, kept_bytes) || self.allocate(missing, kept_bytes);
-        if has_room {
-            self.append(piece);
-        }
-        has_room
-    }
-
-    /// Returns what fits into the segments that have room.
-    fn spare(&self) -> usize {
-        self.reservation.bytes - self.len
-    }
-
-    /// Adds a segment of so many bytes.
-    fn allocate(&mut self, bytes: usize, kept_bytes: usize) -> bool {
-        let is_reserved = self.reservation.budget.try_reserve(bytes, kept_bytes);
-        if is_reserved && bytes > 0 {
-            self.reservation.bytes += bytes;
-            let mut segment = Vec::new();
-            segment.reserve_exact(bytes);
-            self.segments.push(segment);
-        }
-        is_reserved
-    }
-
-    /// Fills the last two segments, of which only one has been begun.
-    fn append(&mut self, piece: &[u8]) {
-        self.len += piece.len();
-        let mut rest = piece;
-        let first = self.segments.len().saturating_sub(2);
-        for segment in &mut self.segments[first..] {
-            let fitting = rest.len().min(segment.capacity() - segment.len());
-            segment.extend_from_slice(&rest[..fitting]);
-            rest = &rest[fitting..];
-        }
-    }
-
-    /// Returns the bytes, which stay reserved until their last copy is dropped.
-    pub(super) fn into_bytes(mut self) -> Bytes {
-        let bytes = if self.segments.len() > 1 {
-            let mut bytes = Vec::with_capacity(self.len);
-            for segment in mem::take(&mut self.segments) {
-                bytes.extend_from_slice(&segment);
-            }
-            bytes
-        } else {
-            self.segments.pop().unwrap_or_default()
-        };
-        Bytes::from_owner(HeldBytes {
-            bytes,
-            _reservation: self.reservation,
-        })
-    }
-}
-
 /// A body that is being read, as others see it.
 #[derive(Debug)]
 struct Reading {
@@ -351,7 +235,11 @@
     /// Appends a piece; returns false if it does not fit into the budget.
     pub fn push(&mut self, piece: &[u8]) -> bool {
         self.reading.record_progress();
-        let len = self.reading.bytes().as_ref().map(|bytes| bytes.len);
+        let len = self
+            .reading
+            .bytes()
+            .as_ref()
+            .map(GrowingBytes::received_bytes);
         let len = len.unwrap_or(0) + piece.len();
         let grow = |bytes: &mut GrowingBytes, kept_bytes| bytes.push(piece, kept_bytes);
         self.grow(len, piece.len(), grow)
