Decide what entries that shut down together still do for callers

Each refused what its whole deadline might carry past its end, pointed with a Retry-After of 20 ms to others that refused as well, and stayed to the end of its grace, so that all were away together.

Change: core::leaving, pure: what is likely to end in time by the times of the route (by kind of request), whether enough others are ready and have been for as long as callers may hold an address, who ends first, what keeps an entry from ending, whom directories name, and Retry-After by the expected return. Nothing uses it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -82,6 +82,7 @@
 pub mod intent;
 pub mod latest_start;
 pub mod lease;
+pub mod leaving;
 pub mod limits;
 pub mod membership;
 pub mod memory_shares;
