Serve on while entries shut down together, if the settings ask for it

Cause: an entry that shuts down accepts only what ends by its whole deadline, also when nobody else is ready, and all stay to the end of their grace, so that they are away together.

Change: with leave_policy: by_likely_time (by_deadline is the default, so nothing changes by itself) the entry applies core::leaving: it learns the times of each route, follows from heartbeats who is ready, accepts and sends what is likely to end in time while too few are, names entries that shut down in the directory, tells callers by Retry-After when the first is back, and ends once nobody needs it, checked each 100 ms. event=stopped says what it waited for last, event=accepted_by_likely_time each request accepted so.

No message is new. What is passed on still gets its answer, or 504 at the last responses, and upstreams no more time than the entry has.

--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -16,8 +16,8 @@
 use strum::IntoEnumIterator as _;
 
 use super::{
-    cache, crash_evidence, holdings, restored, retries, settings, shutdown_state, upstream_limits,
-    upstream_notices,
+    cache, crash_evidence, holdings, leaving, restored, retries, settings, shutdown_state,
+    upstream_limits, upstream_notices,
 };
 
 /// State of an upstream that the entry tracks itself, in addition to the listed data.
@@ -123,6 +123,8 @@
     pub idle_limit: ArcSwap<idle_limit::IdleLimit>,
     /// The graceful shutdown of this entry.
     pub shutdown: sync::Arc<shutdown_state::ShutdownState>,
+    /// What is known of other entries that shut down, and of the times that requests take.
+    pub leaving: leaving::LeavingState,
     started_at: time::Instant,
 }
 
@@ -183,6 +185,7 @@
             replaced_routes: ArcSwap::default(),
             idle_limit: ArcSwap::from_pointee(idle_limit::IdleLimit::new(settings.idle_timeout)),
             shutdown: sync::Arc::default(),
+            leaving: leaving::LeavingState::default(),
             started_at: clock.now(),
             clock,
             settings,
@@ -272,21 +275,6 @@
         is_informed && !self.is_shutting_down()
     }
 
-    /// Returns whether a request that may last until `deadline` is still accepted.
-    #[must_use]
-    pub fn accepts(&self, deadline: time::Instant) -> bool {
-        let shutdown = self.shutdown.get();
-        shutdown.is_none_or(|shutdown| shutdown.accepts(self.clock.now(), deadline))
-    }
-
-    /// Returns whether a request that was accepted, and may last until `deadline`, may still be sent
-    /// to an upstream.
-    #[must_use]
-    pub fn may_send(&self, deadline: time::Instant) -> bool {
-        let shutdown = self.shutdown.get();
-        shutdown.is_none_or(|shutdown| shutdown.outlasts(deadline))
-    }
-
     /// Starts the graceful shutdown.
     pub fn begin_shutdown(&self) -> shutdown::Shutdown {
         let shutdown = shutdown::Shutdown {
--- a/crates/entry/src/direct/directory.rs
+++ b/crates/entry/src/direct/directory.rs
@@ -1,14 +1,15 @@
 //! The directory, which tells callers where to connect, and the readiness check.
 
-use std::{net, sync};
+use std::{net, sync, time};
 
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
+use pimentohook_core::leaving;
 use pimentohook_platform::directory;
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
-use super::app;
+use super::{app, leaving::named_entries};
 
 /// Maximum number of addresses in a response.
 const ADDRESSES_MAX: usize = 64;
@@ -19,27 +20,36 @@
         return server::respond_text(StatusCode::NOT_FOUND, "no such path");
     }
     let request = directory::ResolveRequest::from_uri(&call.uri);
-    let addresses = addresses(&app, &request);
+    let (addresses, ttl) = addresses(&app, &request);
     if addresses.is_empty() {
         return server::respond_text(StatusCode::SERVICE_UNAVAILABLE, "no entry is known");
     }
-    let response = directory::ResolveResponse::new(addresses, app.settings.directory_ttl);
+    let response = directory::ResolveResponse::new(addresses, ttl);
     server::respond_json(StatusCode::OK, &response)
 }
 
-/// Returns the addresses of the entries that accept requests and are best for the caller.
-fn addresses(app: &app::App, request: &directory::ResolveRequest) -> Vec<net::SocketAddr> {
+/// Returns the addresses of the entries that accept requests and are best for the caller, and how long
+/// the caller may use them.
+fn addresses(
+    app: &app::App,
+    request: &directory::ResolveRequest,
+) -> (Vec<net::SocketAddr>, time::Duration) {
     let peers = app.peers.load();
     let others = peers.values().map(|peer| peer.state.clone());
     let mut ready: Vec<_> = others.filter(|state| state.ready).collect();
-    if app.is_ready() || ready.is_empty() {
+    if app.is_ready() {
+        ready.push(app.peer_state());
+    }
+    let mut ttl = app.settings.directory_ttl;
+    if app.settings.leave_policy == leaving::Policy::ByLikelyTime {
+        (ready, ttl) = named_entries(app, &ready);
+    }
+    if ready.is_empty() {
         ready.push(app.peer_state());
     }
     let nearest = nearest(app, request, &ready).into_iter();
-    nearest
-        .map(|state| state.callers)
-        .take(ADDRESSES_MAX)
-        .collect()
+    let addresses = nearest.map(|state| state.callers).take(ADDRESSES_MAX);
+    (addresses.collect(), ttl)
 }
 
 /// Returns the entries of the caller's failure domain if there are at least two, as a single one would
--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -9,7 +9,7 @@
 use pimentohook_runtime::server;
 use rand::RngExt as _;
 
-use super::{app, ending, placement, proxy::ProxiedRequest};
+use super::{app, ending, leaving, placement, proxy::ProxiedRequest};
 
 /// Callers honour a delay of at most their remaining time divided by this.
 const RETRY_AFTER_REMAINING_DIVISOR: u32 = 3;
@@ -145,7 +145,7 @@
         request.arrived_at.elapsed().as_millis()
     );
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    error_response(status, Some(RETRY_AFTER_SHUTDOWN), LEAVING)
+    error_response(status, Some(leaving::retry_after(app)), LEAVING)
 }
 
 /// Ends a request because engines crash on a part of its prompt.
--- a/crates/entry/src/direct/intake.rs
+++ b/crates/entry/src/direct/intake.rs
@@ -9,7 +9,7 @@
 use pimentohook_runtime::server;
 use rand::RngExt as _;
 
-use super::{app, final_response, prompt_admission, proxy, request_timeout};
+use super::{app, final_response, leaving, prompt_admission, proxy, request_timeout};
 
 const BODY_MAX_BYTES: usize = 4 << 20;
 const RETRY_AFTER_UNAVAILABLE: time::Duration = time::Duration::from_millis(500);
@@ -41,10 +41,10 @@
     }
 }
 
-const fn leaving() -> Rejection {
+fn leaving_rejection(app: &app::App) -> Rejection {
     Rejection {
         status: StatusCode::SERVICE_UNAVAILABLE,
-        retry_after: Some(final_response::RETRY_AFTER_SHUTDOWN),
+        retry_after: Some(leaving::retry_after(app)),
         reason: final_response::LEAVING,
     }
 }
@@ -72,7 +72,7 @@
     let body = call.read_body_within(body_max, budget, admitted.until_over());
     let body = body.await.map_err(|error| {
         let rejection = match error {
-            _ if admitted.is_cut_short() => leaving(),
+            _ if admitted.is_cut_short() => leaving_rejection(app),
             server::BodyError::NoRoom => {
                 app.count("no_room");
                 unavailable("there is no room for the body")
@@ -114,8 +114,8 @@
     let timeout = request_timeout::RequestTimeout::new(caller.timeout, route.timeout);
     let deadline = arrived_at + timeout.get();
     let is_late_retry = is_late_retry(app, &route, &caller);
-    if !app.accepts(deadline) {
-        return Err(with_id(leaving()));
+    if !leaving::accepts(app, &id, &route, deadline) {
+        return Err(with_id(leaving_rejection(app)));
     }
     let (method, uri, headers) = (call.method.clone(), call.uri.clone(), call.headers.clone());
     Ok(proxy::ProxiedRequest {
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -25,7 +25,8 @@
 //! * [`holdings`]: bounds on what callers and upstreams make the entry hold.
 //! * [`directory`]: the addresses of entries for callers, and the readiness check.
 //! * [`peers`]: the discovery of the other entries, and heartbeats between them.
-//! * [`shutdown_state`]: the graceful shutdown, as requests see it.
+//! * [`shutdown_state`] and [`leaving`]: the graceful shutdown, as requests see it, and what is accepted
+//!   while others shut down too.
 //! * [`restored`]: what an entry does when the store was restored from a copy, and evacuations.
 //! * [`agents`]: agents' reports of engine states, and their requests for the configuration of a
 //!   service.
@@ -47,6 +48,7 @@
 pub mod final_response;
 pub mod holdings;
 pub mod intake;
+pub mod leaving;
 pub mod limit_gossip;
 pub mod limited_upstream;
 pub mod open_stream;
@@ -113,11 +115,16 @@
         if told.is_err() {
             log::warn!("entry: event=still_listed");
         }
-        tokio::time::sleep_until(closes_at).await;
+        let named_at = shutdown.since + peers::HEARTBEAT_LOSS_TIMEOUT;
+        let waited_for = leaving::until_end(&self.app, &shutdown, named_at).await;
         self.stop.set();
         let ends_at = shutdown.ends_at().into();
         let finished = tokio::time::timeout_at(ends_at, self.server_task).await;
-        log::info!("entry: event=stopped finished_all={}", finished.is_ok());
+        log::info!(
+            "entry: event=stopped finished_all={} waited_for={waited_for} after_ms={}",
+            finished.is_ok(),
+            shutdown.since.elapsed().as_millis()
+        );
     }
 }
 
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -26,7 +26,7 @@
 /// The number of other entries that a heartbeat reply reports.
 const REPORTED_PEERS_MAX: usize = 8;
 /// An entry that was last seen longer ago than this is removed from the directory.
-const HEARTBEAT_LOSS_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
+pub(super) const HEARTBEAT_LOSS_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 const MESSAGE_MAX_BYTES: usize = 1 << 16;
 /// How much each entry adds to the time over which all register again in a restored store.
 const REGISTRATION_SPREAD_PER_ENTRY: time::Duration = time::Duration::from_millis(5);
@@ -250,6 +250,9 @@
     if state.entry == app.settings.entry || age > HEARTBEAT_LOSS_TIMEOUT || !is_newer {
         return;
     }
+    if previous.is_none_or(|previous| previous.state.ready != state.ready) {
+        app.leaving.record_peer(state, last_seen_at);
+    }
     if previous.is_none_or(|previous| previous.state != *state) {
         log::info!(
             "peers: event=heard entry={} callers={} ready={} age_ms={}",
@@ -277,6 +280,9 @@
     if !app.peers.load().values().any(is_lost) {
         return;
     }
+    for (name, peer) in app.peers.load().iter().filter(|(_, peer)| is_lost(peer)) {
+        app.leaving.record_lost(name, peer.last_seen_at);
+    }
     app.peers.rcu(|peers| {
         let mut peers = IndexMap::clone(peers);
         peers.retain(|name, peer| {
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use hyper::{HeaderMap, Method, Response, Uri, header};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, header};
 use pimentohook_core::{crash_evidence::prompt, fingerprint, id, rank, regions, routes};
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
@@ -12,8 +12,9 @@
 use super::{
     app,
     attempt::{self, Fault, Outcome},
-    crash_evidence, ending, engine_silence, final_response, intake, limited_upstream, permits,
-    placement, prompt_admission, repeats, request_timeout, retries, shutdown_state, stream,
+    crash_evidence, ending, engine_silence, final_response, intake, leaving, limited_upstream,
+    permits, placement, prompt_admission, repeats, request_timeout, retries, shutdown_state,
+    stream,
 };
 
 /// Subtracted from the deadline, so that a failure reaches the caller in time.
@@ -191,6 +192,9 @@
         }
     };
     unfinished.finish();
+    if !request.route.streaming && response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        leaving::record_time(app, &request);
+    }
     response
 }
 
@@ -227,7 +231,7 @@
             permits::give_back(app, &placement.candidate.upstream.instance);
             return final_response::hold_back(app, request, history, part);
         }
-        if !history.may_have_run && !app.may_send(request.own_deadline()) {
+        if !history.may_have_run && !leaving::may_send(app, request) {
             permits::give_back(app, &placement.candidate.upstream.instance);
             return final_response::leave(app, request, history);
         }
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{env, net, path, time};
 
-use pimentohook_core::{memory_shares, regions, size};
+use pimentohook_core::{leaving, memory_shares, regions, size};
 use pimentohook_runtime::{settings, vm_limits};
 
 use crate::settings as gateway;
@@ -84,6 +84,8 @@
     pub shutdown_delay: time::Duration,
     /// How long after the start of its graceful shutdown an entry ends, even if requests still run.
     pub shutdown_timeout: time::Duration,
+    /// What the entry accepts during its graceful shutdown.
+    pub leave_policy: leaving::Policy,
     /// What the VM lets this process use.
     pub vm_limits: memory_shares::VmLimits,
     /// How long a caller's connection may be idle.
@@ -150,6 +152,9 @@
         let directory_ttl = checker.millis("keep_ms", DIRECTORY_TTL_DEFAULT_MS, 1_000..=MINUTE_MS);
         let shutdown_delay = checker.millis("leave_ms", SHUTDOWN_DELAY_DEFAULT_MS, 0..=MINUTE_MS);
         let shutdown_timeout = checker.millis("end_ms", SHUTDOWN_TIMEOUT_DEFAULT_MS, 0..=MINUTE_MS);
+        let leave_policy = checker
+            .optional("leave_policy", "by_deadline or by_likely_time")
+            .unwrap_or_default();
         let idle_timeout = checker.millis(
             "idle_timeout_ms",
             IDLE_TIMEOUT_DEFAULT_MS,
@@ -199,6 +204,7 @@
                 directory_ttl,
                 shutdown_delay,
                 shutdown_timeout,
+                leave_policy,
                 vm_limits,
                 idle_timeout,
                 configuration_grace,
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -12,8 +12,8 @@
 use super::{
     app,
     attempt::{self, Outcome},
-    crash_evidence, ending, engine_silence, limited_upstream, open_stream, permits, placement,
-    prompt_admission, proxy, repeats, request_timeout, retries, stream_evidence,
+    crash_evidence, ending, engine_silence, leaving, limited_upstream, open_stream, permits,
+    placement, prompt_admission, proxy, repeats, request_timeout, retries, stream_evidence,
 };
 
 /// An upstream that sends no event for this long is treated as failed.
@@ -128,7 +128,10 @@
         }
         let next = self.next_events_in_time().await;
         match &next {
-            None => self.unfinished.finish(),
+            None => {
+                self.unfinished.finish();
+                leaving::record_time(&self.app, &self.request);
+            }
             Some(Ok(_)) => {}
             Some(Err(interruption)) => {
                 self.record_interruption(*interruption);
@@ -160,6 +163,7 @@
     fn record_interruption(&mut self, interruption: Interruption) {
         self.is_failed = true;
         self.unfinished.finish();
+        leaving::record_time(&self.app, &self.request);
         self.app.count("broken_off");
         log::warn!(
             "stream: event=broken request={} route={} instance={} last_event={:?} why={interruption} \
--- a/crates/runtime/src/server/connections.rs
+++ b/crates/runtime/src/server/connections.rs
@@ -54,6 +54,12 @@
         self.closed_count.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns how many connections are open.
+    #[must_use]
+    pub fn open_count(&self) -> usize {
+        self.open().len()
+    }
+
     fn open(&self) -> sync::MutexGuard<'_, IndexMap<u64, sync::Arc<Activity>>> {
         self.open
             .lock()
