Merge how entries that shut down together serve on

Joined with the record of a request's runs: the check of an entry that shuts down stands where the permit is given, and the time of a request is recorded once its response is known.

--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -11,7 +11,7 @@
 use rand::RngExt as _;
 
 use super::{
-    app, ending, intake,
+    app, ending, intake, leaving,
     own_response::{self, DoubtStatus},
     placement,
     proxy::ProxiedRequest,
@@ -196,7 +196,7 @@
         promise.sent_to().len(),
         request.arrived_at.elapsed().as_millis()
     );
-    refusal(promise, Some(RETRY_AFTER_SHUTDOWN), LEAVING)
+    refusal(promise, Some(leaving::retry_after(app)), LEAVING)
 }
 
 /// Counts a refusal and returns the delay after which the caller should retry.
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use hyper::{HeaderMap, Method, Response, Uri, header};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, header};
 use pimentohook_core::{
     at_most_once, crash_evidence::prompt, fingerprint, id, rank, regions, routes,
 };
@@ -16,7 +16,7 @@
     attempt::{self, Outcome},
     crash_evidence, ending, engine_silence,
     final_response::{self, Ending},
-    intake, limited_upstream, open_stream, permits, placement, prompt_admission, repeats,
+    intake, leaving, limited_upstream, open_stream, permits, placement, prompt_admission, repeats,
     request_timeout, retries, shutdown_state, stream,
 };
 
@@ -199,11 +199,17 @@
         () = request.shutdown.wait_until(deadline) => Err(Ending::TimedOut),
     };
     unfinished.finish();
-    match result {
+    let response = match result {
         Ok(Answer::Complete(response)) => response,
-        Ok(Answer::Stream(open)) => stream::respond(app.clone(), request, open, attempts.record),
+        Ok(Answer::Stream(open)) => {
+            return stream::respond(app.clone(), request, open, attempts.record);
+        }
         Err(ending) => final_response::end(app, &request, attempts, ending),
+    };
+    if !request.route.streaming && response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        leaving::record_time(app, &request);
     }
+    response
 }
 
 /// The answer of an upstream.
@@ -295,7 +301,7 @@
     if let Some(part) = prompt_admission::held_back(app, request) {
         return Err(Ending::HeldBack(part));
     }
-    if !record.may_have_run() && !app.may_send(request.own_deadline()) {
+    if !record.may_have_run() && !leaving::may_send(app, request) {
         return Err(Ending::Leaving);
     }
     let permit = record.permit(instance, repeats::rule(app, request));
