Use an engine's weights only if it is known what it loaded

Cause: an engine was used as soon as its report showed the version ordered. Nothing asked when it had accepted the order and what was staged then.

Change: core::load_vouching keeps the time within which an order was accepted, by reports (Seq), sends and responses, and judges a load by the reads of the staged chunks and the writes around it. The agent admits nothing from the first report that counts one more order until the load is vouched for; it reads the staged chunks back once more where time alone doesn't vouch. What can't be vouched for is loaded again (core::reload, agent direct/reloading): by orders to hold half of the layers and then all, as an engine answers 200 to an order for what it holds. What the engine does is taken from the layers in its reports; one that doesn't name or drop them gets nothing until it loads another version or starts again (load_withheld). Before each order the report is read once more.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{
     burst::{chunks, uploader},
-    clock, cold, engine, engine_admission, id, pace, routes,
+    clock, cold, engine, engine_admission, id, load_vouching, pace, routes,
 };
 use pimentohook_platform::{origin, runner, store};
 use pimentohook_runtime::{announcements, client, metrics, standstill};
@@ -84,6 +84,8 @@
     pub transfers: sync::Arc<transfer::Transfers>,
     /// Admission control of the engine.
     pub admission: sync::Mutex<engine_admission::EngineAdmission>,
+    /// Whether what the engine has loaded is known to be what was read back.
+    pub loads: sync::Mutex<load_vouching::LoadVouching>,
     /// Whether the engine is cold, and what it was granted lately.
     pub cold: sync::Mutex<cold::ColdEngine>,
     /// What the engine gets at once after it has started or recovered.
@@ -199,6 +201,7 @@
             origin: origin::OriginClient::new(local_ip),
             transfers: sync::Arc::new(transfer::Transfers::new(link)),
             admission: sync::Mutex::new(engine_admission::EngineAdmission::new(clock.now())),
+            loads: sync::Mutex::default(),
             cold: sync::Mutex::new(cold::ColdEngine::new(clock.now())),
             pace: sync::Mutex::default(),
             service: ArcSwapOption::empty(),
--- a/crates/agent/src/direct/engine_report.rs
+++ b/crates/agent/src/direct/engine_report.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, sync::atomic, time};
 
-use pimentohook_core::engine_admission;
+use pimentohook_core::{clock, engine_admission};
 use pimentohook_platform::runner;
 
 use super::{app, starting};
@@ -23,6 +23,7 @@
     requested_at: time::Instant,
 ) -> Result<runner::Report, runner::RunnerError> {
     lock(&app.admission).answers.record_question(requested_at);
+    let boot_requested_at = app.clock.boot_now();
     let result = app.runner.report().await;
     let now = app.clock.now();
     match &result {
@@ -31,6 +32,7 @@
                 .answers
                 .record_answer(requested_at, now);
             record_heard(app, now);
+            record_order_count(app, boot_requested_at, report);
             starting::record_report(app, report, requested_at);
         }
         Err(runner::RunnerError::BackingOff { .. }) => {
@@ -41,6 +43,17 @@
     result
 }
 
+/// Records the number of accepted orders; an engine that has accepted one gets no requests until the
+/// load is vouched for.
+fn record_order_count(app: &app::App, requested_at: clock::BootInstant, report: &runner::Report) {
+    let answered_at = app.clock.boot_now();
+    let mut loads = lock(&app.loads);
+    if loads.record_report(requested_at, answered_at, report.order_count) {
+        lock(&app.admission).set_loading(true);
+        app.engine_state_changed.notify_one();
+    }
+}
+
 /// Records that the engine does not answer.
 pub fn record_silent(app: &app::App) {
     let now = app.clock.now();
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -3,18 +3,16 @@
 use std::{sync, sync::atomic, time};
 
 use pimentohook_core::engine;
-use pimentohook_platform::{origin, runner};
+use pimentohook_platform::runner;
 use pimentohook_runtime::process;
 
-use super::{app, engine_report, load_schedule, staging};
+use super::{app, engine_report, load_order, load_schedule, reloading, staging};
 use crate::mutex::lock;
 
 /// The interval of reports while weights are to be loaded.
 const LOADING_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// The interval of reports otherwise; requests for slots cause further ones.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(200);
-/// How often staged chunks are read back for an order before the engine's report is read again.
-const READ_BACK_ATTEMPTS: usize = 3;
 /// The version that an engine is to serve before any version of its model is announced.
 const FIRST_VERSION: u64 = 1;
 
@@ -53,6 +51,8 @@
     staged: Option<app::ModelVersion>,
     /// The version of the last load order.
     ordered: Option<app::ModelVersion>,
+    /// Whether the last load is vouched for, and what is done about it.
+    doubts: reloading::Doubts,
     is_engine_silent: bool,
     /// The pace that the engine last reported.
     pace: engine::Pace,
@@ -87,10 +87,12 @@
             self.pace = report.pace;
         }
         engine_report::record_leaving(app, report);
+        let is_usable =
+            !report.busy && self.is_loaded(report) && self.doubts.record_report(app, report);
         let mut admission = lock(&app.admission);
         let mut changed =
             admission.record_report(requested_at, engine_report::for_admission(report));
-        if admission.is_loading() && !report.busy && self.is_loaded(report) {
+        if admission.is_loading() && is_usable {
             admission.set_loading(false);
             self.ordered = None;
             changed = true;
@@ -122,9 +124,11 @@
         }
         load_schedule::schedule_load(app, report);
         let Some(target) = load_schedule::next_loadable(app, report) else {
+            self.doubts.resolve(app, report).await;
             return;
         };
-        let serves_no_version = !report.weights.contains_key(&target.model);
+        let serves_no_version =
+            !report.weights.contains_key(&target.model) || self.doubts.is_doubted(app, report);
         let version = (target.model.clone(), target.version);
         let Some(manifest) = app.manifest(&version) else {
             return;
@@ -139,33 +143,9 @@
         lock(&app.admission).set_loading(true);
         app.engine_state_changed.notify_one();
         self.ordered = Some(version);
-        self.order_load(app, &manifest, &target, report).await;
-    }
-
-    /// Verifies the staged chunks and orders the engine to load them, while what was verified holds.
-    async fn order_load(
-        &mut self,
-        app: &app::App,
-        manifest: &origin::Manifest,
-        target: &app::TargetVersion,
-        report: &runner::Report,
-    ) {
-        for _ in 0..READ_BACK_ATTEMPTS {
-            let Some(read_back) = staging::verify_staged(app, manifest).await else {
-                self.staged = None;
-                return;
-            };
-            let now = app.clock.boot_now();
-            if read_back.may_order(now) {
-                send_load_order(app, target, report).await;
-                return;
-            }
-            app.count("check_aged");
-            log::warn!(
-                "loader: event=check_aged version={} age_ms={}",
-                target.version,
-                read_back.age(now).as_millis()
-            );
+        self.doubts = reloading::Doubts::default();
+        if !load_order::order_read_back(app, &manifest, report, None).await {
+            self.staged = None;
         }
     }
 }
@@ -182,22 +162,3 @@
         (None, _) => {}
     }
 }
-
-async fn send_load_order(app: &app::App, target: &app::TargetVersion, report: &runner::Report) {
-    let (model, version) = (&target.model, target.version);
-    let ordered = app.runner.load(model, version, report.order_count).await;
-    let elapsed_ms = app
-        .clock
-        .now()
-        .duration_since(target.learned_at)
-        .as_millis();
-    app.count("ordered");
-    match ordered {
-        Ok(outcome) => log::info!(
-            "loader: event=ordered model={model} version={version} outcome={outcome} \
-             since_named_ms={elapsed_ms} active={}",
-            report.active_count
-        ),
-        Err(error) => log::warn!("loader: event=order_failed version={version} error={error:?}"),
-    }
-}
--- a/crates/agent/src/direct/staging.rs
+++ b/crates/agent/src/direct/staging.rs
@@ -2,10 +2,11 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt as _, stream};
-use pimentohook_core::read_back;
-use pimentohook_platform::origin;
+use pimentohook_core::{load_vouching, read_back};
+use pimentohook_platform::{origin, runner};
 
 use super::app;
+use crate::mutex::lock;
 
 /// The number of chunks that are read back at the same time, so that a slow engine is read in time.
 const CONCURRENT_READS_MAX: usize = 4;
@@ -25,6 +26,19 @@
     true
 }
 
+/// Reads the staged chunks back after a load; returns whether all are intact, or `None` if one could
+/// not be read.
+pub async fn read_loaded(app: &app::App, manifest: &origin::Manifest) -> Option<bool> {
+    let read_back = read_back::ReadBack::begin(app.clock.boot_now());
+    let bad = bad_chunks(app, manifest, (0..manifest.chunk_count()).collect()).await?;
+    if bad.is_empty() {
+        record_read_back(app, manifest, read_back);
+    } else {
+        lock(&app.loads).record_found_bad();
+    }
+    Some(bad.is_empty())
+}
+
 /// Reads the staged chunks back and stages bad ones again, which are read once more; returns `None`
 /// if that failed or a chunk stays bad.
 pub async fn verify_staged(
@@ -43,9 +57,16 @@
         log::warn!("loader: event=chunks_stay_spoilt chunks={still_bad:?}");
         return None;
     }
+    record_read_back(app, manifest, read_back);
     Some(read_back)
 }
 
+fn record_read_back(app: &app::App, manifest: &origin::Manifest, read_back: read_back::ReadBack) {
+    let ended_at = app.clock.boot_now();
+    let (model, version) = (&manifest.model, manifest.version);
+    lock(&app.loads).record_read_back(model, version, read_back, ended_at);
+}
+
 /// Returns which of these staged chunks are missing or not those of the version; `None` if one could
 /// not be read.
 async fn bad_chunks(
@@ -76,6 +97,15 @@
 async fn stage_chunk(app: &app::App, manifest: &origin::Manifest, chunk: u32) -> Option<()> {
     let bytes = app.transfers.chunk(manifest.digest(), chunk)?;
     let staged = app.runner.stage(&manifest.model, chunk, bytes).await;
+    let is_unconfirmed = staged
+        .as_ref()
+        .is_err_and(runner::RunnerError::may_be_unread);
+    let unconfirmed = is_unconfirmed.then(|| load_vouching::UnconfirmedWrite {
+        model: manifest.model.clone(),
+        version: manifest.version,
+        chunk,
+    });
+    lock(&app.loads).record_write(app.clock.boot_now(), unconfirmed);
     if let Err(error) = &staged {
         log::warn!("loader: event=stage_failed chunk={chunk} error={error:?}");
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -54,6 +54,9 @@
 //! * [`announcement`]: when versions of weights were announced.
 //! * [`version_selection`]: which announced version of weights is downloaded next.
 //! * [`rolling_update`]: when engines load a newer version of weights.
+//! * [`read_back`]: how long what was read back of staged chunks holds.
+//! * [`load_vouching`]: whether an engine is known to have loaded what was read back.
+//! * [`reload`]: how an engine is made to load a version again.
 //! * [`collection`]: copies of the platform's objects.
 //! * [`position`]: positions in the history of the platform's store, which may be restored.
 //! * [`carryover`]: objects that a restored store has lost and that will be written again.
@@ -83,6 +86,7 @@
 pub mod latest_start;
 pub mod lease;
 pub mod limits;
+pub mod load_vouching;
 pub mod membership;
 pub mod memory_shares;
 pub mod pace;
@@ -93,6 +97,7 @@
 pub mod refusal_rate;
 pub mod regions;
 pub mod relay;
+pub mod reload;
 pub mod replaced_routes;
 pub mod report;
 pub mod response;
--- a/crates/core/src/read_back.rs
+++ b/crates/core/src/read_back.rs
@@ -48,6 +48,19 @@
         self.age(now) + ORDER_TIMEOUT + CLOCK_MARGIN <= TOLERANCE
     }
 
+    /// Returns whether what was read still held for a load order that was accepted no later than
+    /// `accepted_by`: no chunk had been bad for longer than is excused.
+    #[must_use]
+    pub fn holds_for(self, accepted_by: clock::BootInstant) -> bool {
+        self.age(accepted_by) + CLOCK_MARGIN <= TOLERANCE
+    }
+
+    /// Returns whether the first chunk was read at or after an instant.
+    #[must_use]
+    pub fn began_after(self, instant: clock::BootInstant) -> bool {
+        self.began_at >= instant
+    }
+
     /// Returns the time since the first chunk was read.
     #[must_use]
     pub fn age(self, now: clock::BootInstant) -> time::Duration {
