Let callers ask again before the entries that they know refuse most requests

Cause, from reading: callers hold for 2 s an address that a directory named shortly before and that refuses by then, while the other entry is back.

Change: where entries that shut down are named, callers may use the response until 2 s before the end of the first of them (a second at least, never past that end).

--- a/crates/core/src/leaving/directory.rs
+++ b/crates/core/src/leaving/directory.rs
@@ -35,12 +35,23 @@
         let is_first = is_other_named && first.contains(name.as_str());
         if is_long && !is_first {
             names.push(name.clone());
-            ttl = ttl.min(*remaining);
+            ttl = ttl.min(usable_for(*remaining));
         }
     }
     (names, ttl)
 }
 
+/// Callers ask again this long before an entry ends that they know, as it refuses most requests by then.
+const ASKED_AGAIN_BEFORE: time::Duration = time::Duration::from_secs(2);
+/// Callers use a response for this long, unless an entry ends sooner.
+const TTL_MIN: time::Duration = time::Duration::from_secs(1);
+
+/// Returns for how long callers may use the address of an entry that ends after `remaining`.
+fn usable_for(remaining: time::Duration) -> time::Duration {
+    let until_refusing = remaining.saturating_sub(ASKED_AGAIN_BEFORE);
+    until_refusing.max(TTL_MIN).min(remaining)
+}
+
 /// One in so many entries that shut down may end before the others.
 const FIRST_DIVISOR: usize = 4;
 /// Entries that end within this time of each other count as ending together.
