Remember routes whose paths are split off or lose their route

What callers would see: a POST that must run once ran twice, after a configuration that split its path off into a longer prefix whose requests may repeat, or that took its route away between two others.

Cause: what a replaced route allowed was kept only if the route that now has its own prefix allows less time or more runs. Routes with longer prefixes that are new below it, and none at all, were not looked at. Timeouts had the same hole: a stream could be cut at the timeout of a route that was split off just before it arrived.

Change: a route is kept if any route that now has some of its paths allows less time or more runs, or if none has its prefix.

Three new tests failed before (core/tests/replaced_routes.rs), seven of seven pass.

--- a/crates/core/src/replaced_routes.rs
+++ b/crates/core/src/replaced_routes.rs
@@ -41,8 +41,8 @@
 }
 
 impl ReplacedRoutes {
-    /// Records the routes whose timeouts are lower, or whose requests may repeat only now, in the
-    /// configuration that comes into force.
+    /// Records the routes whose requests may take less time, may repeat only now, or have no route any
+    /// more in the configuration that comes into force, all of them or those with some paths.
     pub fn record(
         &mut self,
         now: time::Instant,
@@ -52,7 +52,9 @@
         self.routes
             .retain(|replaced| now < replaced.replaced_at + RETENTION);
         for (host, routes) in &before.hosts {
-            let binding = routes.iter().filter(|route| binds_more(host, route, after));
+            let binding = routes
+                .iter()
+                .filter(|route| binds_more(host, route, before, after));
             self.routes.extend(binding.map(|route| ReplacedRoute {
                 host: host.clone(),
                 path_prefix: route.path_prefix.clone(),
@@ -98,13 +100,30 @@
     }
 }
 
-fn binds_more(host: &str, route: &routes::Route, after: &routes::RouteTable) -> bool {
-    let now = after.select(host, &route.path_prefix);
-    now.is_some_and(|now| {
+/// Returns whether a request that a route took may be on one now that allows less time or more runs, or
+/// on none.
+fn binds_more(
+    host: &str,
+    route: &routes::Route,
+    before: &routes::RouteTable,
+    after: &routes::RouteTable,
+) -> bool {
+    let Some(now) = after.select(host, &route.path_prefix) else {
+        return true;
+    };
+    let allows_other = |now: &routes::Route| {
         let is_lowered = now.timeout < route.timeout;
         let repeats_only_now = now.may_repeat() && !route.may_repeat();
         is_lowered || repeats_only_now
-    })
+    };
+    let had_path = |inner: &routes::Route| {
+        let earlier = before.select(host, &inner.path_prefix);
+        inner.path_prefix.starts_with(&route.path_prefix)
+            && earlier.is_some_and(|earlier| earlier.path_prefix == route.path_prefix)
+    };
+    let routes = after.hosts.get(host).into_iter().flatten();
+    let mut inner = routes.filter(|inner| had_path(inner));
+    allows_other(now) || inner.any(allows_other)
 }
 
 /// Returns the prefixes of the routes of a host that are below a route.
--- a/crates/core/tests/replaced_routes.rs
+++ b/crates/core/tests/replaced_routes.rs
@@ -109,3 +109,55 @@
     replaced.record(changed_at, &without, &with_own);
     assert!(replaced.may_repeat_since(start, HOST, "/notes/1"));
 }
+
+/// A POST ran twice: its path had been split off into a route whose requests may repeat.
+#[test]
+fn a_request_does_not_repeat_whose_path_was_split_off_after_its_arrival() {
+    let (once, repeats) = (
+        routes::RepeatPolicy::AtMostOnce,
+        routes::RepeatPolicy::Idempotent,
+    );
+    let whole = table_of_kind(&[("/notes/", once)]);
+    let split = table_of_kind(&[("/notes/", once), ("/notes/drafts/", repeats)]);
+    let start = time::Instant::now();
+    let changed_at = start + time::Duration::from_secs(1);
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
+    replaced.record(changed_at, &whole, &split);
+    assert!(!replaced.may_repeat_since(start, HOST, "/notes/drafts/1"));
+    let unchanged = replaced.clone();
+    replaced.record(changed_at, &split, &split);
+    assert_eq!(replaced, unchanged, "a split is recorded once");
+}
+
+/// A POST ran twice: it could run only once by a configuration between two without such a route.
+#[test]
+fn a_request_does_not_repeat_whose_route_was_taken_away_meanwhile() {
+    let (once, repeats) = (
+        routes::RepeatPolicy::AtMostOnce,
+        routes::RepeatPolicy::Idempotent,
+    );
+    let series = [
+        table_of_kind(&[("/notes/", repeats)]),
+        table_of_kind(&[("/notes/", once)]),
+        table_of_kind(&[]),
+    ];
+    let start = time::Instant::now();
+    let changed_at = start + time::Duration::from_secs(1);
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
+    for pair in series.windows(2) {
+        replaced.record(changed_at, &pair[0], &pair[1]);
+    }
+    assert!(!replaced.may_repeat_since(start, HOST, "/notes/1"));
+}
+
+#[test]
+fn the_timeout_of_a_route_holds_for_a_path_that_was_split_off() {
+    let mut split = table(10);
+    split.insert(String::from(HOST), route("/notes/drafts/", 2));
+    let start = time::Instant::now();
+    let changed_at = start + time::Duration::from_secs(1);
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
+    replaced.record(changed_at, &table(10), &split);
+    let longest = replaced.longest_timeout_since(start, HOST, "/notes/drafts/1");
+    assert_eq!(longest, Some(time::Duration::from_secs(10)));
+}
