Keep the bytes that grow within a budget inside the budget's module

core module_circles, case 3, failed: body::budget and body::growing_bytes named each other. The latter is a part of the former; a module and one inside it are no circle.

--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -1,7 +1,6 @@
 //! Reads bodies, which have a bounded size, each and all together.
 
 mod budget;
-mod growing_bytes;
 
 use std::{net, sync};
 
@@ -71,7 +70,7 @@
     budget: &sync::Arc<BodyBudget>,
 ) -> Result<Bytes, client_error::ClientError> {
     let mut body = response.into_body();
-    let mut read = growing_bytes::GrowingBytes::new(budget);
+    let mut read = budget::GrowingBytes::new(budget);
     // Responses that hold a part of their room each could wait for each other.
     let announced_bytes = body.size_hint().exact().unwrap_or(0);
     let announced_bytes = usize::try_from(announced_bytes).unwrap_or(usize::MAX);
--- a/crates/runtime/src/body/budget.rs
+++ b/crates/runtime/src/body/budget.rs
@@ -3,13 +3,15 @@
 //! What a body allocates is reserved before. When there is no room, the bodies that have gone longest
 //! without progress lose theirs.
 
+mod growing_bytes;
+
 use std::{sync, sync::atomic, time};
 
 use bytes::Bytes;
 use indexmap::IndexMap;
 use tokio::{sync::Notify, time as tokio_time};
 
-use super::growing_bytes::GrowingBytes;
+pub(super) use self::growing_bytes::GrowingBytes;
 
 /// A body that has made no progress for this long may lose its room to another.
 const EVICTABLE_AFTER: time::Duration = time::Duration::from_secs(1);
@@ -82,7 +84,7 @@
     }
 
     /// Reserves bytes if at least `kept_bytes` stay free besides.
-    pub(super) fn try_reserve(&self, bytes: usize, kept_bytes: usize) -> bool {
+    fn try_reserve(&self, bytes: usize, kept_bytes: usize) -> bool {
         let ordering = atomic::Ordering::Relaxed;
         let reserve = |free_bytes: usize| {
             let left = free_bytes.checked_sub(bytes)?;
@@ -94,7 +96,7 @@
     }
 
     /// Frees bytes that were reserved.
-    pub(super) fn release(&self, bytes: usize) {
+    fn release(&self, bytes: usize) {
         self.free_bytes.fetch_add(bytes, atomic::Ordering::Relaxed);
     }
 
--- a/crates/runtime/src/body/growing_bytes.rs
+++ b/crates/runtime/src/body/budget/growing_bytes.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use super::budget::BodyBudget;
+use super::BodyBudget;
 
 /// Bytes of unknown length get as much room as has been used of it, within these bounds.
 const STEP_MIN_BYTES: usize = 256;
@@ -69,14 +69,14 @@
 /// As long as they are few, they are kept in segments: small allocations that grow leave gaps between
 /// them which nothing else fits in.
 #[derive(Debug)]
-pub(super) struct GrowingBytes {
+pub(in crate::body) struct GrowingBytes {
     segments: Vec<Segment>,
     len: usize,
     reservation: Reservation,
 }
 
 impl GrowingBytes {
-    pub(super) fn new(budget: &sync::Arc<BodyBudget>) -> Self {
+    pub(in crate::body) fn new(budget: &sync::Arc<BodyBudget>) -> Self {
         let reservation = Reservation {
             budget: budget.clone(),
             bytes: 0,
@@ -89,12 +89,12 @@
     }
 
     /// Returns the number of bytes that have been appended.
-    pub(super) const fn received_bytes(&self) -> usize {
+    pub(in crate::body) const fn received_bytes(&self) -> usize {
         self.len
     }
 
     /// Allocates `missing` bytes, for which it waits a while; returns false if there is no room.
-    pub(super) async fn wait_for_room(&mut self, missing: usize) -> bool {
+    pub(in crate::body) async fn wait_for_room(&mut self, missing: usize) -> bool {
         if self.allocate(missing, 0) {
             return true;
         }
@@ -104,7 +104,7 @@
     }
 
     /// Appends a piece; returns false if there is no room beside `kept_bytes`.
-    pub(super) fn push(&mut self, piece: &[u8], kept_bytes: usize) -> bool {
+    pub(in crate::body) fn push(&mut self, piece: &[u8], kept_bytes: usize) -> bool {
         let missing = piece.len().saturating_sub(self.spare());
         let wished = missing.max(self.len.clamp(STEP_MIN_BYTES, STEP_MAX_BYTES));
         let has_room =
@@ -121,7 +121,7 @@
     }
 
     /// Allocates so many bytes besides.
-    pub(super) fn allocate(&mut self, bytes: usize, kept_bytes: usize) -> bool {
+    pub(in crate::body) fn allocate(&mut self, bytes: usize, kept_bytes: usize) -> bool {
         let is_reserved = self.reservation.budget.try_reserve(bytes, kept_bytes);
         if is_reserved && bytes > 0 {
             self.reservation.bytes += bytes;
@@ -166,7 +166,7 @@
     }
 
     /// Returns the bytes, which stay reserved until their last copy is dropped.
-    pub(super) fn into_bytes(mut self) -> Bytes {
+    pub(in crate::body) fn into_bytes(mut self) -> Bytes {
         let bytes = self.take_joined();
         Bytes::from_owner(HeldBytes {
             bytes,
