Count the wait for the first tick as lateness of a process's timers

Callers: operators of an entry or agent that is short of processor time as it starts read 0 ms in `timer_late_max_ms`.

Cause: the task that measures how late timers fire began to count when it first ran, so what kept it from its first turn was not seen.

Change: the task counts from when it was spawned.

--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -4,22 +4,28 @@
 //! Links between regions have low bandwidth, so of the configuration and the lists only what no
 //! entry could supply is read from the store.
 
-use std::{net, sync, time};
+mod apply;
+mod caches;
 
-use indexmap::IndexMap;
-use pimentohook_core::{announcement, carryover, collection, routes, upstreams};
+use std::{sync, time};
+
+use pimentohook_core::announcement;
 use pimentohook_platform::{decode, skipped, store};
 use pimentohook_runtime::{client, metrics};
 use pimentohook_wire::direct;
 use snafu::ResultExt as _;
 use tokio::time as tokio_time;
 
+use self::{
+    apply::{apply, apply_table, set_service},
+    caches::{CachedCollections, RefreshedKind},
+};
 use super::{
     app,
     entry_follow::{self, EntrySnafu, FollowError},
     weights_feed,
 };
-use crate::mutex::lock;
+pub(super) use caches::Objects;
 
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
 const REFRESH_INTERVAL: time::Duration = time::Duration::from_secs(3);
@@ -30,67 +36,21 @@
 /// How long, per registered entry, a starting agent waits for entries before it reads the
 /// configuration from the store: the larger the fleet, the more agents would read it at once.
 const STARTUP_WAIT_PER_ENTRY: time::Duration = time::Duration::from_millis(10);
-const LIST_AGE_MAX: time::Duration = time::Duration::from_secs(6);
 pub(super) const WEIGHTS_AGE_MAX: time::Duration = time::Duration::from_secs(14);
 /// The interval while weights are downloaded, shorter so that VMs that join are found sooner.
 const DOWNLOADING_REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(800);
 
 /// Spawns the tasks that follow the store and the entries, until the process exits.
 pub fn start(app: &sync::Arc<app::App>) {
-    let watched = app.clone();
-    tokio::spawn(async move { watched.standstills.run(&watched.metrics).await });
+    spawn_standstills(app);
     tokio::spawn(weights_feed::run(app.clone()));
     tokio::spawn(refresh(app.clone()));
 }
 
-pub(super) type Objects = IndexMap<String, collection::Object>;
-
-/// The agent's copies of the collections that it refreshes.
-#[derive(Debug, Default)]
-struct CachedCollections {
-    upstreams: collection::Collection,
-    entries: collection::Collection,
-    weights: collection::Collection,
-    /// The upstreams that a restored store has lost.
-    lost_upstreams: carryover::Carryover<upstreams::Upstream>,
-    /// The registrations of entries that a restored store has lost.
-    lost_entries: carryover::Carryover<collection::Object>,
-}
-
-impl CachedCollections {
-    const fn get_mut(&mut self, kind: RefreshedKind) -> &mut collection::Collection {
-        match kind {
-            RefreshedKind::Upstreams => &mut self.upstreams,
-            RefreshedKind::Entries => &mut self.entries,
-            RefreshedKind::Weights => &mut self.weights,
-        }
-    }
-}
-
-/// The kinds of objects that are refreshed periodically.
-#[derive(Clone, Copy, Debug)]
-enum RefreshedKind {
-    Upstreams,
-    Entries,
-    Weights,
-}
-
-impl RefreshedKind {
-    const fn store_kind(self) -> store::Kind {
-        match self {
-            Self::Upstreams => store::Kind::Upstreams,
-            Self::Entries => store::Kind::Entries,
-            Self::Weights => store::Kind::Weights,
-        }
-    }
-
-    /// Returns the maximum age of an entry's copy, which reflects how often entries poll the store.
-    const fn age_max(self) -> time::Duration {
-        match self {
-            Self::Upstreams | Self::Entries => LIST_AGE_MAX,
-            Self::Weights => WEIGHTS_AGE_MAX,
-        }
-    }
+fn spawn_standstills(app: &sync::Arc<app::App>) {
+    let app = app.clone();
+    let spawned_at = app.clock.boot_now();
+    tokio::spawn(async move { app.standstills.run(&app.metrics, spawned_at).await });
 }
 
 async fn refresh(app: sync::Arc<app::App>) {
@@ -284,30 +244,6 @@
     }
 }
 
-fn apply(
-    app: &app::App,
-    kind: RefreshedKind,
-    caches: &mut CachedCollections,
-    read: announcement::Read,
-) {
-    let collection = caches.get_mut(kind);
-    let era = collection.position().era;
-    let objects = collection.objects().clone();
-    let now = app.clock.now();
-    match kind {
-        RefreshedKind::Upstreams => {
-            let listed = decode::upstreams(&objects, app.store.skipped());
-            let lost = &mut caches.lost_upstreams;
-            apply_upstreams(app, &upstreams::with_lost(lost, era, listed, now));
-        }
-        RefreshedKind::Entries => {
-            let lost = &mut caches.lost_entries;
-            apply_entries(app, &lost.combine(era, objects, now, |_, listed| listed));
-        }
-        RefreshedKind::Weights => weights_feed::record_announced(app, &objects, read),
-    }
-}
-
 /// Drops the upstreams and entries that a restored store has lost when their time is over.
 fn expire_lost(app: &app::App, caches: &mut CachedCollections) {
     let now = app.clock.now();
@@ -320,82 +256,3 @@
         apply(app, RefreshedKind::Entries, caches, read);
     }
 }
-
-fn apply_table(app: &app::App, table: &routes::RouteTable) {
-    let service = table.services.get(&app.settings.service);
-    if let Some(figures) = service.and_then(|service| service.engine.clone()) {
-        let origin = table.origin();
-        let cold = service.and_then(|service| service.cold);
-        let service = direct::EngineService {
-            figures,
-            origin,
-            cold,
-        };
-        set_service(app, table.version.get(), service);
-    }
-}
-
-fn set_service(app: &app::App, configuration_version: u64, service: direct::EngineService) {
-    let is_first = app.service.load().is_none();
-    let direct::EngineService {
-        figures,
-        origin,
-        cold,
-    } = service;
-    app.service.store(Some(sync::Arc::new(app::Service {
-        configuration_version,
-        figures,
-        origin,
-        cold,
-    })));
-    if is_first {
-        log::info!(
-            "feed: event=configuration_known version={configuration_version} origin={origin:?}"
-        );
-    }
-}
-
-fn apply_upstreams(app: &app::App, listed: &[upstreams::Upstream]) {
-    if let Some(own) = listed
-        .iter()
-        .find(|upstream| upstream.address == app.settings.engine)
-    {
-        lock(&app.cold).record_registered(app.clock.now(), own.cold_remaining);
-    }
-    let vms = upstreams::service_vms(listed, &app.settings.service);
-    // Agents of leaving VMs make no grants and get none, so they aren't among the peers.
-    let mut peers = app::PeerAgents::new();
-    for (ip, failure_domain) in vms.staying {
-        let peer = app::PeerAgent {
-            address: net::SocketAddr::new(ip, app.settings.peers.port()),
-            is_same_domain: failure_domain == app.settings.failure_domain.as_str(),
-        };
-        peers.insert(app::vm_id_of(ip), peer);
-    }
-    peers.shift_remove(&app.own_vm);
-    app.peers.store(sync::Arc::new(peers));
-    let leaving = vms.leaving.iter().map(|ip| app::vm_id_of(*ip)).collect();
-    app.leaving_vms.store(sync::Arc::new(leaving));
-}
-
-fn apply_entries(app: &app::App, objects: &Objects) {
-    let state = |object: &collection::Object| {
-        let state: Result<direct::PeerState, _> = serde_json::from_str(&object.content);
-        match state {
-            Ok(state) => Some(state),
-            Err(error) => {
-                let kind = store::Kind::Entries;
-                if app.store.skipped().record(kind, &object.name, object) {
-                    log::warn!(
-                        "feed: event=entry_unreadable name={} error={}",
-                        object.name,
-                        skipped::shortened(&error)
-                    );
-                }
-                None
-            }
-        }
-    };
-    let entries = objects.values().filter_map(state).collect();
-    app.entries.store(sync::Arc::new(entries));
-}
--- a/crates/runtime/src/standstill.rs
+++ b/crates/runtime/src/standstill.rs
@@ -40,9 +40,17 @@
     }
 
     /// Ticks the monitor until it is dropped, and states after each interval how late the ticks were.
-    pub async fn run(&self, metrics: &StatsdClient) -> convert::Infallible {
+    ///
+    /// The first tick is due when the task is spawned, at `spawned_at`: a task may wait for its first
+    /// turn as others wait for their next one.
+    pub async fn run(
+        &self,
+        metrics: &StatsdClient,
+        spawned_at: clock::BootInstant,
+    ) -> convert::Infallible {
         let mut now = self.clock.boot_now();
-        let mut lateness = timer_lateness::TimerLateness::new(now);
+        let mut lateness = timer_lateness::TimerLateness::new(spawned_at);
+        lateness.record(spawned_at, now);
         loop {
             self.lock().tick(now);
             let due_at = now + standstill::TICK_INTERVAL;
