Grant a version's chunks once although its agents begin at different times

Callers: a version that was announced while another one was downloaded arrived late, as the origin sent many of its chunks twice.

Cause, from the log of one: the agents finished the older version within 0.2 s of each other and turned to the newer one, announced 0.8 s before. Two agents that came to it first had heard nobody's report on it, and as the delays of a takeover (500 ms) and of the first grants (400 ms) counted from the announcement, both took the lead at once and granted the same 18 chunks to themselves. The origin's queue then was longer than a grant may take, so that the true grantor granted again what waited there.

Change: both delays count from when an agent begins to download a version (core::burst::grantor); silence before says nothing. The property test fails if they count from the announcement ([0, 1, 2, 3, 4, 5] grant at 0 ms).

--- a/crates/agent/src/direct/grants.rs
+++ b/crates/agent/src/direct/grants.rs
@@ -9,7 +9,7 @@
 use std::{sync, time};
 
 use pimentohook_core::{
-    burst::{self, ledger},
+    burst::{self, grantor, ledger},
     collection, id,
 };
 use pimentohook_platform::{origin, store};
@@ -26,8 +26,6 @@
 };
 /// Grants are recorded once this many are due, while the others keep the origin busy.
 const GRANT_BATCH_MIN: usize = 6;
-/// The first grants wait for at most this many agents to take part.
-const FIRST_GRANT_PARTICIPANTS_MAX: usize = 6;
 /// An agent that was last seen longer ago than this takes no part.
 const SILENCE_MAX: time::Duration = time::Duration::from_secs(1);
 /// In a large fleet, where calls are rarer, an agent may be silent for this many call intervals.
@@ -38,12 +36,6 @@
 /// carry the calls of all.
 const CALL_INTERVAL_PER_AGENT: time::Duration = time::Duration::from_millis(3);
 
-/// How long the first grants wait for agents to take part, so that they are spread over several.
-const FIRST_GRANT_DELAY_MAX: time::Duration = time::Duration::from_millis(400);
-/// How long after an announcement an agent that isn't first by rank waits before it may act as
-/// grantor in place of silent ones.
-const TAKEOVER_DELAY: time::Duration = time::Duration::from_millis(500);
-
 /// Returns the interval at which an agent with `peer_count` peers calls possible grantors.
 #[must_use]
 pub fn call_interval(peer_count: usize) -> time::Duration {
@@ -127,33 +119,54 @@
     own.is_downloading || reports.any(|(_, report)| is_downloading(report))
 }
 
-/// Returns whether this agent is the grantor of a version: the first by rank that is live and knows
-/// the version.
+/// Returns whether this agent is the grantor of a version: the first by rank that is live and
+/// downloads the version.
 #[must_use]
 pub fn is_grantor(app: &app::App, target: &app::TargetVersion) -> bool {
-    let now = app.clock.now();
     let rank = app.rank(target);
-    if rank == 0 {
-        return true;
-    }
-    if now.duration_since(target.learned_at) < TAKEOVER_DELAY {
-        return false;
-    }
     let Some(manifest) = app.manifest(&(target.model.clone(), target.version)) else {
-        return false;
+        return rank == 0;
     };
+    let manifest = manifest.digest();
+    let standing = grantor::Standing {
+        rank,
+        takes_part_for: takes_part_for(app, target, manifest),
+        hears_earlier: hears_earlier(app, target, manifest, rank),
+    };
+    standing.is_grantor()
+}
+
+/// Returns whether this agent hears one that is ranked before it and downloads the version.
+fn hears_earlier(
+    app: &app::App,
+    target: &app::TargetVersion,
+    manifest: id::Digest,
+    rank: usize,
+) -> bool {
+    let now = app.clock.now();
     let peers = app.peers.load();
     let peer_statuses = lock(&app.peer_statuses);
     let silence_max = silence_max(app);
     let is_live = |vm: &id::VmId| {
-        let report = peer_statuses.report(vm, manifest.digest());
+        let report = peer_statuses.report(vm, manifest);
         report.is_some_and(|report| now.duration_since(report.received_at) < silence_max)
     };
-    !by_rank(&peers, target)
+    by_rank(&peers, target)
         .take(rank)
         .any(|(vm, _)| is_live(vm))
 }
 
+/// Returns for how long this agent has downloaded a version, or known of it if that is shorter.
+fn takes_part_for(
+    app: &app::App,
+    target: &app::TargetVersion,
+    manifest: id::Digest,
+) -> time::Duration {
+    let began_at = app.transfers.target_since(manifest);
+    let since = began_at.map_or(target.learned_at, |at| at.max(target.learned_at));
+    app.clock.now().saturating_duration_since(since)
+}
+
 /// Records the grants that are due; returns them.
 async fn extend_ledger(
     app: &app::App,
@@ -162,7 +175,11 @@
 ) -> Result<Vec<ledger::Grant>, store::StoreError> {
     let digest = manifest.digest();
     let availability = chunk_availability(app, digest);
-    if awaits_participants(app, target, &availability) {
+    if grantor::awaits_participants(
+        takes_part_for(app, target, digest),
+        availability.participant_count(),
+        app.peers.load().len(),
+    ) {
         return Ok(Vec::new());
     }
     let now = app.clock.now();
@@ -227,17 +244,6 @@
     Ok(granted)
 }
 
-/// Returns whether the first grants of a version still wait for more agents to take part.
-fn awaits_participants(
-    app: &app::App,
-    target: &app::TargetVersion,
-    availability: &ledger::ChunkAvailability,
-) -> bool {
-    let age = app.clock.now().duration_since(target.learned_at);
-    let participants_min = (app.peers.load().len() / 2 + 1).min(FIRST_GRANT_PARTICIPANTS_MAX);
-    availability.participant_count() < participants_min && age < FIRST_GRANT_DELAY_MAX
-}
-
 /// Returns whether grants that are due wait until there are more, so that the store is called less
 /// often. The last ones of a version don't wait.
 fn awaits_batch(recorded: &ledger::Ledger, due_count: usize) -> bool {
--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -126,6 +126,8 @@
     chunks: Vec<Option<Bytes>>,
     /// When the last chunk was verified.
     last_chunk_at: Option<time::Instant>,
+    /// When the set last became the target.
+    target_since: time::Instant,
 }
 
 /// The sets of weights that the agent holds or downloads; the last one is the target of downloads.
@@ -190,6 +192,7 @@
             ),
             chunks: vec![None; chunk_count as usize],
             last_chunk_at: None,
+            target_since: self.link.clock.now(),
             content: sync::Arc::new(content),
         };
         self.insert(set, serving);
@@ -335,13 +338,24 @@
         // A rollback returns to a set that was opened before another one.
         let last = sets.len() - 1;
         sets.move_index(position, last);
+        let is_replaced = self.target.send_replace(Some(manifest)) != Some(manifest);
+        if is_replaced {
+            sets[last].target_since = self.link.clock.now();
+        }
         drop(sets);
-        if self.target.send_replace(Some(manifest)) != Some(manifest) {
+        if is_replaced {
             self.changed.notify_one();
         }
         true
     }
 
+    /// Returns when a set last became the target of downloads; `None` if it isn't open.
+    #[must_use]
+    pub fn target_since(&self, manifest: id::Digest) -> Option<time::Instant> {
+        let sets = lock(&self.sets);
+        sets.get(&manifest).map(|set| set.target_since)
+    }
+
     /// Waits until the set with the given manifest is not the target.
     async fn wait_until_replaced(&self, manifest: id::Digest) {
         let mut target = self.target.subscribe();
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -11,6 +11,7 @@
 pub mod activation;
 pub mod chunks;
 pub mod downloader;
+pub mod grantor;
 pub mod ledger;
 pub mod manifest;
 pub mod uploader;
--- a/crates/core/tests/burst/main.rs
+++ b/crates/core/tests/burst/main.rs
@@ -2,6 +2,7 @@
 //! benchmark's simulation is used for whole fleets.
 
 mod downloader;
+mod grantor;
 mod grants;
 mod repeated_grants;
 #[path = "../../benches/rounds/mod.rs"]
