Share engines that are short among organisations, if the entries' settings ask for it

Callers: an organisation that asked for ten times as much as each of seven others took as much from them: at a load of 2.1, 56% of its requests and 49 to 56% of theirs were served, where they would have got 97 to 99% without it.

Cause: engines knew ranks, not organisations (docs/design/scheduling.md, not built until now).

Change: `share_policy: by_organisation` of entries (`by_rank`, as before, is the default). An agent keeps what each organisation has asked and was served, and divides a short engine by max-min fairness (core::organisation_shares); requests beyond a share go after all others. Entries tell the agent the organisation only then. Refusals beyond a share don't count as refusals of others, in neither the order of asking nor Retry-After.

Messages are arrays, so a field that is left out must be the last: the field before the organisation is stated wherever it is.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -7,7 +7,7 @@
 use indexmap::{IndexMap, IndexSet};
 use pimentohook_core::{
     burst::{chunks, uploader},
-    clock, cold, engine, engine_admission, id, load_vouching, pace, routes,
+    clock, cold, engine, engine_admission, id, load_vouching, organisation_shares, pace, routes,
 };
 use pimentohook_platform::{origin, runner, store};
 use pimentohook_runtime::{announcements, client, metrics, standstill};
@@ -132,6 +132,8 @@
     pub engine_state_changed: Notify,
     /// When this process did not run for a while.
     pub standstills: standstill::Standstills,
+    /// What organisations have asked of the engine and were served.
+    pub shares: sync::Mutex<organisation_shares::Shares>,
     /// The client that records metrics.
     pub metrics: StatsdClient,
     /// The registry that metrics are served from.
@@ -186,6 +188,7 @@
         let metrics_registry = sync::Arc::new(metrics::Registry::default());
         sync::Arc::new(Self {
             standstills: standstill::Standstills::new(clock.clone()),
+            shares: sync::Mutex::new(organisation_shares::Shares::new(clock.now())),
             metrics: metrics_registry.client("pimentohook.agent"),
             metrics_registry,
             runner: runner::RunnerClient::new(
--- a/crates/agent/src/direct/place.rs
+++ b/crates/agent/src/direct/place.rs
@@ -25,7 +25,9 @@
     let Some(service) = app.service.load_full() else {
         return server::respond_text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
     };
-    let admit = || admit(&app, &service, &request);
+    let is_over_share = is_over_share(&app, &request);
+    let ask = ask(&request, is_over_share);
+    let admit = || admit(&app, &service, &request, ask);
     engine_report::begin_refresh(&app);
     let mut admitted = admit();
     let asked_at = app.clock.now();
@@ -45,7 +47,8 @@
     } else {
         "refused"
     });
-    record(&app, &service, &request, admitted);
+    record(&app, &service, ask, admitted);
+    record_share(&app, &request, admitted.is_ok());
     if let Err(reason) = admitted {
         log::debug!(
             "place: event=refused instance={} reason={reason}",
@@ -56,6 +59,7 @@
     server::respond_message(&direct::SlotReply {
         granted: admitted.is_ok(),
         first_token_ms: u32::try_from(time_to_first_token.as_millis()).unwrap_or(u32::MAX),
+        is_over_share,
         state: app.engine_state(),
     })
 }
@@ -65,6 +69,7 @@
     app: &app::App,
     service: &app::Service,
     request: &direct::SlotRequest,
+    ask: Option<scheduling::Ask>,
 ) -> Result<time::Duration, engine_admission::DenialReason> {
     let model = &request.model;
     let version_min = weights_versions::version_min(app, model).max(request.version_min);
@@ -80,7 +85,7 @@
     let now = app.clock.now();
     starting::admit(app, service, request, now, |profile| {
         let mut admission = lock(&app.admission);
-        match ask(request) {
+        match ask {
             Some(ask) => admission.admit_ranked(profile, now, &admission_request, &ask),
             None => admission.admit(profile, now, &admission_request),
         }
@@ -91,10 +96,10 @@
 fn record(
     app: &app::App,
     service: &app::Service,
-    request: &direct::SlotRequest,
+    ask: Option<scheduling::Ask>,
     admitted: Result<time::Duration, engine_admission::DenialReason>,
 ) {
-    let Some(ask) = ask(request) else {
+    let Some(ask) = ask else {
         return;
     };
     let mut admission = lock(&app.admission);
@@ -108,12 +113,30 @@
     app.count(&format!("{outcome}_priority_{}", ask.priority.get()));
 }
 
+/// Returns whether the organisation of a request has had more than its share of the engine.
+fn is_over_share(app: &app::App, request: &direct::SlotRequest) -> bool {
+    let organisation = request.organisation.as_ref();
+    organisation.is_some_and(|name| lock(&app.shares).is_over(name))
+}
+
+/// Records what became of a request whose organisation has a share.
+fn record_share(app: &app::App, request: &direct::SlotRequest, is_served: bool) {
+    let Some(organisation) = &request.organisation else {
+        return;
+    };
+    let tokens = request.prompt_tokens.saturating_add(request.answer_tokens);
+    let is_first_ask = request.is_asked_again != Some(true);
+    let now = app.clock.now();
+    lock(&app.shares).record(now, organisation, tokens, is_first_ask, is_served);
+}
+
 /// Returns what matters of a request for what is kept; `None` if all requests are equally urgent.
-fn ask(request: &direct::SlotRequest) -> Option<scheduling::Ask> {
+fn ask(request: &direct::SlotRequest, is_over_share: bool) -> Option<scheduling::Ask> {
     request.priority.map(|priority| scheduling::Ask {
         priority,
         is_second: request.spare_only,
-        is_first_ask: !request.is_asked_again,
+        is_over_share,
+        is_first_ask: request.is_asked_again != Some(true),
         prompt_tokens: request.prompt_tokens,
         first_token_max: time::Duration::from_millis(u64::from(request.first_token_max_ms)),
     })
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -92,6 +92,7 @@
 pub mod load_vouching;
 pub mod membership;
 pub mod memory_shares;
+pub mod organisation_shares;
 pub mod pace;
 pub mod paged_list;
 pub mod position;
--- a/crates/core/src/refusal_rate.rs
+++ b/crates/core/src/refusal_rate.rs
@@ -40,9 +40,16 @@
 pub struct Rates {
     without_priority: RefusalRate,
     by_priority: [RefusalRate; rank::Priority::COUNT],
+    over_share: RefusalRate,
 }
 
 impl Rates {
+    /// Returns the refusal rate of requests of organisations that have had more than their shares.
+    #[must_use]
+    pub const fn over_share(&self) -> &RefusalRate {
+        &self.over_share
+    }
+
     /// Returns the refusal rate of requests with a priority, or of those without one.
     #[must_use]
     pub fn of(&self, priority: Option<rank::Priority>) -> &RefusalRate {
--- a/crates/core/src/scheduling.rs
+++ b/crates/core/src/scheduling.rs
@@ -5,6 +5,9 @@
 //! that it settles where few of them are refused. Reserves only ever take away from what
 //! [`EngineAdmission`](crate::engine_admission::EngineAdmission) would admit.
 //!
+//! Requests of organisations beyond their shares go after all others, whatever their priority; see
+//! [`organisation_shares`](crate::organisation_shares).
+//!
 //! No priority is starved: it earns a credit with each request, and requests with credit are bound by
 //! no reserve. Large requests earn credits of their own.
 //!
@@ -18,6 +21,7 @@
 //! let urgent = scheduling::Ask {
 //!     priority: Priority::from(0),
 //!     is_second: false,
+//!     is_over_share: false,
 //!     is_first_ask: true,
 //!     prompt_tokens: 700,
 //!     first_token_max: Duration::from_millis(340),
@@ -37,7 +41,9 @@
 
 /// Classes of each priority: requests that come first, and those that come second.
 const CLASSES_PER_PRIORITY: usize = 2;
-const CLASS_COUNT: usize = rank::Priority::COUNT * CLASSES_PER_PRIORITY;
+/// The classes of organisations within their shares; as many come after them for the others.
+const CLASSES_WITHIN_SHARES: usize = rank::Priority::COUNT * CLASSES_PER_PRIORITY;
+const CLASS_COUNT: usize = CLASSES_WITHIN_SHARES * 2;
 
 /// By how many slots a reserve grows with a refusal, and shrinks with an admission.
 const RESERVE_PER_REFUSAL: f64 = 0.15;
@@ -65,6 +71,8 @@
     pub priority: rank::Priority,
     /// Whether it goes after the others of its priority.
     pub is_second: bool,
+    /// Whether its organisation has had more than its share, so that it goes after all others.
+    pub is_over_share: bool,
     /// Whether no other agent was asked before for this request.
     pub is_first_ask: bool,
     /// The length of its prompt, in tokens.
@@ -75,7 +83,9 @@
 
 impl Ask {
     fn class(&self) -> usize {
-        self.priority.index() * CLASSES_PER_PRIORITY + usize::from(self.is_second)
+        let of_priority = self.priority.index() * CLASSES_PER_PRIORITY;
+        let of_share = usize::from(self.is_over_share) * CLASSES_WITHIN_SHARES;
+        of_share + of_priority + usize::from(self.is_second)
     }
 }
 
@@ -164,7 +174,7 @@
     #[must_use]
     pub fn reserved(&self, now: time::Instant, ask: &Ask, slot_count: u32) -> Reserved {
         let mut reserved = Reserved::default();
-        if self.shares[ask.priority.index()].credit >= 1.0 {
+        if !ask.is_over_share && self.shares[ask.priority.index()].credit >= 1.0 {
             return reserved;
         }
         let elapsed = now.saturating_duration_since(self.updated_at);
@@ -200,7 +210,9 @@
             Outcome::Refused => 0.0,
         };
         class.reserve = (class.reserve + step).max(0.0);
-        self.record_share(ask, outcome);
+        if !ask.is_over_share {
+            self.record_share(ask, outcome);
+        }
     }
 
     fn record_share(&mut self, ask: &Ask, outcome: Outcome) {
--- a/crates/entry/src/direct/engine_placement.rs
+++ b/crates/entry/src/direct/engine_placement.rs
@@ -46,6 +46,7 @@
         denials: permits::PermitDenials::default(),
         slot_requests_max,
         slot_request_count: 0,
+        is_over_share: false,
     };
     if let Some(placement) = search.ask_agents(&serving).await {
         return Ok(placement);
@@ -70,6 +71,8 @@
     slot_requests_max: usize,
     /// The number of agents that were asked for a slot.
     slot_request_count: usize,
+    /// Whether an agent has refused the request because its organisation has had more than its share.
+    is_over_share: bool,
 }
 
 impl Search<'_> {
@@ -108,7 +111,9 @@
             is_asked_again: self.slot_request_count > 1 || !self.request.excluded.is_empty(),
             grace_remaining: allowed.grace_remaining(self.app, self.model, served),
         };
-        let placement = if slot::request(self.app, &slot_request, candidate).await {
+        let answer = slot::request(self.app, &slot_request, candidate).await;
+        self.is_over_share |= answer == slot::Answer::OverShare;
+        let placement = if answer == slot::Answer::Granted {
             self.placement(candidate, None)
         } else {
             // Its agent may just have turned out to be gone, and a permit is held already.
@@ -200,6 +205,7 @@
             Some(retry_after) if self.slot_request_count == 0 => {
                 placement::Denial::Limited { retry_after }
             }
+            _ if self.is_over_share => placement::Denial::OverShare,
             _ => placement::Denial::Full,
         }
     }
--- a/crates/entry/src/direct/engine_silence.rs
+++ b/crates/entry/src/direct/engine_silence.rs
@@ -135,7 +135,8 @@
         spare_only: true,
         cold_remaining_ms: 0,
         priority: None,
-        is_asked_again: false,
+        is_asked_again: None,
+        organisation: None,
     };
     let sent_at_ms = app.now_ms();
     let agent = app.agent_address(&candidate.upstream);
--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -153,6 +153,7 @@
         | placement::Denial::Evacuated
         | placement::Denial::EvacuationsUnknown
         | placement::Denial::Full => retry_after(app, request),
+        placement::Denial::OverShare => over_share_retry_after(app, request),
     };
     let reason = match denial {
         placement::Denial::NoneInRegions => {
@@ -160,6 +161,7 @@
         }
         placement::Denial::Evacuated => "every upstream is in an evacuated failure domain",
         placement::Denial::EvacuationsUnknown => "it is not known yet what is evacuated",
+        placement::Denial::OverShare => "its organisation has had more than its share",
         _ => "every upstream is busy or away",
     };
     app.count("refused");
@@ -206,6 +208,18 @@
     refusal_rate.retry_after(now_ms, request.remaining(), rand::rng().random())
 }
 
+/// Counts a refusal beyond a share, which says nothing of other organisations, and returns the delay
+/// after which the caller should retry.
+fn over_share_retry_after(app: &app::App, request: &ProxiedRequest) -> time::Duration {
+    let rates = app.refusal_rates(&request.service);
+    let now_ms = app.now_ms();
+    rates.over_share().record(now_ms, true);
+    let remaining = request.remaining();
+    rates
+        .over_share()
+        .retry_after(now_ms, remaining, rand::rng().random())
+}
+
 /// Ends a request that may have run, and for which no upstream gave an error response.
 fn fail(
     app: &app::App,
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -37,6 +37,8 @@
     pub first_token_max: time::Duration,
     /// How urgent it is; `None` if all requests of its service are equally urgent.
     pub priority: Option<rank::Priority>,
+    /// The organisation of its caller; `None` if engines are not shared by organisation.
+    pub organisation: Option<&'a str>,
     /// Whether only spare capacity may be used, because the request has already missed its goal.
     pub spare_only: bool,
     /// Whether it may be sent to an engine of which nothing is known, because it may be sent to
@@ -130,6 +132,8 @@
     EvacuationsUnknown,
     /// All upstreams of the service are at capacity.
     Full,
+    /// All upstreams of the service are at capacity, and the organisation has had more than its share.
+    OverShare,
     /// All upstreams of the service that could take the request want none for a while.
     BackingOff {
         /// When the first of them may take requests again.
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -6,7 +6,8 @@
 use gotham::helpers::http::Body;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri, header};
 use pimentohook_core::{
-    at_most_once, crash_evidence::prompt, fingerprint, id, rank, regions, routes,
+    at_most_once, crash_evidence::prompt, fingerprint, id, organisation_shares, rank, regions,
+    routes,
 };
 use pimentohook_platform::request;
 use pimentohook_runtime::server;
@@ -102,6 +103,21 @@
     }
 
     /// Returns the request's priority for log lines; `-` if it has none.
+    /// Returns the organisation by which engines are shared; `None` if they are not.
+    pub(super) fn sharing_organisation(&self, app: &app::App) -> Option<&str> {
+        let is_shared = app.settings.share_policy == organisation_shares::Policy::ByOrganisation;
+        let organisation = self.organisation.as_ref();
+        let name = organisation.map_or("", |organisation| organisation.name.as_str());
+        is_shared.then_some(name)
+    }
+
+    /// Returns the priority that agents are told. Where engines are shared, all requests have one.
+    pub(super) fn shared_priority(&self, app: &app::App) -> Option<rank::Priority> {
+        let is_shared = app.settings.share_policy == organisation_shares::Policy::ByOrganisation;
+        self.priority
+            .or_else(|| is_shared.then(rank::Priority::default))
+    }
+
     pub(super) fn priority_text(&self) -> String {
         let priority = self.priority.map(|priority| priority.to_string());
         priority.unwrap_or_else(|| String::from("-"))
@@ -366,7 +382,8 @@
             goal_remaining
         },
         spare_only: is_late || request.is_late_retry,
-        priority: request.priority,
+        priority: request.shared_priority(app),
+        organisation: request.sharing_organisation(app),
         may_probe: tried.is_empty()
             && request.route.attempts_max > 1
             && retries::may_repeat(app, request),
--- a/crates/entry/src/direct/settings.rs
+++ b/crates/entry/src/direct/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{env, net, path, time};
 
-use pimentohook_core::{leaving, memory_shares, regions, size};
+use pimentohook_core::{leaving, memory_shares, organisation_shares, regions, size};
 use pimentohook_runtime::{settings, vm_limits};
 
 use crate::settings as gateway;
@@ -86,6 +86,8 @@
     pub shutdown_timeout: time::Duration,
     /// What the entry accepts during its graceful shutdown.
     pub leave_policy: leaving::Policy,
+    /// How engines that are short are shared.
+    pub share_policy: organisation_shares::Policy,
     /// What the VM lets this process use.
     pub vm_limits: memory_shares::VmLimits,
     /// How long a caller's connection may be idle.
@@ -155,6 +157,9 @@
         let leave_policy = checker
             .optional("leave_policy", "by_deadline or by_likely_time")
             .unwrap_or_default();
+        let share_policy = checker
+            .optional("share_policy", "by_rank or by_organisation")
+            .unwrap_or_default();
         let idle_timeout = checker.millis(
             "idle_timeout_ms",
             IDLE_TIMEOUT_DEFAULT_MS,
@@ -205,6 +210,7 @@
                 shutdown_delay,
                 shutdown_timeout,
                 leave_policy,
+                share_policy,
                 vm_limits,
                 idle_timeout,
                 configuration_grace,
--- a/crates/entry/src/direct/slot.rs
+++ b/crates/entry/src/direct/slot.rs
@@ -55,12 +55,33 @@
     latest_start::users_of_unwatched(instance, profile.slot_count, entries).contains(&own)
 }
 
-/// Requests a slot from the agent beside an engine; returns whether the request may be sent there.
+/// What became of a request for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The request may be sent to the engine.
+    Granted,
+    /// The engine has no room for it.
+    Refused,
+    /// It was refused, and its organisation has had more than its share of the engine.
+    OverShare,
+}
+
+impl Answer {
+    const fn without_agent(is_admitted: bool) -> Self {
+        if is_admitted {
+            Self::Granted
+        } else {
+            Self::Refused
+        }
+    }
+}
+
+/// Requests a slot from the agent beside an engine.
 pub async fn request(
     app: &sync::Arc<app::App>,
     request: &Request<'_>,
     candidate: &app::Candidate,
-) -> bool {
+) -> Answer {
     let state = &candidate.state;
     let now_ms = app.now_ms();
     let is_admitted_without_agent = || {
@@ -70,7 +91,7 @@
             && admits_cold(app, candidate)
     };
     if state.contact.access(now_ms, false) != Access::Agent {
-        return is_admitted_without_agent();
+        return Answer::without_agent(is_admitted_without_agent());
     }
     let first_token_max = request.placement.first_token_max * FIRST_TOKEN_BUDGET_PERCENT / 100;
     let estimate_max = request.grace_remaining.map(latest_start::estimate_max);
@@ -85,7 +106,8 @@
         spare_only: request.placement.spare_only,
         cold_remaining_ms: cold_remaining_ms(app, &candidate.upstream.instance),
         priority: request.placement.priority,
-        is_asked_again: request.placement.priority.is_some() && request.is_asked_again,
+        is_asked_again: is_asked_again(request),
+        organisation: request.placement.organisation.map(String::from),
     };
     let agent = app.agent_address(&candidate.upstream);
     let call = app.internal.call(
@@ -99,17 +121,30 @@
         Err(error) => {
             log_agent_silence(app, candidate, &error);
             engine_silence::record_agent_failure(app, candidate, now_ms, &error);
-            return is_admitted_without_agent();
+            return Answer::without_agent(is_admitted_without_agent());
         }
     };
-    if !reply.granted {
+    let is_over_share = reply.is_over_share;
+    // What is refused beyond a share says nothing of the requests of other organisations.
+    if !reply.granted && !is_over_share {
         let (priority, is_second) = (request.placement.priority, request.placement.spare_only);
         let until_ms = now_ms + REFUSAL_BACKOFF_MS;
         state.refusing.record(priority, is_second, until_ms);
     }
     let is_granted = reply.granted;
     engine_silence::record_agent_reply(app, candidate, reply);
-    is_granted
+    match (is_granted, is_over_share) {
+        (true, _) => Answer::Granted,
+        (false, true) => Answer::OverShare,
+        (false, false) => Answer::Refused,
+    }
+}
+
+/// Returns what an agent is told of whether others were asked before; only what it needs to know.
+fn is_asked_again(request: &Request<'_>) -> Option<bool> {
+    let is_stated = request.placement.organisation.is_some()
+        || (request.placement.priority.is_some() && request.is_asked_again);
+    is_stated.then_some(request.is_asked_again)
 }
 
 /// Logs that an agent has stopped responding, once.
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -63,8 +63,12 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub priority: Option<rank::Priority>,
     /// Whether other agents were asked before for this request; only stated of one with a priority.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_asked_again: bool,
+    /// Messages are arrays, so it is stated wherever the organisation is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub is_asked_again: Option<bool>,
+    /// The organisation of its caller; only stated if engines are shared by organisation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<String>,
 }
 
 /// The reply to a [`SlotRequest`].
@@ -76,6 +80,9 @@
     pub first_token_ms: u32,
     /// The state of the agent's engine.
     pub state: EngineState,
+    /// Whether the organisation of the caller has had more than its share of the engine.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_over_share: bool,
 }
 
 /// Agent to entry: the state of the engine on the agent's VM.
