Repeat only what each version that may hold is known to allow

Entries pass on for how long a version has been unchanged and whether others lay between; a watch's events each come into force. Not touched: safe methods, resumable streams and services with engines.

--- a/crates/core/src/follow_timing.rs
+++ b/crates/core/src/follow_timing.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Returns how old what is known may be while no answer is lost, for a process that follows another
+    /// entry too: each of them waits for a change, and the store may take its time.
+    #[must_use]
+    pub fn usual_age_max(&self) -> time::Duration {
+        self.watch_wait + self.answer_timeout + self.follow_wait
+    }
+
     /// Returns the longest time from a change until the store is asked again, if one answer is lost.
     ///
     /// The lost answer may be that of a watch which waits, or of one that confirms after others were
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //! * [`routes`]: which service a request goes to, and how it may be handled.
 //! * [`at_most_once`]: whether a request may be sent again, or be said not to have run.
 //! * [`configuration_check`]: what is wrong with a configuration, and what it would change.
+//! * [`configuration_history`]: which configurations that were in force lately a process knows.
 //! * [`regions`]: where a request may be served.
 //! * [`rank`]: how urgent a request is.
 //! * [`evacuation`]: which failure domains get nothing more.
@@ -73,6 +74,7 @@
 pub mod cold;
 pub mod collection;
 pub mod configuration_check;
+pub mod configuration_history;
 pub mod crash_evidence;
 pub mod engine;
 pub mod engine_admission;
--- a/crates/core/src/standstill.rs
+++ b/crates/core/src/standstill.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug)]
 pub struct Monitor {
     last_tick_at: clock::BootInstant,
+    /// The end of the last standstill before the last tick, or the start.
+    ran_since: clock::BootInstant,
     /// Those that ended within [`BACKLOG_TIME_MAX`] before the last tick, the oldest first.
     recent: VecDeque<Standstill>,
 }
@@ -51,6 +53,7 @@
     pub const fn new(now: clock::BootInstant) -> Self {
         Self {
             last_tick_at: now,
+            ran_since: now,
             recent: VecDeque::new(),
         }
     }
@@ -62,6 +65,7 @@
         self.recent
             .retain(|standstill| is_recent(standstill, ran_until));
         self.recent.extend(current);
+        self.ran_since = self.ran_since(now);
         self.last_tick_at = now;
     }
 
@@ -76,6 +80,13 @@
         earliest.or(current).map(|standstill| standstill.from)
     }
 
+    /// Returns since when the process has run without standing still.
+    #[must_use]
+    pub fn ran_since(&self, now: clock::BootInstant) -> clock::BootInstant {
+        self.current(now)
+            .map_or(self.ran_since, |standstill| standstill.until)
+    }
+
     /// Returns the standstill that ends at `now`, before which there was no tick.
     fn current(&self, now: clock::BootInstant) -> Option<Standstill> {
         let is_late = now.saturating_duration_since(self.last_tick_at) > TICK_GAP_MAX;
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,8 +6,8 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    ask_order, clock, engine_contact, evacuation, id, idle_limit, refusal_rate, replaced_routes,
-    routes, routing::score, shutdown, upstreams,
+    ask_order, clock, configuration_history, engine_contact, evacuation, id, idle_limit,
+    refusal_rate, replaced_routes, routes, routing::score, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{announcements, client, metrics, standstill};
@@ -119,6 +119,8 @@
     pub retries: retries::Retries,
     /// The timeouts of routes that were longer before.
     pub replaced_routes: ArcSwap<replaced_routes::ReplacedRoutes>,
+    /// Which configurations that were in force lately are known.
+    pub configuration_history: ArcSwap<configuration_history::ConfigurationHistory>,
     /// How long callers' idle connections are kept.
     pub idle_limit: ArcSwap<idle_limit::IdleLimit>,
     /// The graceful shutdown of this entry.
@@ -183,6 +185,7 @@
                 clock.now(),
             ),
             replaced_routes: ArcSwap::default(),
+            configuration_history: ArcSwap::default(),
             idle_limit: ArcSwap::from_pointee(idle_limit::IdleLimit::new(settings.idle_timeout)),
             shutdown: sync::Arc::default(),
             leaving: leaving::LeavingState::new(settings.leave_policy, settings.directory_ttl),
@@ -250,16 +253,22 @@
             .age(self.clock.boot_now())
     }
 
+    /// Returns whether another entry has reported a newer configuration in force.
+    #[must_use]
+    pub fn is_newer_in_force(&self) -> bool {
+        let reported = self.peer_configuration.load(atomic::Ordering::Relaxed);
+        reported > self.configuration_version()
+    }
+
     /// Returns whether the configuration may be older than the one in force.
     ///
     /// A large configuration can take seconds to transfer, so another entry may already have a
     /// newer one.
     #[must_use]
     pub fn is_stale(&self) -> bool {
-        let reported = self.peer_configuration.load(atomic::Ordering::Relaxed);
         let stale_after = self.settings.configuration_grace * STALE_AFTER_PERCENT / 100;
         let age = self.configuration_age();
-        reported > self.configuration_version() || age.is_none_or(|age| age > stale_after)
+        self.is_newer_in_force() || age.is_none_or(|age| age > stale_after)
     }
 
     /// Returns whether the entry is shutting down.
--- a/crates/entry/src/direct/cache.rs
+++ b/crates/entry/src/direct/cache.rs
@@ -49,12 +49,17 @@
         self.collection.load_full()
     }
 
+    /// Returns the latest instant at which the store confirmed the cached state.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<clock::BootInstant> {
+        self.confirmed_at.load().as_deref().copied()
+    }
+
     /// Returns the time since the store last confirmed the cached state; `None` if it never did.
     #[must_use]
     pub fn age(&self, now: clock::BootInstant) -> Option<time::Duration> {
-        let confirmed_at = self.confirmed_at.load();
-        let confirmed_at = confirmed_at.as_ref()?;
-        Some(now.saturating_duration_since(**confirmed_at))
+        let confirmed_at = self.confirmed_at()?;
+        Some(now.saturating_duration_since(confirmed_at))
     }
 
     /// Records that the cached state is at least as new as the state of the store at `at`.
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -6,6 +6,7 @@
 mod apply;
 mod fetch;
 mod followers;
+mod history;
 mod sources;
 mod timing;
 
--- a/crates/entry/src/direct/feed/apply.rs
+++ b/crates/entry/src/direct/feed/apply.rs
@@ -35,38 +35,43 @@
 /// Applies the newest configuration; an older one never replaces it.
 fn apply_configuration(app: &app::App, objects: &IndexMap<String, collection::Object>) {
     for object in objects.values() {
-        let table = match decode::route_table(&object.content) {
-            Ok(table) => table,
-            Err(error) => {
-                let kind = store::Kind::Configuration;
-                if app.store.skipped().record(kind, &object.name, object) {
-                    log::error!(
-                        "feed: event=configuration_unreadable name={} error={}",
-                        object.name,
-                        skipped::shortened(&error)
-                    );
-                }
-                continue;
+        apply_version(app, object);
+    }
+}
+
+/// Applies a version of the configuration, unless a newer one is in force.
+pub(super) fn apply_version(app: &app::App, object: &collection::Object) {
+    let table = match decode::route_table(&object.content) {
+        Ok(table) => table,
+        Err(error) => {
+            let kind = store::Kind::Configuration;
+            if app.store.skipped().record(kind, &object.name, object) {
+                log::error!(
+                    "feed: event=configuration_unreadable name={} error={}",
+                    object.name,
+                    skipped::shortened(&error)
+                );
             }
-        };
-        let current = app.table.load().as_ref().map(|table| table.version);
-        if current.is_some_and(|current| current >= table.version) {
-            continue;
+            return;
         }
-        log::info!(
-            "feed: event=configuration_in_force version={} before={} position={} bytes={}",
-            table.version,
-            current.unwrap_or_default(),
-            object.position,
-            object.content.len()
-        );
-        if let Some(idle_timeout) = table.idle_timeout {
-            caller_connections::set_idle_timeout(app, idle_timeout);
-        }
-        retries::record_replaced(app, &table);
-        log_urgencies(app, &table);
-        app.table.store(Some(sync::Arc::new(table)));
+    };
+    let current = app.table.load().as_ref().map(|table| table.version);
+    if current.is_some_and(|current| current >= table.version) {
+        return;
+    }
+    log::info!(
+        "feed: event=configuration_in_force version={} before={} position={} bytes={}",
+        table.version,
+        current.unwrap_or_default(),
+        object.position,
+        object.content.len()
+    );
+    if let Some(idle_timeout) = table.idle_timeout {
+        caller_connections::set_idle_timeout(app, idle_timeout);
     }
+    retries::record_replaced(app, &table);
+    log_urgencies(app, &table);
+    app.table.store(Some(sync::Arc::new(table)));
 }
 
 /// Logs how urgent the requests to services with engines are, if that has changed.
--- a/crates/entry/src/direct/feed/fetch.rs
+++ b/crates/entry/src/direct/feed/fetch.rs
@@ -2,14 +2,14 @@
 
 use std::time;
 
-use pimentohook_core::{announcement, carryover, collection, id, position, relay};
+use pimentohook_core::{announcement, carryover, clock, collection, id, position, relay};
 use pimentohook_platform::store;
 use pimentohook_runtime::client;
 use pimentohook_wire::direct;
 use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
 use tokio::time as tokio_time;
 
-use super::{apply, timing};
+use super::{apply, history, timing};
 use crate::direct::app;
 
 const CONFIRMATION_WAIT: time::Duration = time::Duration::from_millis(1);
@@ -70,6 +70,7 @@
     );
     app.count_read("store", kind, listing.cost.body_bytes);
     let cache = app.cached(kind);
+    history::record_list(app, kind, &listing.objects);
     let is_changed =
         cache.update(|collection| collection.replace(listing.position, listing.objects));
     cache.confirm(requested_at);
@@ -81,6 +82,7 @@
     let cache = app.cached(kind);
     let position = cache.collection().position();
     let timing = watch_timing(app, kind);
+    let requested_at = app.clock.boot_now();
     let span = app.announced.start_watch();
     let changes = match app.store.watch(kind, position, timing).await {
         Err(store::StoreError::Compacted { .. }) => {
@@ -105,8 +107,9 @@
             changes.cost.transfer.as_millis()
         );
     }
+    history::record_changes(app, kind, &changes.changes);
     cache.update(|collection| collection.apply(changes.position, changes.changes) && is_changed);
-    cache.confirm(responded_at);
+    cache.confirm(responded_at.max(requested_at));
     apply::apply(app, kind, is_changed, read);
     if kind == store::Kind::Weights {
         app.announced.confirm_watch(span, &standstills, transfer);
@@ -173,14 +176,24 @@
     );
     let age = reply.age_ms.map(time::Duration::from_millis);
     let read = announcement::Read::fetched_ago(age, requested_at);
+    history::record_delta(app, kind, &reply.delta, reply.history);
     let is_changed = merge_delta(app, kind, name, reply.delta, read);
     let age = age.filter(|age| *age <= timing.age_max);
-    let confirmed_at = age.map(|age| app.clock.boot_now().saturating_sub(age));
+    let replied_at = replied_at(app, requested_at);
+    let confirmed_at = age.map(|age| replied_at.saturating_sub(age));
     let age_ms = reply.age_ms;
     cache.confirm(confirmed_at.context(OldSnafu { name, age_ms })?);
     Ok(is_changed)
 }
 
+/// Returns the instant at which a reply that was just read was sent at the earliest: it may have waited
+/// while this process stood still.
+fn replied_at(app: &app::App, requested_at: clock::BootInstant) -> clock::BootInstant {
+    let now = app.clock.boot_now();
+    let backlog_since = app.standstills.monitor().backlog_since(now);
+    backlog_since.unwrap_or(now).max(requested_at)
+}
+
 fn merge_delta(
     app: &app::App,
     kind: store::Kind,
--- a/crates/entry/src/direct/feed/followers.rs
+++ b/crates/entry/src/direct/feed/followers.rs
@@ -7,7 +7,7 @@
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
-use super::timing;
+use super::{history, timing};
 use crate::direct::{app, cache};
 
 /// The longest wait that a follower may request.
@@ -37,5 +37,10 @@
         delta = cache.collection().since(request.position);
     }
     let age_ms = timing::age_ms(&app, kind);
-    server::respond_message(&direct::FollowReply { delta, age_ms })
+    let history = history::statement(&app, kind, request.position, &delta);
+    server::respond_message(&direct::FollowReply {
+        delta,
+        age_ms,
+        history,
+    })
 }
--- a/crates/entry/src/direct/retries.rs
+++ b/crates/entry/src/direct/retries.rs
@@ -8,7 +8,10 @@
 
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
-use pimentohook_core::{at_most_once, id, replaced_routes, retry_budget, routes};
+use pimentohook_core::{
+    at_most_once, configuration_history, follow_timing, id, replaced_routes, retry_budget, routes,
+};
+use pimentohook_platform::store;
 
 use super::{app, prompt_admission, proxy, upstream_limits};
 
@@ -181,6 +184,43 @@
     request.route.may_repeat()
         && now.is_none_or(routes::Route::may_repeat)
         && since.is_none_or(may_repeat_since)
+        && knows_versions(app, request)
+}
+
+/// Returns whether the versions that may hold for a request are known, as far as it needs them.
+fn knows_versions(app: &app::App, request: &proxy::ProxiedRequest) -> bool {
+    let now = app.clock.boot_now();
+    let waited = app
+        .clock
+        .now()
+        .saturating_duration_since(request.arrived_at);
+    let grace = app.settings.configuration_grace;
+    let cache = app.cached(store::Kind::Configuration);
+    let is_newest = !app.is_newer_in_force();
+    let knowledge = configuration_history::Knowledge {
+        history: &app.configuration_history.load(),
+        confirmation: configuration_history::Confirmation {
+            confirmed_at: cache.confirmed_at().filter(|_| is_newest),
+            ran_since: app.standstills.ran_since(),
+            age_max: follow_timing::FollowTiming::within(grace).usual_age_max(),
+        },
+    };
+    let since = now.saturating_sub(waited + grace);
+    knowledge.may_repeat(effect(request), since, now)
+}
+
+/// Returns what a request may do when it runs, as far as it shows by itself.
+fn effect(request: &proxy::ProxiedRequest) -> configuration_history::Effect {
+    let service = request.table.services.get(&request.service);
+    let has_engines = service.is_some_and(|service| service.engine.is_some());
+    let is_resumable = request.route.streaming && request.route.resumable;
+    if request.method.is_safe() {
+        configuration_history::Effect::None
+    } else if has_engines || is_resumable {
+        configuration_history::Effect::Generation
+    } else {
+        configuration_history::Effect::Any
+    }
 }
 
 /// Returns the rule on repeats of a request as of now.
--- a/crates/runtime/src/standstill.rs
+++ b/crates/runtime/src/standstill.rs
@@ -39,6 +39,13 @@
         self.lock().clone()
     }
 
+    /// Returns since when the process has run without standing still.
+    #[must_use]
+    pub fn ran_since(&self) -> clock::BootInstant {
+        let now = self.clock.boot_now();
+        self.lock().ran_since(now)
+    }
+
     /// Ticks the monitor until it is dropped, and states after each interval how late the ticks were.
     ///
     /// The first tick is due when the task is spawned, at `spawned_at`: a task may wait for its first
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -3,8 +3,8 @@
 
 use indexmap::IndexMap;
 use pimentohook_core::{
-    announcement, collection, crash_evidence, engine, id, position, rank, routes, size,
-    upstream_limit::rate,
+    announcement, collection, configuration_history, crash_evidence, engine, id, position, rank,
+    routes, size, upstream_limit::rate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -111,6 +111,9 @@
     /// The time since the platform's store confirmed this state, in milliseconds; `None` if it has
     /// not done so yet.
     pub age_ms: Option<u64>,
+    /// What the sender of the reply knows of the versions before, if this is the configuration.
+    #[serde(default)]
+    pub history: configuration_history::Statement,
 }
 
 /// Agent to entry: read the configuration of the agent's service.
