Ask what is known of versions only for requests that it concerns

Each choice of an upstream on a route that may repeat locked the record of standstills, for requests to engines too, which are decided without it. The replies that pass on other kinds of objects than the configuration stay as they were, so that processes of older builds can read them (messages are arrays; one that is longer isn't read).

--- a/crates/core/src/configuration_history.rs
+++ b/crates/core/src/configuration_history.rs
@@ -33,6 +33,14 @@
     pub unchanged_ms: Option<u64>,
 }
 
+impl Statement {
+    /// Returns whether nothing is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// What was read of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Read {
--- a/crates/entry/src/direct/retries.rs
+++ b/crates/entry/src/direct/retries.rs
@@ -189,6 +189,10 @@
 
 /// Returns whether the versions that may hold for a request are known, as far as it needs them.
 fn knows_versions(app: &app::App, request: &proxy::ProxiedRequest) -> bool {
+    let effect = effect(request);
+    if effect != configuration_history::Effect::Any {
+        return true;
+    }
     let now = app.clock.boot_now();
     let waited = app
         .clock
@@ -206,7 +210,7 @@
         },
     };
     let since = now.saturating_sub(waited + grace);
-    knowledge.may_repeat(effect(request), since, now)
+    knowledge.may_repeat(effect, since, now)
 }
 
 /// Returns what a request may do when it runs, as far as it shows by itself.
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -119,7 +119,11 @@
     /// not done so yet.
     pub age_ms: Option<u64>,
     /// What the sender of the reply knows of the versions before, if this is the configuration.
-    #[serde(default)]
+    /// Older processes can't read it, so it is left out of all other replies.
+    #[serde(
+        default,
+        skip_serializing_if = "configuration_history::Statement::is_empty"
+    )]
     pub history: configuration_history::Statement,
 }
 
