Make the shares of an entry's ports parts of one whole, and messages follow the VM's memory

What callers would see: crowds at all ports at once take every descriptor, so that no upstream is reached, or the memory. Cause: each internal port had an eighth of the sockets beside five eighths for callers, nine eighths in all, and 8 MiB for messages whatever the VM has. Now callers get nine sixteenths, peers and the directory an eighth each, readiness and metrics a thirty-second each; messages half a part, 2 to 8 MiB. The least of any port is 32 connections. Shares of callers on VMs of 160 and 512 MB are as before; on 260 MB 2,250 for 2,304.

--- a/crates/agent/src/direct/mod.rs
+++ b/crates/agent/src/direct/mod.rs
@@ -89,6 +89,7 @@
             handler,
             process::StopSignal::new(),
             shares.metrics_max,
+            shares.messages_bytes,
         ));
     }
     let stop = process::StopSignal::new();
@@ -102,6 +103,7 @@
         router(&app),
         stop.clone(),
         shares.peers_max,
+        shares.messages_bytes,
     ));
     feed::start(&app);
     tokio::spawn(store_eras::run(app.clone()));
--- a/crates/core/src/memory_shares.rs
+++ b/crates/core/src/memory_shares.rs
@@ -23,15 +23,24 @@
 const BODIES_MIN_BYTES: usize = 6 << 20;
 /// The most that a connection holds beside bodies: its buffers, its request's head, its task.
 const CONNECTION_BYTES: usize = 40 << 10;
-const CONNECTIONS_MIN: usize = 64;
-/// The share of the sockets that callers' connections may take: the others lead to upstreams and to
-/// other processes of the system.
-const CALLERS_NUMERATOR: usize = 5;
-/// The share of each internal port.
-const INTERNAL_NUMERATOR: usize = 1;
+const CONNECTIONS_MIN: usize = 32;
+/// The bodies of messages to an internal port take at most half a part of the memory.
+const MESSAGES_DIVISOR: usize = 2;
+/// The least for messages, so that the largest of an agent finds room on any VM.
+const MESSAGES_MIN_BYTES: usize = 2 << 20;
+const MESSAGES_MAX_BYTES: usize = 8 << 20;
+/// The share of the sockets that callers' connections may take. All ports of an entry together leave an
+/// eighth of them for connections to upstreams and to other processes of the system.
+const CALLERS_NUMERATOR: usize = 18;
+/// The share of the port for entries and agents, and that of the directory.
+const PEERS_NUMERATOR: usize = 4;
+/// The share of the readiness check, and that of the metrics: one platform reads them.
+const CHECKS_NUMERATOR: usize = 1;
 /// The share of an agent's port.
-const AGENT_PEERS_NUMERATOR: usize = 4;
-const SOCKETS_DENOMINATOR: usize = 8;
+const AGENT_PEERS_NUMERATOR: usize = 16;
+/// The share of an agent's metrics.
+const AGENT_METRICS_NUMERATOR: usize = 4;
+const SOCKETS_DENOMINATOR: usize = 32;
 
 /// What a VM lets a process use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +66,11 @@
         self.memory_bytes.saturating_sub(OWN_BYTES) / PARTS
     }
 
+    fn messages_bytes(&self) -> usize {
+        let bytes = self.part_bytes() / MESSAGES_DIVISOR;
+        bytes.clamp(MESSAGES_MIN_BYTES, MESSAGES_MAX_BYTES)
+    }
+
     fn connections_max(&self, sockets_numerator: usize) -> usize {
         let sockets = self.descriptors_max.saturating_sub(FILES_MAX);
         let by_descriptors = sockets * sockets_numerator / SOCKETS_DENOMINATOR;
@@ -74,8 +88,14 @@
     pub responses_bytes: usize,
     /// Connections from callers.
     pub callers_max: usize,
-    /// Connections to each of the other ports.
-    pub internal_max: usize,
+    /// Connections from entries and agents.
+    pub peers_max: usize,
+    /// Connections to the directory.
+    pub directory_max: usize,
+    /// Connections to the readiness check, and as many that read metrics.
+    pub checks_max: usize,
+    /// The bodies of messages to one of these ports, in bytes.
+    pub messages_bytes: usize,
 }
 
 impl EntryShares {
@@ -87,7 +107,10 @@
             requests_bytes: bodies_bytes,
             responses_bytes: bodies_bytes,
             callers_max: limits.connections_max(CALLERS_NUMERATOR),
-            internal_max: limits.connections_max(INTERNAL_NUMERATOR),
+            peers_max: limits.connections_max(PEERS_NUMERATOR),
+            directory_max: limits.connections_max(PEERS_NUMERATOR),
+            checks_max: limits.connections_max(CHECKS_NUMERATOR),
+            messages_bytes: limits.messages_bytes(),
         }
     }
 }
@@ -99,6 +122,8 @@
     pub peers_max: usize,
     /// Connections that read metrics.
     pub metrics_max: usize,
+    /// The bodies of messages to one of the ports, in bytes.
+    pub messages_bytes: usize,
 }
 
 impl AgentShares {
@@ -107,7 +132,8 @@
     pub fn of(limits: &VmLimits) -> Self {
         Self {
             peers_max: limits.connections_max(AGENT_PEERS_NUMERATOR),
-            metrics_max: limits.connections_max(INTERNAL_NUMERATOR),
+            metrics_max: limits.connections_max(AGENT_METRICS_NUMERATOR),
+            messages_bytes: limits.messages_bytes(),
         }
     }
 }
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -151,14 +151,15 @@
         None => None,
     };
     let app = sync::Arc::new(app::App::new(settings));
-    let internal_max = app.holdings.shares.internal_max;
+    let shares = app.holdings.shares;
     if let Some(listener) = metrics {
         let metrics_handler = server::endpoint(&app.metrics_registry, metrics::serve);
         tokio::spawn(server::serve_within(
             listener,
             metrics_handler,
             process::StopSignal::new(),
-            internal_max,
+            shares.checks_max,
+            shares.messages_bytes,
         ));
     }
     let stop = process::StopSignal::new();
@@ -171,21 +172,24 @@
         peers,
         peer_router(&app),
         process::StopSignal::new(),
-        internal_max,
+        shares.peers_max,
+        shares.messages_bytes,
     ));
     let directory = server::endpoint(&app, directory::resolve);
     tokio::spawn(server::serve_within(
         resolve,
         directory,
         process::StopSignal::new(),
-        internal_max,
+        shares.directory_max,
+        shares.messages_bytes,
     ));
     let readiness = server::endpoint(&app, directory::ready);
     tokio::spawn(server::serve_within(
         ready,
         readiness,
         process::StopSignal::new(),
-        internal_max,
+        shares.checks_max,
+        shares.messages_bytes,
     ));
     let proxy = server::endpoint(&app, proxy::handle);
     let idle_app = app.clone();
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -30,8 +30,6 @@
 
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 const CONNECTIONS_MAX: usize = 8_192;
-/// The most that the bodies of messages to an internal port take together.
-const INTERNAL_MESSAGES_MAX_BYTES: usize = 8 << 20;
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
 /// An error from starting a server.
@@ -67,16 +65,17 @@
     serve_with_idle_timeout(listener, handler, stop, connections, || IDLE_TIMEOUT).await;
 }
 
-/// Like [`serve`], with a bound on the connections, and a lower one on the bodies that are read.
+/// Like [`serve`], with a bound on the connections, and one on the bodies that are read, in bytes.
 pub async fn serve_within<H>(
     listener: TcpListener,
     handler: H,
     stop: process::StopSignal,
     connections_max: usize,
+    messages_bytes: usize,
 ) where
     H: NewHandler + 'static,
 {
-    let connections = Connections::with_messages(connections_max, INTERNAL_MESSAGES_MAX_BYTES);
+    let connections = Connections::with_messages(connections_max, messages_bytes);
     serve_with_idle_timeout(listener, handler, stop, connections, || IDLE_TIMEOUT).await;
 }
 
--- a/crates/runtime/tests/connections.rs
+++ b/crates/runtime/tests/connections.rs
@@ -32,6 +32,7 @@
         handler,
         stop,
         CONNECTIONS_MAX,
+        8 << 20,
     ));
     address
 }
