--- a/crates/core/tests/scheduling/main.rs
+++ b/crates/core/tests/scheduling/main.rs
@@ -5,3 +5,4 @@
 mod simulation;
 #[path = "../support/mod.rs"]
 mod support;
+mod tally;
--- a/crates/core/tests/scheduling/organisations.rs
+++ b/crates/core/tests/scheduling/organisations.rs
@@ -4,7 +4,10 @@
 
 use rstest::rstest;
 
-use super::simulation::{Order, Outcome, Play, Tally, play};
+use super::{
+    simulation::{Order, Outcome, Play, play},
+    tally::Tally,
+};
 
 const ORGANISATION_COUNT: usize = 8;
 const BURST_FACTOR: f64 = 10.0;
--- a/crates/core/tests/scheduling/ranks.rs
+++ b/crates/core/tests/scheduling/ranks.rs
@@ -4,7 +4,10 @@
 
 use rstest::rstest;
 
-use super::simulation::{Order, Play, Tally, play};
+use super::{
+    simulation::{Order, Play, play},
+    tally::Tally,
+};
 
 /// How much less often than a less urgent kind a kind may be served, in percent of its requests.
 const SERVED_LESS_MAX_PERCENT: u32 = 3;
