--- a/crates/agent/src/transfer.rs
+++ b/crates/agent/src/transfer.rs
@@ -12,7 +12,6 @@
 use std::{fmt, sync, time};
 
 use bytes::Bytes;
-use futures_util::future;
 use indexmap::IndexMap;
 use pimentohook_core::{
     burst::{self, activation, chunks, downloader, uploader},
