Spawn the measuring of standstills in one place

The feeds of the entry and of the agent each had the same function for it. It stands at what it spawns now, `runtime::standstill`; the client for metrics is shared for that. No behaviour changes.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -131,11 +131,11 @@
     /// Wakes the task that notifies entries of the engine's state.
     pub engine_state_changed: Notify,
     /// When this process did not run for a while.
-    pub standstills: standstill::Standstills,
+    pub standstills: sync::Arc<standstill::Standstills>,
     /// What organisations have asked of the engine and were served.
     pub shares: sync::Mutex<organisation_shares::Shares>,
     /// The client that records metrics.
-    pub metrics: StatsdClient,
+    pub metrics: sync::Arc<StatsdClient>,
     /// The registry that metrics are served from.
     pub metrics_registry: sync::Arc<metrics::Registry>,
     /// The id that other agents know this VM by.
@@ -187,9 +187,9 @@
         };
         let metrics_registry = sync::Arc::new(metrics::Registry::default());
         sync::Arc::new(Self {
-            standstills: standstill::Standstills::new(clock.clone()),
+            standstills: sync::Arc::new(standstill::Standstills::new(clock.clone())),
             shares: sync::Mutex::new(organisation_shares::Shares::new(clock.now())),
-            metrics: metrics_registry.client("pimentohook.agent"),
+            metrics: sync::Arc::new(metrics_registry.client("pimentohook.agent")),
             metrics_registry,
             runner: runner::RunnerClient::new(
                 settings.engine,
--- a/crates/agent/src/direct/feed.rs
+++ b/crates/agent/src/direct/feed.rs
@@ -42,17 +42,11 @@
 
 /// Spawns the tasks that follow the store and the entries, until the process exits.
 pub fn start(app: &sync::Arc<app::App>) {
-    spawn_standstills(app);
+    app.standstills.spawn(&app.metrics);
     tokio::spawn(weights_feed::run(app.clone()));
     tokio::spawn(refresh(app.clone()));
 }
 
-fn spawn_standstills(app: &sync::Arc<app::App>) {
-    let app = app.clone();
-    let spawned_at = app.clock.boot_now();
-    tokio::spawn(async move { app.standstills.run(&app.metrics, spawned_at).await });
-}
-
 async fn refresh(app: sync::Arc<app::App>) {
     let mut caches = CachedCollections::default();
     loop {
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -92,7 +92,7 @@
     /// The announced versions of weights.
     pub announced: announcements::SharedAnnouncements,
     /// When this process did not run.
-    pub standstills: standstill::Standstills,
+    pub standstills: sync::Arc<standstill::Standstills>,
     /// The other entries, by name.
     pub peers: ArcSwap<IndexMap<String, Peer>>,
     /// Notified when an engine has become silent.
@@ -109,7 +109,7 @@
     /// The newest version of the configuration that another entry reported in force.
     peer_configuration: atomic::AtomicU64,
     /// The client that records metrics.
-    pub metrics: StatsdClient,
+    pub metrics: sync::Arc<StatsdClient>,
     /// The registry that metrics are served from.
     pub metrics_registry: sync::Arc<metrics::Registry>,
     /// The longest timeout that callers of each route sent, in milliseconds.
@@ -151,7 +151,7 @@
         let store_client = sync::Arc::new(client::Client::new(local_ip));
         let metrics_registry = sync::Arc::new(metrics::Registry::default());
         Self {
-            metrics: metrics_registry.client("pimentohook.entry"),
+            metrics: sync::Arc::new(metrics_registry.client("pimentohook.entry")),
             metrics_registry,
             store: store::StoreClient::new(settings.object_store, store_client, clock.clone()),
             upstreams: client::Client::with_small_buffers(local_ip),
@@ -166,7 +166,7 @@
                 clock.clone(),
                 settings.weights_grace,
             ),
-            standstills: standstill::Standstills::new(clock.clone()),
+            standstills: sync::Arc::new(standstill::Standstills::new(clock.clone())),
             peers: ArcSwap::default(),
             silence_changed: tokio::sync::Notify::new(),
             upstream_limits: upstream_limits::UpstreamLimits::default(),
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -24,18 +24,12 @@
 
 /// Spawns the tasks that follow each kind of objects, until the process exits.
 pub fn start(app: &sync::Arc<app::App>) {
-    spawn_standstills(app);
+    app.standstills.spawn(&app.metrics);
     for kind in cache::followed(&app.settings) {
         tokio::spawn(follow(app.clone(), kind));
     }
 }
 
-fn spawn_standstills(app: &sync::Arc<app::App>) {
-    let app = app.clone();
-    let spawned_at = app.clock.boot_now();
-    tokio::spawn(async move { app.standstills.run(&app.metrics, spawned_at).await });
-}
-
 async fn follow(app: sync::Arc<app::App>, kind: store::Kind) {
     let timing = timing::follow_timing(&app, kind);
     let mut failures = relay::Failures::with_backoff_max(timing.backoff_max);
--- a/crates/runtime/src/standstill.rs
+++ b/crates/runtime/src/standstill.rs
@@ -46,6 +46,13 @@
         self.lock().ran_since(now)
     }
 
+    /// Spawns [`Self::run`], until the process exits.
+    pub fn spawn(self: &sync::Arc<Self>, metrics: &sync::Arc<StatsdClient>) {
+        let (standstills, metrics) = (self.clone(), metrics.clone());
+        let spawned_at = self.clock.boot_now();
+        tokio::spawn(async move { standstills.run(&metrics, spawned_at).await });
+    }
+
     /// Ticks the monitor until it is dropped, and states after each interval how late the ticks were.
     ///
     /// The first tick is due when the task is spawned, at `spawned_at`: a task may wait for its first
