Name no organisation anew that is known already

On the path of each slot request with `share_policy: by_organisation` the name of the organisation was made a `String`, also where its usage was known. Now only the first time. No behaviour changes.

--- a/crates/core/src/organisation_shares.rs
+++ b/crates/core/src/organisation_shares.rs
@@ -100,8 +100,7 @@
         is_served: bool,
     ) {
         self.fade(now);
-        let place = String::from(self.place(organisation));
-        let usage = self.by_organisation.entry(place).or_default();
+        let usage = self.usage_mut(organisation);
         let tokens = f64::from(tokens);
         if is_first_ask {
             usage.asked_tokens += tokens;
@@ -111,6 +110,15 @@
         }
     }
 
+    fn usage_mut(&mut self, organisation: &str) -> &mut Usage {
+        let place = self.place(organisation);
+        if !self.by_organisation.contains_key(place) {
+            self.by_organisation
+                .insert(String::from(place), Usage::default());
+        }
+        &mut self.by_organisation[place]
+    }
+
     fn place<'a>(&self, organisation: &'a str) -> &'a str {
         let is_told_apart = self.by_organisation.len() < ORGANISATIONS_MAX
             || self.by_organisation.contains_key(organisation);
