Ignore the fields that a newer build has appended to a message

What callers would see: while a new build is rolled out, processes of the old one refuse each message that the new one has made longer (`LengthMismatch`): entries take replies for lost and turn to other sources, agents count as silent. Three fields work around it one by one, by being left out where they say nothing.

Cause: structs are encoded as arrays, and rmp-serde refuses one with more elements than the struct has fields. Shorter ones are read, by `#[serde(default)]`.

Change: `wire::from_bytes` wraps the deserializer, so that what is left of a sequence after its struct has been read is read and dropped, at each level. Lists are not affected, as they read all elements; a message that ends early or has other types is refused as before. It holds for messages to this build and later ones; builds before it stay as strict as they are, so the three fields keep being left out.

The test of a longer message at three levels failed before (`LengthMismatch(2)`), the other six held before and after.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,8 @@
 //! Messages between the processes of pimentohook.
 //!
 //! Messages between processes are structs that `rmp-serde` encodes as `MessagePack`. Fields are
-//! encoded by position, so their order is part of the protocol.
+//! encoded by position, so their order is part of the protocol. New ones are appended and have a default:
+//! an older process ignores them, a newer one does without them.
 //!
 //! * [`messages`]: requests and replies between entries and agents.
 //! * [`direct`]: requests and replies of the direct mode.
@@ -10,6 +11,7 @@
 
 pub mod direct;
 pub mod frames;
+mod lenient;
 pub mod messages;
 pub mod public;
 
@@ -56,7 +58,7 @@
     rmp_serde::to_vec(message).context(EncodeSnafu)
 }
 
-/// Decodes a message from `MessagePack`.
+/// Decodes a message from `MessagePack`, without the fields that a newer build has appended.
 ///
 /// # Errors
 ///
@@ -65,5 +67,6 @@
 where
     T: de::DeserializeOwned,
 {
-    rmp_serde::from_slice(bytes).context(DecodeSnafu)
+    let mut deserializer = rmp_serde::Deserializer::from_read_ref(bytes);
+    T::deserialize(lenient::Lenient(&mut deserializer)).context(DecodeSnafu)
 }
