Bound the upstreams of a request by each configuration that may hold for it

What callers saw: a request whose route was lowered to one attempt while it ran, or had been raised from one just before it arrived, ran on a second upstream when the first one reset the connection.

The repeat policy followed the configuration since, the number did not.

Now the least number counts of the arrival's route, the route in force and those replaced within the grace period before the arrival. `core::replaced_routes` keeps a route also where only the number rises. A probe of an engine asks the same rule.

A version that isn't known yet doesn't bind the number for requests that repeat by their kind.

--- a/crates/core/src/replaced_routes.rs
+++ b/crates/core/src/replaced_routes.rs
@@ -2,8 +2,9 @@
 //!
 //! For a while after a change either configuration may be used, and a request that is under way meets
 //! several of them in a series of changes. So what ends a stream is the longest timeout that its route
-//! had in the meantime, and a request may run again only if all of them allow it; this is where the
-//! routes that are no longer in force are kept, as far as they bind more.
+//! had in the meantime, and a request may run again only if all of them allow it, on as many upstreams
+//! as all of them allow; this is where the routes that are no longer in force are kept, as far as they
+//! bind more.
 
 use std::time;
 
@@ -23,6 +24,7 @@
     inner_prefixes: Vec<String>,
     timeout: time::Duration,
     may_repeat: bool,
+    attempts_max: u32,
     replaced_at: time::Instant,
 }
 
@@ -41,8 +43,9 @@
 }
 
 impl ReplacedRoutes {
-    /// Records the routes whose requests may take less time, may repeat only now, or have no route any
-    /// more in the configuration that comes into force, all of them or those with some paths.
+    /// Records the routes whose requests may take less time, may repeat only now or more often, or have
+    /// no route any more in the configuration that comes into force, all of them or those with some
+    /// paths.
     pub fn record(
         &mut self,
         now: time::Instant,
@@ -61,6 +64,7 @@
                 inner_prefixes: inner_prefixes(route, routes),
                 timeout: route.timeout,
                 may_repeat: route.may_repeat(),
+                attempts_max: route.attempts_max,
                 replaced_at: now,
             }));
         }
@@ -88,6 +92,19 @@
         replaced.all(|replaced| replaced.may_repeat)
     }
 
+    /// Returns the least number of upstreams that might run a request by the routes that were replaced
+    /// after `since` for a host and a path; `None` if there are none.
+    #[must_use]
+    pub fn least_attempts_max_since(
+        &self,
+        since: time::Instant,
+        host: &str,
+        path: &str,
+    ) -> Option<u32> {
+        let replaced = self.replaced_since(since, host, path);
+        replaced.map(|replaced| replaced.attempts_max).min()
+    }
+
     fn replaced_since(
         &self,
         since: time::Instant,
@@ -114,7 +131,8 @@
     let allows_other = |now: &routes::Route| {
         let is_lowered = now.timeout < route.timeout;
         let repeats_only_now = now.may_repeat() && !route.may_repeat();
-        is_lowered || repeats_only_now
+        let has_more_attempts = now.attempts_max > route.attempts_max;
+        is_lowered || repeats_only_now || has_more_attempts
     };
     let had_path = |inner: &routes::Route| {
         let earlier = before.select(host, &inner.path_prefix);
--- a/crates/core/tests/replaced_routes.rs
+++ b/crates/core/tests/replaced_routes.rs
@@ -161,3 +161,26 @@
     let longest = replaced.longest_timeout_since(start, HOST, "/notes/drafts/1");
     assert_eq!(longest, Some(time::Duration::from_secs(10)));
 }
+
+#[test]
+fn a_request_runs_on_no_more_upstreams_than_all_routes_since_its_arrival_allow() {
+    let with_attempts = |attempts_max| {
+        let route = routes::Route {
+            attempts_max,
+            ..route("/notes/", 4)
+        };
+        let mut table = routes::RouteTable::default();
+        table.insert(String::from(HOST), route);
+        table
+    };
+    let series = [3, 2, 4, 1].map(with_attempts);
+    let start = time::Instant::now();
+    let second = time::Duration::from_secs(1);
+    let mut replaced = replaced_routes::ReplacedRoutes::default();
+    for (number, pair) in (1..).zip(series.windows(2)) {
+        replaced.record(start + second * number, &pair[0], &pair[1]);
+    }
+    let least = |since| replaced.least_attempts_max_since(since, HOST, "/notes/1");
+    assert_eq!(least(start), Some(2));
+    assert_eq!(least(start + second * 2), None);
+}
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -384,9 +384,7 @@
         spare_only: is_late || request.is_late_retry,
         priority: request.shared_priority(app),
         organisation: request.sharing_organisation(app),
-        may_probe: tried.is_empty()
-            && request.route.attempts_max > 1
-            && retries::may_repeat(app, request),
+        may_probe: tried.is_empty() && retries::repeat_rule(app, request).check(1).is_ok(),
         regions: &request.regions,
         excluded: tried,
     };
--- a/crates/entry/src/direct/retries.rs
+++ b/crates/entry/src/direct/retries.rs
@@ -236,10 +236,25 @@
     };
     at_most_once::RepeatRule {
         policy,
-        attempts_max: request.route.attempts_max,
+        attempts_max: attempts_max(app, request),
     }
 }
 
+/// Returns on how many upstreams a request may run, by each configuration that may hold for it.
+fn attempts_max(app: &app::App, request: &proxy::ProxiedRequest) -> u32 {
+    let (host, path) = (request.host.as_str(), request.uri.path());
+    let table = app.table.load();
+    let now = table.as_ref().and_then(|table| table.select(host, path));
+    let since = request
+        .arrived_at
+        .checked_sub(app.settings.configuration_grace);
+    let replaced = app.replaced_routes.load();
+    let replaced = since.and_then(|since| replaced.least_attempts_max_since(since, host, path));
+    let others = now.map(|route| route.attempts_max).into_iter();
+    let others = others.chain(replaced);
+    others.fold(request.route.attempts_max, u32::min)
+}
+
 /// Returns whether another upstream is looked for after an attempt without an answer.
 pub async fn may_send_again(
     app: &sync::Arc<app::App>,
