Hold callers' heads to the limits of the configuration

What callers saw: a head without end was cut at the idle limit, counted from the end of the request before it and without an answer, so that a caller could not tell that its request had not run; a head of more bytes than the configuration allows was passed on up to the 20 KiB of a connection's buffer.

Cause: HeaderTimeoutMs and MaxHeaderBytes of the configuration were not decoded, and the server knew only its buffer and the idle limit, which says nothing of a head that has begun.

Change: core::head_limits follows the bytes of a head (pure): where it begins, where it ends, how many bytes its header lines have, when it is due. A connection's socket feeds it while no body is being received. A head that is not whole in time, from its first byte on or from the end of the request before it, is answered 408, one with more bytes 431, then the connection is closed as after other early answers: what the client still sends is read for up to 1 s, so that no reset overtakes the answer. Its bytes never reach the parser's end, so no service has seen the request and 408 is true. While an earlier response is not fully taken, the connection is closed without an answer, which would end up within it. The limits are those in force when the head begins. While a limited head is being received, the idle limit doesn't cut it.

A whole head still has the 20 KiB of before. Missing, 0, negative, of another type: no limit, as today; other fields of Limits stay readable. Ports for other processes are as before, apart from the wait after a stop, which now ends at the idle limit too.

New metric heads_refused and line head_refused, one in a thousand. Not counted: what of a head comes in the same read as the end of the request before it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 //! * [`rank`]: how urgent a request is.
 //! * [`evacuation`]: which failure domains get nothing more.
 //! * [`upstreams`]: the instances of a service, as listed by the platform.
+//! * [`head_limits`]: how long the head of a request may take, and how large it may be.
 //! * [`memory_shares`]: the shares of a VM's memory and descriptors.
 //! * [`upstream_limit`]: limits that upstreams name for all entries together.
 //! * [`upstream_notice`]: what upstreams say of leaving and of back-offs.
@@ -84,6 +85,7 @@
 pub mod event_stream;
 pub mod fingerprint;
 pub mod follow_timing;
+pub mod head_limits;
 pub mod id;
 pub mod idle_limit;
 pub mod intent;
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -15,7 +15,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::{engine, id, rank, regions};
+use crate::{engine, head_limits, id, rank, regions};
 
 /// Whether a route's requests may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -182,6 +182,8 @@
     pub access: Access,
     /// How long a caller's connection may stay idle.
     pub idle_timeout: Option<time::Duration>,
+    /// How long the head of a request may take, and how large it may be.
+    pub head_limits: head_limits::HeadLimits,
     /// Maximum size of a request body, in bytes.
     pub body_max_bytes: Option<usize>,
 }
@@ -195,6 +197,7 @@
             services: IndexMap::new(),
             access: Access::ByKey(IndexMap::new()),
             idle_timeout: None,
+            head_limits: head_limits::HeadLimits::default(),
             body_max_bytes: None,
         }
     }
--- a/crates/entry/src/direct/caller_connections.rs
+++ b/crates/entry/src/direct/caller_connections.rs
@@ -1,16 +1,28 @@
-//! How long callers' connections are kept.
+//! How long callers' connections are kept, and which heads they may send.
 
 use std::time;
 
 use pimentohook_core::idle_limit;
+use pimentohook_runtime::server;
 
 use super::app;
 
+/// Returns the limits of a caller's connection.
+#[must_use]
+pub fn limits(app: &app::App) -> server::ConnectionLimits {
+    let table = app.table.load();
+    let head = table.as_ref().map(|table| table.head_limits);
+    server::ConnectionLimits {
+        idle_timeout: idle_timeout(app),
+        head: head.unwrap_or_default(),
+    }
+}
+
 /// Returns how long a caller's connection may be idle before it is closed.
 ///
 /// The configuration decides what callers go by; the settings hold before there is one.
 #[must_use]
-pub fn idle_timeout(app: &app::App) -> time::Duration {
+fn idle_timeout(app: &app::App) -> time::Duration {
     app.idle_limit.load().get(app.clock.now())
 }
 
--- a/crates/entry/src/direct/holdings.rs
+++ b/crates/entry/src/direct/holdings.rs
@@ -40,6 +40,8 @@
     pub fn report(&self, client: &StatsdClient) {
         let closed_count = self.connections.closed_count();
         metrics::Registry::set(client, "connections_closed_for_others", closed_count);
+        let refused_count = self.connections.refused_head_count();
+        metrics::Registry::set(client, "heads_refused", refused_count);
         let evicted_count = self.requests.evicted_count();
         metrics::Registry::set(client, "bodies_evicted", evicted_count);
     }
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -192,14 +192,14 @@
         shares.messages_bytes,
     ));
     let proxy = server::endpoint(&app, proxy::handle);
-    let idle_app = app.clone();
-    let idle_timeout = move || caller_connections::idle_timeout(&idle_app);
-    let server_task = tokio::spawn(server::serve_with_idle_timeout(
+    let limits_app = app.clone();
+    let limits = move || caller_connections::limits(&limits_app);
+    let server_task = tokio::spawn(server::serve_with_limits(
         callers,
         proxy,
         stop.clone(),
         app.holdings.connections.clone(),
-        idle_timeout,
+        limits,
     ));
     feed::start(&app);
     tokio::spawn(peers::run(app.clone()));
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -11,6 +11,8 @@
 mod connection;
 mod connections;
 mod endpoint;
+mod head;
+mod refusal;
 mod response;
 mod socket;
 
@@ -22,6 +24,7 @@
 
 pub use self::{
     call::{BodyError, Call},
+    connection::ConnectionLimits,
     connections::Connections,
     endpoint::{Endpoint, NamePath, endpoint},
     response::{full, respond, respond_json, respond_message, respond_text},
@@ -62,7 +65,7 @@
     H: NewHandler + 'static,
 {
     let connections = Connections::new(CONNECTIONS_MAX);
-    serve_with_idle_timeout(listener, handler, stop, connections, || IDLE_TIMEOUT).await;
+    serve_with_limits(listener, handler, stop, connections, own_limits).await;
 }
 
 /// Like [`serve`], with a bound on the connections, and one on the bodies that are read, in bytes.
@@ -76,21 +79,26 @@
     H: NewHandler + 'static,
 {
     let connections = Connections::with_messages(connections_max, messages_bytes);
-    serve_with_idle_timeout(listener, handler, stop, connections, || IDLE_TIMEOUT).await;
+    serve_with_limits(listener, handler, stop, connections, own_limits).await;
 }
 
-/// Like [`serve`], but connections are closed after they have been idle, or have been sending a
-/// request head, for as long as `idle_timeout` then says. One that comes when there are too many takes
-/// the place of another.
-pub async fn serve_with_idle_timeout<H, I>(
+/// Returns the limits of the connections of processes, which no configuration names.
+fn own_limits() -> ConnectionLimits {
+    ConnectionLimits::idle(IDLE_TIMEOUT)
+}
+
+/// Like [`serve`], but connections are closed after they have been idle for as long as `limits` then
+/// says, and heads that are over their limits are refused. A connection that comes when there are too
+/// many takes the place of another.
+pub async fn serve_with_limits<H, L>(
     listener: TcpListener,
     handler: H,
     stop: process::StopSignal,
     connections: sync::Arc<Connections>,
-    idle_timeout: I,
+    limits: L,
 ) where
     H: NewHandler + 'static,
-    I: Fn() -> time::Duration + Clone + Send + Sync + 'static,
+    L: Fn() -> ConnectionLimits + Clone + Send + Sync + 'static,
 {
     let handler = sync::Arc::new(handler);
     let mut tasks = JoinSet::new();
@@ -114,7 +122,7 @@
                     connections.register(peer),
                     handler.clone(),
                     stop.clone(),
-                    idle_timeout.clone(),
+                    limits.clone(),
                 );
                 tasks.spawn(async move {
                     connection.await;
--- a/crates/runtime/src/server/activity.rs
+++ b/crates/runtime/src/server/activity.rs
@@ -2,8 +2,11 @@
 
 use std::{net, sync, sync::atomic, time};
 
+use pimentohook_core::head_limits;
 use tokio::{sync::Notify, time as tokio_time};
 
+use super::head::Head;
+
 /// A request that makes no progress for this long may lose its connection when room is short.
 const STALLED_AFTER: time::Duration = time::Duration::from_secs(1);
 
@@ -23,6 +26,8 @@
     last_read_ms: atomic::AtomicU64,
     /// Since when the client takes no bytes, in milliseconds from `opened_at`; 0 if it takes them.
     blocked_since_ms: atomic::AtomicU64,
+    /// The head that is being received.
+    pub(super) head: Head,
     /// Set by who wants the place of this connection for another.
     closes: Notify,
 }
@@ -38,6 +43,7 @@
             last_end_ms: atomic::AtomicU64::new(0),
             last_read_ms: atomic::AtomicU64::new(0),
             blocked_since_ms: atomic::AtomicU64::new(0),
+            head: Head::default(),
             closes: Notify::new(),
         }
     }
@@ -60,6 +66,24 @@
         (request_count == 0).then_some(self.at(last_end_ms))
     }
 
+    /// Returns until when the head that is being received has to be whole, if it has to be.
+    pub(super) fn head_due(&self) -> Option<tokio_time::Instant> {
+        let (began_ms, timeout) = self.head.limited()?;
+        let last_end = self.at(self.last_end_ms.load(atomic::Ordering::Relaxed));
+        let began_at = self.at(began_ms).into_std();
+        head_limits::due(began_at, last_end.into_std(), timeout).map(tokio_time::Instant::from_std)
+    }
+
+    /// Returns whether the client may still send parts of a body that has not ended.
+    pub(super) fn has_open_body(&self) -> bool {
+        self.open_bodies.load(atomic::Ordering::Relaxed) > 0
+    }
+
+    /// Records how far the client has come with a head.
+    pub(super) fn record_head(&self, progress: head_limits::Progress) {
+        self.head.record(self.now_ms(), progress);
+    }
+
     /// Returns whether a request has ended.
     fn has_served(&self) -> bool {
         self.last_end_ms.load(atomic::Ordering::Relaxed) > 0
@@ -67,9 +91,8 @@
 
     /// Returns since when the client sends nothing of a body whose end has not come.
     fn body_stalled_since(&self) -> Option<tokio_time::Instant> {
-        let is_open = self.open_bodies.load(atomic::Ordering::Relaxed) > 0;
         let since = self.at(self.last_read_ms.load(atomic::Ordering::Relaxed));
-        (is_open && since.elapsed() >= STALLED_AFTER).then_some(since)
+        (self.has_open_body() && since.elapsed() >= STALLED_AFTER).then_some(since)
     }
 
     /// Returns since when the client takes nothing of what it has asked for.
@@ -152,6 +175,7 @@
         activity
             .request_count
             .fetch_add(1, atomic::Ordering::AcqRel);
+        activity.head.clear();
         Self(activity.clone())
     }
 }
--- a/crates/runtime/src/server/connection.rs
+++ b/crates/runtime/src/server/connection.rs
@@ -1,4 +1,5 @@
-//! Serves one connection, and closes it when it has been idle for too long.
+//! Serves one connection, and closes it when it has been idle, or has been sending a head, for too
+//! long.
 
 use std::{io, net, panic, pin, sync, task, time};
 
@@ -10,11 +11,12 @@
     body::{self, Incoming},
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use pimentohook_core::head_limits;
 use tokio::{net::TcpStream, time as tokio_time};
 
 use super::{
     activity::{Activity, ActivityGuard, OpenBodyGuard},
-    connections, endpoint,
+    connections, endpoint, refusal,
     socket::Socket,
 };
 use crate::process;
@@ -28,25 +30,67 @@
 /// A connection whose client takes nothing for this long is closed.
 const UNREAD_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
-/// Waits until a connection has been idle for as long as `idle_timeout` then says, or has taken nothing
-/// of a response for too long.
-async fn wait_until_idle<I>(activity: &Activity, idle_timeout: &I)
+/// The limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// How long a connection may be idle.
+    pub idle_timeout: time::Duration,
+    /// The limits of a head that begins. Those without a timeout may take as long as a connection may
+    /// be idle, and are not answered.
+    pub head: head_limits::HeadLimits,
+}
+
+impl ConnectionLimits {
+    /// Returns limits for the time in which a connection is idle, and none for heads.
+    #[must_use]
+    pub fn idle(idle_timeout: time::Duration) -> Self {
+        Self {
+            idle_timeout,
+            head: head_limits::HeadLimits::default(),
+        }
+    }
+}
+
+/// Waits until a connection has been idle for as long as `limits` then says, has taken nothing of a
+/// response for too long, or is to be refused a head.
+async fn wait_until_due<L>(activity: &Activity, limits: &L) -> Option<head_limits::Refusal>
 where
-    I: Fn() -> time::Duration,
+    L: Fn() -> ConnectionLimits,
 {
     loop {
         let now = tokio_time::Instant::now();
+        let idle_since = activity.idle_since();
+        if idle_since.is_some() && activity.head.is_too_large() {
+            return Some(head_limits::Refusal::TooLarge);
+        }
+        let idle_timeout = limits().idle_timeout;
         let blocked_until = activity.blocked_since().map(|since| since + UNREAD_TIMEOUT);
-        let due = match activity.idle_since() {
-            Some(since) if since + idle_timeout() <= now => return,
-            Some(since) => since + idle_timeout(),
-            None if blocked_until.is_some_and(|until| until <= now) => return,
-            None => now + idle_timeout().clamp(CHECK_INTERVAL_MIN, UNREAD_TIMEOUT),
+        let due = match (idle_since, activity.head_due()) {
+            (Some(_), Some(due)) if due <= now => return Some(head_limits::Refusal::TimedOut),
+            (Some(_), Some(due)) => due,
+            (Some(since), None) if since + idle_timeout <= now => return None,
+            (Some(since), None) => since + idle_timeout,
+            (None, _) if blocked_until.is_some_and(|until| until <= now) => return None,
+            (None, _) => now + check_interval(activity, idle_timeout),
         };
-        tokio_time::sleep_until(due).await;
+        tokio::select! {
+            () = activity.head.until_changed() => {}
+            () = tokio_time::sleep_until(due) => {}
+        }
     }
 }
 
+/// Returns after which time a connection with a request under way is looked at again.
+fn check_interval(activity: &Activity, idle_timeout: time::Duration) -> time::Duration {
+    let is_waited_for = activity.head.is_too_large() || activity.head.limited().is_some();
+    let longest = if is_waited_for {
+        CHECK_INTERVAL_MIN
+    } else {
+        UNREAD_TIMEOUT
+    };
+    idle_timeout.clamp(CHECK_INTERVAL_MIN, longest)
+}
+
 /// The body of a request, which is open until its end or until it is given up.
 struct RequestBody {
     body: Incoming,
@@ -123,16 +167,17 @@
     }
 }
 
-/// Serves a connection until it is closed, is idle, or `stop` is set and its request has ended.
-pub(super) async fn serve<H, I>(
+/// Serves a connection until it is closed, is idle, is refused a head, or `stop` is set and its request
+/// has ended.
+pub(super) async fn serve<H, L>(
     socket: TcpStream,
     registered: connections::Registered,
     handler: sync::Arc<H>,
     stop: process::StopSignal,
-    idle_timeout: I,
+    limits: L,
 ) where
     H: NewHandler + 'static,
-    I: Fn() -> time::Duration,
+    L: Fn() -> ConnectionLimits + Clone + Send + Sync + 'static,
 {
     let activity = registered.activity.clone();
     let peer = activity.peer;
@@ -155,27 +200,57 @@
             },
         )
     });
-    let connection = hyper::server::conn::http1::Builder::new()
+    let of_heads = limits.clone();
+    let head_limits = Box::new(move || of_heads().head);
+    let socket = Socket::new(socket, activity.clone(), head_limits);
+    let mut connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_headers(HEADERS_MAX)
         .max_buf_size(BUFFER_MAX_BYTES)
-        .serve_connection(TokioIo::new(Socket::new(socket, activity.clone())), service);
-    let mut connection = std::pin::pin!(connection);
+        .serve_connection(TokioIo::new(socket), service);
     // The connection goes first, so that a request that has just arrived keeps it open.
     tokio::select! {
         biased;
-        result = connection.as_mut() => return log_end(peer, result),
+        result = &mut connection => return log_end(peer, result),
         () = stop.wait() => {}
-        () = wait_until_idle(&activity, &idle_timeout) => {
-            log::debug!("server: event=connection_idle peer={peer}");
-            return;
+        refusal = wait_until_due(&activity, &limits) => {
+            let socket = connection.into_parts().io.into_inner();
+            return close(&registered, socket, refusal).await;
         }
         () = activity.until_closed() => return,
     }
-    connection.as_mut().graceful_shutdown();
+    pin::Pin::new(&mut connection).graceful_shutdown();
+    tokio::select! {
+        biased;
+        result = &mut connection => log_end(peer, result),
+        refusal = wait_until_due(&activity, &limits) => {
+            let socket = connection.into_parts().io.into_inner();
+            close(&registered, socket, refusal).await;
+        }
+        () = activity.until_closed() => {}
+    }
+}
+
+/// Closes a connection on which no request is under way, after the answer to a head that is refused.
+async fn close(
+    registered: &connections::Registered,
+    socket: Socket,
+    refusal: Option<head_limits::Refusal>,
+) {
+    let activity = &registered.activity;
+    let Some(refusal) = refusal else {
+        log::debug!("server: event=connection_idle peer={}", activity.peer);
+        return;
+    };
+    registered.record_refusal(refusal);
+    // An answer would end up within the earlier response.
+    if activity.blocked_since().is_some() {
+        return;
+    }
+    activity.record_cut();
     tokio::select! {
-        result = connection => log_end(peer, result),
+        () = refusal::refuse(socket, refusal) => {}
         () = activity.until_closed() => {}
     }
 }
--- a/crates/runtime/src/server/connections.rs
+++ b/crates/runtime/src/server/connections.rs
@@ -3,6 +3,7 @@
 use std::{net, sync, sync::atomic, time};
 
 use indexmap::IndexMap;
+use pimentohook_core::head_limits;
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
     time as tokio_time,
@@ -15,7 +16,7 @@
 const CLOSE_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// The most that the bodies of messages to one port take together.
 const MESSAGES_MAX_BYTES: usize = 64 << 20;
-/// One in this many closed connections is logged.
+/// One in this many closed connections, and one in this many refused heads, is logged.
 const LOGGED_DIVISOR: u64 = 1_000;
 
 /// The open connections of a port.
@@ -26,6 +27,7 @@
     open: sync::Mutex<IndexMap<u64, sync::Arc<Activity>>>,
     next_id: atomic::AtomicU64,
     closed_count: atomic::AtomicU64,
+    refused_heads: atomic::AtomicU64,
     messages: sync::Arc<body::BodyBudget>,
 }
 
@@ -44,6 +46,7 @@
             open: sync::Mutex::default(),
             next_id: atomic::AtomicU64::new(0),
             closed_count: atomic::AtomicU64::new(0),
+            refused_heads: atomic::AtomicU64::new(0),
             messages: sync::Arc::new(body::BodyBudget::new(messages_bytes)),
         })
     }
@@ -54,6 +57,12 @@
         self.closed_count.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns how many heads were refused because they took too long or were too large.
+    #[must_use]
+    pub fn refused_head_count(&self) -> u64 {
+        self.refused_heads.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns how many connections are open.
     #[must_use]
     pub fn open_count(&self) -> usize {
@@ -131,6 +140,18 @@
 }
 
 impl Registered {
+    /// Records that a head was refused on this connection.
+    pub(super) fn record_refusal(&self, refusal: head_limits::Refusal) {
+        let refused = &self.connections.refused_heads;
+        let count = refused.fetch_add(1, atomic::Ordering::Relaxed);
+        if count.is_multiple_of(LOGGED_DIVISOR) {
+            log::warn!(
+                "server: event=head_refused reason={refusal:?} peer={} refused_before={count}",
+                self.activity.peer
+            );
+        }
+    }
+
     /// Returns the room for the bodies of messages.
     pub(super) fn messages(&self) -> sync::Arc<body::BodyBudget> {
         self.connections.messages.clone()
--- a/crates/runtime/src/server/socket.rs
+++ b/crates/runtime/src/server/socket.rs
@@ -2,6 +2,7 @@
 
 use std::{io, pin, sync, task, time};
 
+use pimentohook_core::head_limits;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -22,18 +23,29 @@
     remaining_bytes: usize,
 }
 
+/// Returns the limits of a head that begins.
+pub(super) type HeadLimits = Box<dyn Fn() -> head_limits::HeadLimits + Send + Sync>;
+
 /// The socket of a connection.
 pub(super) struct Socket {
     stream: ShortReads,
     activity: sync::Arc<Activity>,
+    heads: head_limits::HeadReader,
+    head_limits: HeadLimits,
     linger: Option<Linger>,
 }
 
 impl Socket {
-    pub(super) fn new(stream: TcpStream, activity: sync::Arc<Activity>) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        activity: sync::Arc<Activity>,
+        head_limits: HeadLimits,
+    ) -> Self {
         Self {
             stream: ShortReads::new(stream, short_reads::SMALL_MAX_BYTES),
             activity,
+            heads: head_limits::HeadReader::default(),
+            head_limits,
             linger: None,
         }
     }
@@ -61,6 +73,20 @@
         }
     }
 
+    /// Follows the head that the client sends; returns whether it is too large.
+    fn read_head(&mut self, bytes: &[u8]) -> bool {
+        if bytes.is_empty() || self.activity.has_open_body() {
+            return false;
+        }
+        // A request that began in between has ended the head.
+        if !self.activity.head.has_begun() {
+            self.heads.reset();
+        }
+        let progress = self.heads.read(bytes, &self.head_limits);
+        self.activity.record_head(progress);
+        progress == head_limits::Progress::TooLarge
+    }
+
     fn record_write<T>(&self, poll: &task::Poll<T>) {
         self.activity.record_write(poll.is_pending());
     }
@@ -72,10 +98,19 @@
         context: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
+        if self.activity.head.is_too_large() {
+            return task::Poll::Pending;
+        }
+        let filled_before = buffer.filled().len();
         let poll = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
         if poll.is_ready() {
             self.activity.record_read();
         }
+        if self.read_head(&buffer.filled()[filled_before..]) {
+            // Nobody parses it; the connection's task, which has been notified, refuses it.
+            buffer.set_filled(filled_before);
+            return task::Poll::Pending;
+        }
         poll
     }
 }
