Hold the address of an entry that shuts down from when all others know of it

An entry that shuts down by its likely times and could end waited until 2.5 s after its signal, plus the time to live of a directory's response and a second, for callers that may hold its address. The 2.5 s are how long others take to notice that an entry is lost; they hear of a signal within milliseconds.

Now the responses to its heartbeats replace the 2.5 s (core::leaving::Hearing): each other entry that lives has responded to one that was sent 0.7 s or more after the signal. An earlier one shows nothing, as a message from before, which says that the entry is ready, may take 0.7 s and come after it. All are told again after 0.7 s, as with more than seven entries a heartbeat goes to six of them only. An entry that does not respond, or that is not known, leaves it at 2.5 s. No message has a new field, so other builds are not concerned.

With the default leave_ms of 4.5 s at most 1 s can be gained, as an entry never ends before.

--- a/crates/core/src/leaving/mod.rs
+++ b/crates/core/src/leaving/mod.rs
@@ -6,6 +6,7 @@
 
 mod directory;
 mod ending;
+mod hearing;
 mod others;
 mod times;
 
@@ -13,6 +14,7 @@
 
 pub use directory::named;
 pub use ending::{Leaver, WaitsFor};
+pub use hearing::Hearing;
 pub use others::{Others, RETRY_AFTER_ELSEWHERE};
 pub use times::Times;
 
--- a/crates/core/src/leaving/others.rs
+++ b/crates/core/src/leaving/others.rs
@@ -97,6 +97,14 @@
         self.ready.iter().cloned().collect()
     }
 
+    /// Returns the names of the entries that exchange heartbeats, ready or not.
+    pub(super) fn live_names(&self) -> impl Iterator<Item = &str> {
+        let absent = self.absent.iter();
+        let live = absent.filter(|(_, absence)| absence.is_live);
+        let ready = self.ready.iter();
+        ready.chain(live.map(|(name, _)| name)).map(String::as_str)
+    }
+
     /// Returns whether half of all entries are ready, without the one that asks, which is not, and
     /// have been for `held`, for which callers may still know only entries that shut down.
     #[must_use]
--- a/crates/core/tests/leaving/entry.rs
+++ b/crates/core/tests/leaving/entry.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use pimentohook_core::{
-    leaving::{Leaver, Others, WaitsFor},
+    leaving::{Hearing, Leaver, Others, WaitsFor},
     shutdown::Shutdown,
 };
 
@@ -12,8 +12,10 @@
 pub const GRACE: Duration = Duration::from_millis(7_500);
 pub const DELAY: Duration = Duration::from_millis(4_500);
 pub const START: Duration = Duration::from_millis(500);
-/// Until all others know of a signal.
-pub const KNOWN_AFTER: Duration = Duration::from_millis(2_500);
+/// An entry that is not heard of for so long counts as away.
+const LOSS_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a message between entries takes at most.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(700);
 pub const TTL: Duration = Duration::from_secs(2);
 
 #[derive(Debug)]
@@ -23,6 +25,8 @@
     pub shutdown: Shutdown,
     /// When it ended before its time.
     pub ended_at: Option<Instant>,
+    pub hearing: Hearing,
+    /// When it named itself last.
     pub named_at: Instant,
     pub busy_until: Instant,
 }
@@ -48,7 +52,7 @@
         Leaver {
             entry: &self.name,
             shutdown: &self.shutdown,
-            named_at: self.named_at,
+            named_at: self.named_at.max(self.hearing.known_at(&self.others)),
             ttl: TTL,
             connection_count: 0,
         }
@@ -90,7 +94,8 @@
                 name: name(index),
                 others,
                 ended_at: None,
-                named_at: since + KNOWN_AFTER,
+                hearing: Hearing::new(since, MESSAGE_TIMEOUT, LOSS_TIMEOUT),
+                named_at: since,
                 busy_until: begins_at,
                 shutdown: Shutdown {
                     since,
--- a/crates/core/tests/leaving/main.rs
+++ b/crates/core/tests/leaving/main.rs
@@ -10,7 +10,7 @@
 };
 
 use pimentohook_core::{
-    leaving::{self, Kind, Others, Policy, Times},
+    leaving::{self, Hearing, Kind, Leaver, Others, Policy, Times, WaitsFor},
     shutdown::Shutdown,
 };
 use proptest::prelude::*;
@@ -177,3 +177,74 @@
     let (names, _) = leaving::named(Vec::new(), &leaving, Duration::from_secs(5));
     assert_eq!(names, ["b"]);
 }
+
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(700);
+const LOSS_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+fn hearing(since: Instant) -> Hearing {
+    Hearing::new(since, MESSAGE_TIMEOUT, LOSS_TIMEOUT)
+}
+
+/// The addresses of an entry were held for 2.5 s, however soon all others knew that it shuts down.
+#[test]
+fn an_entry_stays_no_longer_than_callers_hold_its_address() {
+    let since = Instant::now();
+    let shutdown = Shutdown {
+        delay: MESSAGE_TIMEOUT,
+        ..shutdown(since)
+    };
+    let mut others = Others::default();
+    for name in ["a", "b", "c"] {
+        others.record(name, true, since);
+    }
+    others.record("c", false, since);
+    let mut hearing = hearing(since);
+    let answered_at = hearing.tells_again_at() + Duration::from_millis(20);
+    for name in ["a", "b", "c"] {
+        assert_eq!(hearing.known_at(&others), since + LOSS_TIMEOUT);
+        hearing.record(name, hearing.tells_again_at(), answered_at);
+    }
+    assert_eq!(hearing.known_at(&others), answered_at);
+    let ttl = Duration::from_secs(2);
+    let leaver = Leaver {
+        entry: "own",
+        shutdown: &shutdown,
+        named_at: hearing.known_at(&others),
+        ttl,
+        connection_count: 0,
+    };
+    let held = leaving::held_for(ttl);
+    let is_early = |at| leaver.waits_for(&others, at) == WaitsFor::Addresses;
+    assert!(is_early(answered_at + held.mul_f64(0.99)));
+    assert!(!is_early(answered_at + held));
+}
+
+/// A heartbeat of before the signal, which says that the entry is ready, may arrive after the first
+/// that says that it is not.
+#[test]
+fn responses_to_early_heartbeats_do_not_show_that_an_entry_is_named_no_more() {
+    let since = Instant::now();
+    let mut others = Others::default();
+    others.record("a", true, since);
+    let mut hearing = hearing(since);
+    let early = since + MESSAGE_TIMEOUT.mul_f64(0.99);
+    hearing.record("a", early, since + Duration::from_secs(1));
+    assert_eq!(hearing.known_at(&others), since + LOSS_TIMEOUT);
+}
+
+#[test]
+fn entries_that_do_not_respond_or_are_unknown_hold_the_address_until_they_take_it_for_lost() {
+    let since = Instant::now();
+    let mut others = Others::default();
+    let mut hearing = hearing(since);
+    assert_eq!(hearing.known_at(&others), since + LOSS_TIMEOUT);
+    others.record("a", true, since);
+    others.record("b", true, since);
+    let sent_at = hearing.tells_again_at();
+    hearing.record("a", sent_at, sent_at);
+    assert_eq!(hearing.known_at(&others), since + LOSS_TIMEOUT);
+    others.record_lost("b", since);
+    assert_eq!(hearing.known_at(&others), sent_at);
+    others.record("c", true, sent_at);
+    assert_eq!(hearing.known_at(&others), since + LOSS_TIMEOUT);
+}
--- a/crates/core/tests/leaving/play.rs
+++ b/crates/core/tests/leaving/play.rs
@@ -214,7 +214,21 @@
         self.ends.push((request.asked_at, end));
     }
 
+    /// Lets all others that are up respond to an entry that told them again that it shuts down.
+    fn hear(&mut self, at: Instant, entry: usize) {
+        let told_at = self.entries[entry].hearing.tells_again_at();
+        if at < told_at + HEARD_AFTER {
+            return;
+        }
+        let others = self.entries.iter().filter(|other| other.is_up(at));
+        let names: Vec<String> = others.map(|other| other.name.clone()).collect();
+        for name in names {
+            self.entries[entry].hearing.record(&name, told_at, at);
+        }
+    }
+
     fn look(&mut self, at: Instant, entry: usize) {
+        self.hear(at, entry);
         let looking = &mut self.entries[entry];
         if looking.look(at) {
             looking.ended_at = Some(at);
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -7,7 +7,8 @@
 use indexmap::IndexMap;
 use pimentohook_core::{
     ask_order, clock, configuration_history, engine_contact, evacuation, id, idle_limit,
-    refusal_rate, replaced_routes, routes, routing::score, shutdown, upstreams,
+    leaving as leaving_policy, refusal_rate, replaced_routes, routes, routing::score, shutdown,
+    upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{announcements, client, metrics, standstill};
@@ -16,7 +17,7 @@
 use strum::IntoEnumIterator as _;
 
 use super::{
-    cache, crash_evidence, holdings, leaving, restored, retries, settings, shutdown_state,
+    cache, crash_evidence, holdings, leaving, peers, restored, retries, settings, shutdown_state,
     upstream_limits, upstream_notices,
 };
 
@@ -298,6 +299,11 @@
             delay: self.settings.shutdown_delay,
             timeout: self.settings.shutdown_timeout,
         };
+        self.leaving.begin(leaving_policy::Hearing::new(
+            shutdown.since,
+            peers::HEARTBEAT_TIMEOUT,
+            peers::HEARTBEAT_LOSS_TIMEOUT,
+        ));
         self.shutdown.begin(shutdown);
         shutdown
     }
--- a/crates/entry/src/direct/leaving.rs
+++ b/crates/entry/src/direct/leaving.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use indexmap::IndexMap;
 use pimentohook_core::{leaving, routes, shutdown};
 use pimentohook_wire::direct;
@@ -18,6 +18,8 @@
     /// How long callers may hold the address of an entry.
     held: time::Duration,
     others: ArcSwap<leaving::Others>,
+    /// What the others have responded since this entry shuts down.
+    hearing: ArcSwapOption<leaving::Hearing>,
     times: ArcSwap<IndexMap<String, sync::Arc<leaving::Times>>>,
 }
 
@@ -41,6 +43,7 @@
             policy,
             held: leaving::held_for(directory_ttl),
             others: ArcSwap::default(),
+            hearing: ArcSwapOption::empty(),
             times: ArcSwap::default(),
         }
     }
@@ -51,6 +54,37 @@
         self.others.load_full()
     }
 
+    /// Records that this entry shuts down.
+    pub fn begin(&self, hearing: leaving::Hearing) {
+        self.hearing.store(Some(sync::Arc::new(hearing)));
+    }
+
+    /// Records that another entry responded at `at` to a heartbeat that was sent at `sent_at`.
+    pub fn record_response(&self, entry: &str, sent_at: time::Instant, at: time::Instant) {
+        self.hearing.rcu(|hearing| {
+            hearing.as_deref().map(|hearing| {
+                let mut hearing = leaving::Hearing::clone(hearing);
+                hearing.record(entry, sent_at, at);
+                sync::Arc::new(hearing)
+            })
+        });
+    }
+
+    /// Returns when the others are told again that this entry shuts down; `None` if it does not.
+    #[must_use]
+    pub fn tells_again_at(&self) -> Option<time::Instant> {
+        let hearing = self.hearing.load();
+        hearing.as_deref().map(leaving::Hearing::tells_again_at)
+    }
+
+    /// Returns from when on no directory names this entry as ready; `None` if it does not shut down.
+    #[must_use]
+    pub fn known_at(&self) -> Option<time::Instant> {
+        let hearing = self.hearing.load();
+        let hearing = hearing.as_deref()?;
+        Some(hearing.known_at(&self.others.load()))
+    }
+
     /// Records whether another entry was ready at `at`.
     pub fn record_peer(&self, state: &direct::PeerState, at: time::Instant) {
         self.update(|others| others.record(&state.entry, state.ready, at));
--- a/crates/entry/src/direct/leaving_end.rs
+++ b/crates/entry/src/direct/leaving_end.rs
@@ -1,11 +1,11 @@
 //! When this entry stops listening as it shuts down, and which entries the directory names meanwhile.
 
-use std::time;
+use std::{sync, time};
 
 use pimentohook_core::{leaving, shutdown};
 use pimentohook_wire::direct;
 
-use super::app;
+use super::{app, peers};
 
 /// How often an entry that shuts down looks whether it may end.
 const END_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -53,11 +53,10 @@
 
 /// Waits until this entry may stop listening; returns what it waited for last.
 ///
-/// `named_at` is when a directory named it last, apart from entries that shut down.
+/// The others are told again that it shuts down, so that it learns when no directory names it as ready.
 pub(super) async fn until_end(
-    app: &app::App,
+    app: &sync::Arc<app::App>,
     shutdown: &shutdown::Shutdown,
-    mut named_at: time::Instant,
 ) -> leaving::WaitsFor {
     let closes_at = shutdown.closes_at();
     let mut last = leaving::WaitsFor::Delay;
@@ -65,14 +64,17 @@
         tokio::time::sleep_until(closes_at.into()).await;
         return last;
     }
+    tokio::spawn(tell_again(app.clone()));
+    let mut named_in_turn_at = shutdown.since;
     while app.clock.now() < closes_at {
         let now = app.clock.now();
         let others = app.leaving.others();
-        let mut leaver = leaver(app, shutdown, named_at);
+        let known_at = app.leaving.known_at().unwrap_or(shutdown.since);
+        let mut leaver = leaver(app, shutdown, known_at.max(named_in_turn_at));
         let (named, _) = leaver.named(&others, others.ready_names(), now);
         if named.contains(&app.settings.entry) {
-            named_at = named_at.max(now);
-            leaver.named_at = named_at;
+            named_in_turn_at = now;
+            leaver.named_at = known_at.max(now);
         }
         match leaver.waits_for(&others, now) {
             leaving::WaitsFor::Nothing => break,
@@ -83,3 +85,11 @@
     }
     last
 }
+
+/// Tells all others again that this entry shuts down, once nothing from before can arrive.
+async fn tell_again(app: sync::Arc<app::App>) {
+    if let Some(tells_again_at) = app.leaving.tells_again_at() {
+        tokio::time::sleep_until(tells_again_at.into()).await;
+        peers::announce(&app).await;
+    }
+}
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -116,8 +116,7 @@
         if told.is_err() {
             log::warn!("entry: event=still_listed");
         }
-        let named_at = shutdown.since + peers::HEARTBEAT_LOSS_TIMEOUT;
-        let waited_for = leaving_end::until_end(&self.app, &shutdown, named_at).await;
+        let waited_for = leaving_end::until_end(&self.app, &shutdown).await;
         self.stop.set();
         let ends_at = shutdown.ends_at().into();
         let finished = tokio::time::timeout_at(ends_at, self.server_task).await;
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -17,7 +17,7 @@
 use super::{app, crash_evidence, weights_versions};
 
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
-const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+pub(super) const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// The number of entries that get a heartbeat in each round; if there are more, the replies report
 /// the others.
 const HEARTBEAT_FANOUT: usize = 6;
@@ -221,6 +221,8 @@
         }
     };
     record_peer(&app, &reply.peer, time::Duration::ZERO);
+    let now = app.clock.now();
+    app.leaving.record_response(&reply.peer.entry, sent_at, now);
     app.record_peer_configuration(reply.configuration);
     let heard = announcement::Heard::InReply {
         requested_at,
