Do not wait for connections on which no request is under way

An entry that shuts down by its likely times and could end waited until its last moment if a caller kept an idle connection to it: all open connections counted. Responses since the signal say that the connection is closed, so those that stay open are ones that nobody has used since.

Now only connections count on which a request is under way or may be sent: bytes have come since the last response, a body was given up before its end, a response is not taken yet, or the caller connected or was answered less than 1 s ago.

A caller that sends half of its request and the rest 3.2 s later still gets its response (held before too).

--- a/crates/entry/src/direct/leaving_end.rs
+++ b/crates/entry/src/direct/leaving_end.rs
@@ -10,6 +10,9 @@
 /// How often an entry that shuts down looks whether it may end.
 const END_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// A caller that connects, or has read a response, sends its request within this time.
+const CONNECTION_QUIET: time::Duration = time::Duration::from_secs(1);
+
 /// Returns the entries that the directory names, given those that are ready, and for how long.
 pub(super) fn named_entries(
     app: &app::App,
@@ -47,7 +50,7 @@
         shutdown,
         named_at,
         ttl: app.settings.directory_ttl,
-        connection_count: app.holdings.connections.open_count(),
+        connection_count: app.holdings.connections.in_use_count(CONNECTION_QUIET),
     }
 }
 
--- a/crates/runtime/src/server/activity.rs
+++ b/crates/runtime/src/server/activity.rs
@@ -60,6 +60,18 @@
         (request_count == 0).then_some(self.at(last_end_ms))
     }
 
+    /// Returns whether a request is under way, or the client may be sending one: it has sent bytes since
+    /// the last, or was connected or answered less than `quiet` ago.
+    pub(super) fn is_in_use(&self, quiet: time::Duration) -> bool {
+        let last_end_ms = self.last_end_ms.load(atomic::Ordering::Relaxed);
+        let last_read_ms = self.last_read_ms.load(atomic::Ordering::Relaxed);
+        let is_sending = last_read_ms > last_end_ms || self.may_still_send();
+        let is_quiet = self
+            .idle_since()
+            .is_some_and(|since| since.elapsed() >= quiet);
+        is_sending || !is_quiet || self.blocked_since().is_some()
+    }
+
     /// Returns whether a request has ended.
     fn has_served(&self) -> bool {
         self.last_end_ms.load(atomic::Ordering::Relaxed) > 0
--- a/crates/runtime/src/server/connections.rs
+++ b/crates/runtime/src/server/connections.rs
@@ -60,6 +60,15 @@
         self.open().len()
     }
 
+    /// Returns how many connections have a request under way, or one that its client may be sending:
+    /// all but those on which nothing has come or gone for `quiet`.
+    #[must_use]
+    pub fn in_use_count(&self, quiet: time::Duration) -> usize {
+        let open = self.open();
+        let in_use = open.values().filter(|activity| activity.is_in_use(quiet));
+        in_use.count()
+    }
+
     fn open(&self) -> sync::MutexGuard<'_, IndexMap<u64, sync::Arc<Activity>>> {
         self.open
             .lock()
