Send a waiting request only to regions that the configuration in force allows

What callers saw: a request ran in a region that its route or its organisation had been forbidden 0.4 s before, as its first upstream reset the connection and it was sent again.

Now a placement, a move, a resumed stream and each send ask for the regions that the configuration of the arrival and the one in force both allow. A version that was replaced before the arrival doesn't count: of two that exclude each other the newer one is what the operator wants, and a request that neither allows is refused as one that has not run. A route or key that the version in force lacks leaves the regions of the arrival. The check beside the one for evacuations stands in `attempt::run`, so that nothing is sent past it.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -215,6 +215,19 @@
         }
     }
 
+    /// Returns the regions in which a request for a host and a path may run whose caller sent `key`, if
+    /// any. What can't be told, for a route or a key that this version lacks, allows any region.
+    #[must_use]
+    pub fn regions(&self, host: &str, path: &str, key: Option<&str>) -> regions::AllowedRegions {
+        let Some(route) = self.select(host, path) else {
+            return regions::AllowedRegions::Anywhere;
+        };
+        match self.admission(route, key) {
+            Admission::Organisation(organisation) => route.regions.and(&organisation.regions),
+            Admission::Anonymous | Admission::Denied => route.regions.clone(),
+        }
+    }
+
     /// Inserts a route so that longer prefixes come first.
     pub fn insert(&mut self, host: String, route: Route) {
         let routes = self.hosts.entry(host).or_default();
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -14,7 +14,7 @@
 use pimentohook_runtime::{body, client, server};
 
 use super::{
-    app, crash_evidence, engine_silence, limited_upstream, open_stream, placement, proxy,
+    app, crash_evidence, engine_silence, limited_upstream, open_stream, placement, proxy, retries,
     stream_evidence, upstream_limits, upstream_notices, weights_versions,
 };
 
@@ -58,8 +58,13 @@
             return Outcome::Fault(permit.not_built());
         }
     };
-    // The domain may have been evacuated while the request waited for its turn.
-    let is_allowed = app.evacuations.load().allows(&upstream.failure_domain);
+    // The domain may have been evacuated or forbidden while the request waited for its turn.
+    let domain = &upstream.failure_domain;
+    let is_allowed = app.evacuations.load().allows(domain)
+        && app
+            .settings
+            .regions
+            .allows(&retries::allowed_regions(app, request), domain);
     let start_timeout = placement.start_timeout(request.remaining());
     let Some(start_timeout) = start_timeout.filter(|_| is_allowed) else {
         app.count("withdrawn");
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -51,7 +51,7 @@
     pub table: sync::Arc<routes::RouteTable>,
     /// The caller's organisation.
     pub organisation: Option<routes::Organisation>,
-    /// The regions in which it may run, by the route and the organisation.
+    /// The regions in which it may run, by the route and the organisation as of its arrival.
     pub regions: regions::AllowedRegions,
     /// How urgent it is; `None` if all requests of its service are equally urgent.
     pub priority: Option<rank::Priority>,
@@ -385,7 +385,7 @@
         priority: request.shared_priority(app),
         organisation: request.sharing_organisation(app),
         may_probe: tried.is_empty() && retries::repeat_rule(app, request).check(1).is_ok(),
-        regions: &request.regions,
+        regions: &retries::allowed_regions(app, request),
         excluded: tried,
     };
     placement::choose(app, &placement_request).await
--- a/crates/entry/src/direct/retries.rs
+++ b/crates/entry/src/direct/retries.rs
@@ -1,7 +1,7 @@
-//! The retry budgets of an entry, one for each service, with log lines on their use, and whether a
-//! request that may have run may run again.
+//! The retry budgets of an entry, one for each service, with log lines on their use, whether a request
+//! that may have run may run again, and where.
 //!
-//! The configuration of the request's arrival does not decide the latter alone: another one may have
+//! The configuration of the request's arrival does not decide the latter two alone: another one may have
 //! come into force since, and one that was replaced shortly before may still have held.
 
 use std::{sync, sync::atomic, time};
@@ -9,7 +9,8 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    at_most_once, configuration_history, follow_timing, id, replaced_routes, retry_budget, routes,
+    at_most_once, configuration_history, follow_timing, id, regions, replaced_routes, retry_budget,
+    routes,
 };
 use pimentohook_platform::store;
 
@@ -255,6 +256,19 @@
     others.fold(request.route.attempts_max, u32::min)
 }
 
+/// Returns the regions in which a request may run now: those that the configuration of its arrival and
+/// the one in force both allow.
+pub fn allowed_regions(app: &app::App, request: &proxy::ProxiedRequest) -> regions::AllowedRegions {
+    let table = app.table.load();
+    let is_other = |now: &&sync::Arc<_>| !sync::Arc::ptr_eq(now, &request.table);
+    let Some(now) = table.as_ref().filter(is_other) else {
+        return request.regions.clone();
+    };
+    let (host, path) = (request.host.as_str(), request.uri.path());
+    let key = request.caller.key.as_deref();
+    request.regions.and(&now.regions(host, path, key))
+}
+
 /// Returns whether another upstream is looked for after an attempt without an answer.
 pub async fn may_send_again(
     app: &sync::Arc<app::App>,
--- a/crates/entry/src/direct/stream.rs
+++ b/crates/entry/src/direct/stream.rs
@@ -288,7 +288,7 @@
             priority: self.request.shared_priority(&self.app),
             organisation: self.request.sharing_organisation(&self.app),
             may_probe: false,
-            regions: &self.request.regions,
+            regions: &retries::allowed_regions(&self.app, &self.request),
             excluded,
         };
         let placement = placement::choose(&self.app, &placement_request)
