Let a plain request follow a timeout that is raised while it runs

What callers saw: 504 at the timeout of the arrival, though the operator had raised it while the request ran and its caller would have waited longer.

The sends below it had the same bound of their own.

Now the wait ends when no configuration that holds for the request allows more time, which is asked as the time is over. What an attempt waits for is bounded by the longest that the timeout may become (the time that the caller waits, or a minute), as the wait around it ends it sooner.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -14,8 +14,8 @@
 use pimentohook_runtime::{body, client, server};
 
 use super::{
-    app, crash_evidence, engine_silence, limited_upstream, open_stream, placement, proxy, retries,
-    stream_evidence, upstream_limits, upstream_notices, weights_versions,
+    app, crash_evidence, engine_silence, limited_upstream, open_stream, placement, proxy,
+    request_timeout, retries, stream_evidence, upstream_limits, upstream_notices, weights_versions,
 };
 
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
@@ -65,7 +65,7 @@
             .settings
             .regions
             .allows(&retries::allowed_regions(app, request), domain);
-    let start_timeout = placement.start_timeout(request.remaining());
+    let start_timeout = placement.start_timeout(request_timeout::longest_remaining(request));
     let Some(start_timeout) = start_timeout.filter(|_| is_allowed) else {
         app.count("withdrawn");
         return Outcome::Fault(permit.withdraw());
@@ -303,7 +303,7 @@
         let response = Response::new(body);
         let budget = &app.holdings.responses;
         let read = body::read_body_within(address, response, RESPONSE_MAX_BYTES, budget);
-        let read = tokio::time::timeout(request.remaining(), read).await;
+        let read = tokio::time::timeout(request_timeout::longest_remaining(request), read).await;
         if let Ok(Err(error)) = &read {
             let progress = crash_evidence::Progress::Begun;
             let candidate = &placement.candidate;
@@ -350,7 +350,7 @@
             in_flight: self.in_flight,
             evidence: stream_evidence::StreamEvidence::new(self.started_at),
         };
-        let start_timeout = placement.start_timeout(request.remaining());
+        let start_timeout = placement.start_timeout(request_timeout::longest_remaining(request));
         let start_timeout = start_timeout.unwrap_or_default();
         let first = tokio::time::timeout(start_timeout, open.fill(app)).await;
         if first.is_err() && placement.is_withdrawn() {
--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -203,8 +203,6 @@
     let request = sync::Arc::new(request);
     let phase = ending::Phase::Waiting;
     let mut unfinished = ending::UnfinishedGuard::new(app.clone(), request.clone(), phase);
-    let timeout = request.timeout.get().saturating_sub(RESPONSE_MARGIN);
-    let deadline = request.arrived_at + timeout;
     let mut attempts = final_response::Attempts {
         record,
         upstream_error: None,
@@ -212,7 +210,7 @@
     let result = tokio::select! {
         biased;
         result = run_attempts(app, &request, &mut attempts) => result,
-        () = request.shutdown.wait_until(deadline) => Err(Ending::TimedOut),
+        () = request_timeout::until_over(app, &request, RESPONSE_MARGIN) => Err(Ending::TimedOut),
     };
     unfinished.finish();
     let response = match result {
--- a/crates/entry/src/direct/request_timeout.rs
+++ b/crates/entry/src/direct/request_timeout.rs
@@ -1,9 +1,8 @@
 //! How long a request may take: the time that its caller waits and the timeout of its route,
 //! whichever is less.
 //!
-//! A route's timeout can change while a request is under way. A stream that has begun may last as
-//! long as any of the configurations allows that were in force meanwhile or may still be used when it
-//! arrived.
+//! A route's timeout can change while a request is under way. A request may last as long as any of the
+//! configurations allows that were in force meanwhile or may still be used when it arrived.
 
 use std::{sync::atomic, time};
 
@@ -13,6 +12,9 @@
 /// arrive within the quotient: the change was acknowledged before this entry heard of it.
 const GRACE_DIVISOR: u32 = 2;
 
+/// The longest time that a request may take whose caller does not say how long it waits.
+const LONGEST: time::Duration = time::Duration::from_mins(1);
+
 /// The time that a request may take from its arrival.
 #[derive(Debug)]
 pub struct RequestTimeout {
@@ -39,6 +41,12 @@
         time::Duration::from_millis(self.current_ms.load(atomic::Ordering::Relaxed))
     }
 
+    /// Returns the longest that the timeout may become while the request is under way.
+    #[must_use]
+    pub fn longest(&self) -> time::Duration {
+        self.caller.unwrap_or(LONGEST).max(self.get())
+    }
+
     /// Records another timeout of the route; a shorter one changes nothing.
     pub fn extend(&self, route: time::Duration) {
         let timeout = self.caller.unwrap_or(route).min(route);
@@ -48,6 +56,28 @@
     }
 }
 
+/// Returns the time until the end of a request if its timeout becomes as long as it may.
+#[must_use]
+pub fn longest_remaining(request: &proxy::ProxiedRequest) -> time::Duration {
+    let deadline = request.arrived_at + request.timeout.longest();
+    let deadline = request.shutdown.limit(deadline);
+    deadline.saturating_duration_since(time::Instant::now())
+}
+
+/// Waits until the time of a request is over but for `margin`, by each configuration that holds for it
+/// by then, or until this entry ends.
+pub async fn until_over(app: &app::App, request: &proxy::ProxiedRequest, margin: time::Duration) {
+    loop {
+        let timeout = request.timeout.get();
+        let deadline = request.arrived_at + timeout.saturating_sub(margin);
+        request.shutdown.wait_until(deadline).await;
+        follow_configuration(app, request);
+        if request.timeout.get() == timeout {
+            return;
+        }
+    }
+}
+
 /// Extends the timeout of a request to the longest one of the configurations that hold for it.
 pub fn follow_configuration(app: &app::App, request: &proxy::ProxiedRequest) {
     let (host, path) = (request.host.as_str(), request.uri.path());
