Keep a connection whose caller still takes a response past the idle limit

Cause: a request ends for the connection when its body has been handed to the HTTP library, and the idle time ran from then on, while megabytes still waited for the caller.

Now a connection is idle only if its caller has taken all, and since then.

--- a/crates/runtime/src/server/activity.rs
+++ b/crates/runtime/src/server/activity.rs
@@ -23,6 +23,8 @@
     last_read_ms: atomic::AtomicU64,
     /// Since when the client takes no bytes, in milliseconds from `opened_at`; 0 if it takes them.
     blocked_since_ms: atomic::AtomicU64,
+    /// When the client last took bytes that it had not taken at once, in milliseconds from `opened_at`.
+    last_taken_ms: atomic::AtomicU64,
     /// Set by who wants the place of this connection for another.
     closes: Notify,
 }
@@ -38,6 +40,7 @@
             last_end_ms: atomic::AtomicU64::new(0),
             last_read_ms: atomic::AtomicU64::new(0),
             blocked_since_ms: atomic::AtomicU64::new(0),
+            last_taken_ms: atomic::AtomicU64::new(0),
             closes: Notify::new(),
         }
     }
@@ -52,12 +55,15 @@
         self.opened_at + time::Duration::from_millis(time_ms)
     }
 
-    /// Returns since when the connection is idle; `None` while a request is under way.
+    /// Returns since when the connection is idle; `None` while a request is under way or the client has
+    /// not taken all of a response.
     pub(super) fn idle_since(&self) -> Option<tokio_time::Instant> {
         // The end is written before the count falls.
         let request_count = self.request_count.load(atomic::Ordering::Acquire);
         let last_end_ms = self.last_end_ms.load(atomic::Ordering::Relaxed);
-        (request_count == 0).then_some(self.at(last_end_ms))
+        let last_taken_ms = self.last_taken_ms.load(atomic::Ordering::Relaxed);
+        let is_idle = request_count == 0 && self.blocked_since().is_none();
+        is_idle.then_some(self.at(last_end_ms.max(last_taken_ms)))
     }
 
     /// Returns whether a request has ended.
@@ -119,6 +125,9 @@
             let since_ms = if is_blocked { self.now_ms() } else { 0 };
             self.blocked_since_ms.store(since_ms, ordering);
         }
+        if was_blocked && !is_blocked {
+            self.last_taken_ms.store(self.now_ms(), ordering);
+        }
     }
 
     fn record_end(&self) {
