--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -51,7 +51,7 @@
     pub table: sync::Arc<routes::RouteTable>,
     /// The caller's organisation.
     pub organisation: Option<routes::Organisation>,
-    /// The regions in which it may run, by the route and the organisation.
+    /// The regions in which it may run, by the route and the organisation as of its arrival.
     pub regions: regions::AllowedRegions,
     /// How urgent it is; `None` if all requests of its service are equally urgent.
     pub priority: Option<rank::Priority>,
@@ -203,8 +203,6 @@
     let request = sync::Arc::new(request);
     let phase = ending::Phase::Waiting;
     let mut unfinished = ending::UnfinishedGuard::new(app.clone(), request.clone(), phase);
-    let timeout = request.timeout.get().saturating_sub(RESPONSE_MARGIN);
-    let deadline = request.arrived_at + timeout;
     let mut attempts = final_response::Attempts {
         record,
         upstream_error: None,
@@ -212,7 +210,7 @@
     let result = tokio::select! {
         biased;
         result = run_attempts(app, &request, &mut attempts) => result,
-        () = request.shutdown.wait_until(deadline) => Err(Ending::TimedOut),
+        () = request_timeout::until_over(app, &request, RESPONSE_MARGIN) => Err(Ending::TimedOut),
     };
     unfinished.finish();
     let response = match result {
@@ -385,7 +383,7 @@
         priority: request.shared_priority(app),
         organisation: request.sharing_organisation(app),
         may_probe: tried.is_empty() && retries::repeat_rule(app, request).check(1).is_ok(),
-        regions: &request.regions,
+        regions: &retries::allowed_regions(app, request),
         excluded: tried,
     };
     placement::choose(app, &placement_request).await
