--- a/crates/runtime/src/server/connections.rs
+++ b/crates/runtime/src/server/connections.rs
@@ -54,12 +54,6 @@
         self.closed_count.load(atomic::Ordering::Relaxed)
     }
 
-    /// Returns how many connections are open.
-    #[must_use]
-    pub fn open_count(&self) -> usize {
-        self.open().len()
-    }
-
     /// Returns how many connections have a request under way, or one that its client may be sending:
     /// all but those on which nothing has come or gone for `quiet`.
     #[must_use]
