Ask once which of the configurations allow least, and once who needs their versions

Which effects need the versions that may hold for a request stood twice, as an early return of the entry and in the core; `Effect::needs_versions` serves both. Whether a request may repeat and on how many upstreams looked up the arrival's route, the one in force and the replaced ones each by itself; `least_allowed` does it for both.

No behaviour changes; the tests are untouched.

--- a/crates/core/src/configuration_history.rs
+++ b/crates/core/src/configuration_history.rs
@@ -204,6 +204,14 @@
     Any,
 }
 
+impl Effect {
+    /// Returns whether a request may repeat only if the versions that may hold for it are known.
+    #[must_use]
+    pub const fn needs_versions(self) -> bool {
+        matches!(self, Self::Any)
+    }
+}
+
 /// What is known of the configurations that may hold for a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Knowledge<'a> {
@@ -224,6 +232,6 @@
         now: clock::BootInstant,
     ) -> bool {
         let is_known = self.history.knows_since(since) && self.confirmation.holds(now);
-        effect != Effect::Any || is_known
+        is_known || !effect.needs_versions()
     }
 }
--- a/crates/entry/src/direct/retries.rs
+++ b/crates/entry/src/direct/retries.rs
@@ -173,25 +173,49 @@
 /// Returns whether a request that may have run may be sent to another upstream, by each configuration
 /// that may hold for it.
 pub fn may_repeat(app: &app::App, request: &proxy::ProxiedRequest) -> bool {
+    let of_replaced =
+        |replaced: &replaced_routes::ReplacedRoutes, since, host: &str, path: &str| {
+            Some(replaced.may_repeat_since(since, host, path))
+        };
+    least_allowed(app, request, routes::Route::may_repeat, of_replaced)
+        && knows_versions(app, request)
+}
+
+/// Returns on how many upstreams a request may run, by each configuration that may hold for it.
+fn attempts_max(app: &app::App, request: &proxy::ProxiedRequest) -> u32 {
+    let of_route = |route: &routes::Route| route.attempts_max;
+    let of_replaced = replaced_routes::ReplacedRoutes::least_attempts_max_since;
+    least_allowed(app, request, of_route, of_replaced)
+}
+
+/// Returns the least that the configurations allow which may hold for a request: that of its arrival,
+/// the one in force, and those that were replaced within the grace period before the arrival.
+fn least_allowed<T, R, P>(
+    app: &app::App,
+    request: &proxy::ProxiedRequest,
+    of_route: R,
+    of_replaced: P,
+) -> T
+where
+    T: Ord,
+    R: Fn(&routes::Route) -> T,
+    P: Fn(&replaced_routes::ReplacedRoutes, time::Instant, &str, &str) -> Option<T>,
+{
     let (host, path) = (request.host.as_str(), request.uri.path());
     let table = app.table.load();
-    let now = table.as_ref().and_then(|table| table.select(host, path));
+    let in_force = table.as_ref().and_then(|table| table.select(host, path));
     let grace = app.settings.configuration_grace;
     let since = request.arrived_at.checked_sub(grace);
-    let may_repeat_since = |since| {
-        let replaced = app.replaced_routes.load();
-        replaced.may_repeat_since(since, host, path)
-    };
-    request.route.may_repeat()
-        && now.is_none_or(routes::Route::may_repeat)
-        && since.is_none_or(may_repeat_since)
-        && knows_versions(app, request)
+    let replaced = app.replaced_routes.load();
+    let replaced = since.and_then(|since| of_replaced(&replaced, since, host, path));
+    let others = in_force.map(&of_route).into_iter().chain(replaced);
+    others.fold(of_route(&request.route), T::min)
 }
 
 /// Returns whether the versions that may hold for a request are known, as far as it needs them.
 fn knows_versions(app: &app::App, request: &proxy::ProxiedRequest) -> bool {
     let effect = effect(request);
-    if effect != configuration_history::Effect::Any {
+    if !effect.needs_versions() {
         return true;
     }
     let now = app.clock.boot_now();
@@ -241,21 +265,6 @@
     }
 }
 
-/// Returns on how many upstreams a request may run, by each configuration that may hold for it.
-fn attempts_max(app: &app::App, request: &proxy::ProxiedRequest) -> u32 {
-    let (host, path) = (request.host.as_str(), request.uri.path());
-    let table = app.table.load();
-    let now = table.as_ref().and_then(|table| table.select(host, path));
-    let since = request
-        .arrived_at
-        .checked_sub(app.settings.configuration_grace);
-    let replaced = app.replaced_routes.load();
-    let replaced = since.and_then(|since| replaced.least_attempts_max_since(since, host, path));
-    let others = now.map(|route| route.attempts_max).into_iter();
-    let others = others.chain(replaced);
-    others.fold(request.route.attempts_max, u32::min)
-}
-
 /// Returns the regions in which a request may run now: those that the configuration of its arrival and
 /// the one in force both allow.
 pub fn allowed_regions(app: &app::App, request: &proxy::ProxiedRequest) -> regions::AllowedRegions {
