Merge what an entry passes on once, not twice

To record which configurations are known, each reply of another entry was merged into a copy of the whole collection, contents included, and thrown away; then it was merged once more. What is known is recorded now from the copy after the merge, and still before the version comes into force. A reply that is older than the copy is left out, as before. In between a follower that asks is told that nothing is known, as the history and the copy don't agree.

No behaviour changes otherwise; the tests are untouched.

--- a/crates/entry/src/direct/feed/fetch.rs
+++ b/crates/entry/src/direct/feed/fetch.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use pimentohook_core::{announcement, carryover, clock, collection, id, position, relay};
+use pimentohook_core::{announcement, carryover, clock, id, position, relay};
 use pimentohook_platform::store;
 use pimentohook_runtime::client;
 use pimentohook_wire::direct;
@@ -176,12 +176,11 @@
     );
     let age = reply.age_ms.map(time::Duration::from_millis);
     let read = announcement::Read::fetched_ago(age, requested_at);
-    history::record_delta(app, kind, &reply.delta, reply.history);
-    let is_changed = merge_delta(app, kind, name, reply.delta, read);
+    let age_ms = reply.age_ms;
+    let is_changed = merge_reply(app, kind, name, reply, read);
     let age = age.filter(|age| *age <= timing.age_max);
     let replied_at = replied_at(app, requested_at);
     let confirmed_at = age.map(|age| replied_at.saturating_sub(age));
-    let age_ms = reply.age_ms;
     cache.confirm(confirmed_at.context(OldSnafu { name, age_ms })?);
     Ok(is_changed)
 }
@@ -194,19 +193,23 @@
     backlog_since.unwrap_or(now).max(requested_at)
 }
 
-fn merge_delta(
+fn merge_reply(
     app: &app::App,
     kind: store::Kind,
     name: &str,
-    delta: collection::Delta,
+    reply: direct::FollowReply,
     read: announcement::Read,
 ) -> bool {
+    let delta = reply.delta;
     let body_bytes = delta.content_bytes();
     app.count_read("peers", kind, body_bytes);
+    let cache = app.cached(kind);
     let position = delta.position;
-    let is_changed = app
-        .cached(kind)
-        .update(|collection| collection.merge(delta));
+    let is_outdated = position < cache.collection().position();
+    let is_changed = cache.update(|collection| collection.merge(delta));
+    if !is_outdated {
+        history::record_merged(app, kind, reply.history);
+    }
     if is_changed {
         log::info!(
             "feed: event=taken_from_peer kind={kind} entry={name} position={position} \
--- a/crates/entry/src/direct/feed/history.rs
+++ b/crates/entry/src/direct/feed/history.rs
@@ -48,26 +48,18 @@
     }
 }
 
-/// Records what another entry passed on, and what it knows of the versions before.
-pub(super) fn record_delta(
+/// Records what another entry has passed on, which the copy has by now, and what it knows of the versions
+/// before.
+pub(super) fn record_merged(
     app: &app::App,
     kind: store::Kind,
-    delta: &collection::Delta,
     statement: configuration_history::Statement,
 ) {
-    let known = app.cached(kind).collection();
-    if kind != store::Kind::Configuration || delta.position < known.position() {
-        return;
+    if kind == store::Kind::Configuration {
+        let copy = app.cached(kind).collection();
+        let newest = newest(copy.objects().values());
+        record(app, configuration_history::Read { newest, statement });
     }
-    let mut merged = collection::Collection::clone(&known);
-    merged.merge(delta.clone());
-    record(
-        app,
-        configuration_history::Read {
-            newest: newest(merged.objects().values()),
-            statement,
-        },
-    );
 }
 
 /// Returns what to tell a follower that has the state at `position` and is passed `delta`.
