--- a/crates/entry/src/direct/proxy.rs
+++ b/crates/entry/src/direct/proxy.rs
@@ -102,7 +102,6 @@
         fingerprint::Fingerprint::of(&identity, &self.body)
     }
 
-    /// Returns the request's priority for log lines; `-` if it has none.
     /// Returns the organisation by which engines are shared; `None` if they are not.
     pub(super) fn sharing_organisation(&self, app: &app::App) -> Option<&str> {
         let is_shared = app.settings.share_policy == organisation_shares::Policy::ByOrganisation;
@@ -113,11 +112,12 @@
 
     /// Returns the priority that agents are told. Where engines are shared, all requests have one.
     pub(super) fn shared_priority(&self, app: &app::App) -> Option<rank::Priority> {
-        let is_shared = app.settings.share_policy == organisation_shares::Policy::ByOrganisation;
+        let shared = self.sharing_organisation(app);
         self.priority
-            .or_else(|| is_shared.then(rank::Priority::default))
+            .or_else(|| shared.map(|_| rank::Priority::default()))
     }
 
+    /// Returns the request's priority for log lines; `-` if it has none.
     pub(super) fn priority_text(&self) -> String {
         let priority = self.priority.map(|priority| priority.to_string());
         priority.unwrap_or_else(|| String::from("-"))
