--- a/crates/entry/src/direct/final_response.rs
+++ b/crates/entry/src/direct/final_response.rs
@@ -7,6 +7,7 @@
 use pimentohook_core::{
     at_most_once,
     crash_evidence::{VERDICT_LIFETIME, suspect_id},
+    refusal_rate,
 };
 use rand::RngExt as _;
 
@@ -202,22 +203,23 @@
 /// Counts a refusal and returns the delay after which the caller should retry.
 fn retry_after(app: &app::App, request: &ProxiedRequest) -> time::Duration {
     let rates = app.refusal_rates(&request.service);
-    let refusal_rate = rates.of(request.priority);
-    let now_ms = app.now_ms();
-    refusal_rate.record(now_ms, true);
-    refusal_rate.retry_after(now_ms, request.remaining(), rand::rng().random())
+    count_refusal(app, request, rates.of(request.priority))
 }
 
-/// Counts a refusal beyond a share, which says nothing of other organisations, and returns the delay
-/// after which the caller should retry.
+/// Like [`retry_after`], for a refusal beyond a share, which says nothing of other organisations.
 fn over_share_retry_after(app: &app::App, request: &ProxiedRequest) -> time::Duration {
     let rates = app.refusal_rates(&request.service);
+    count_refusal(app, request, rates.over_share())
+}
+
+fn count_refusal(
+    app: &app::App,
+    request: &ProxiedRequest,
+    rate: &refusal_rate::RefusalRate,
+) -> time::Duration {
     let now_ms = app.now_ms();
-    rates.over_share().record(now_ms, true);
-    let remaining = request.remaining();
-    rates
-        .over_share()
-        .retry_after(now_ms, remaining, rand::rng().random())
+    rate.record(now_ms, true);
+    rate.retry_after(now_ms, request.remaining(), rand::rng().random())
 }
 
 /// Ends a request that may have run, and for which no upstream gave an error response.
