Remove two questions whose answer is known

A connection whose caller has not taken a response counts as not idle since. So it isn't asked once more before a head is refused, which happens on idle connections only, nor whether a connection is in use. No behaviour changes.

--- a/crates/runtime/src/server/activity.rs
+++ b/crates/runtime/src/server/activity.rs
@@ -99,7 +99,7 @@
         let is_quiet = self
             .idle_since()
             .is_some_and(|since| since.elapsed() >= quiet);
-        is_sending || !is_quiet || self.blocked_since().is_some()
+        is_sending || !is_quiet
     }
 
     /// Returns whether a request has ended.
--- a/crates/runtime/src/server/connection.rs
+++ b/crates/runtime/src/server/connection.rs
@@ -244,10 +244,6 @@
         return;
     };
     registered.record_refusal(refusal);
-    // An answer would end up within the earlier response.
-    if activity.blocked_since().is_some() {
-        return;
-    }
     activity.record_cut();
     tokio::select! {
         () = refusal::refuse(socket, refusal) => {}
