Refuse no head before its time is over

What callers saw: a head was refused up to 1 ms before its limit (408 after 599.797, 599.929 and 599.953 ms of 600).

Cause: a connection keeps times in whole milliseconds, rounded down, the start of a head and the end of the request before among them. Now a head is due one millisecond later.

--- a/crates/runtime/src/server/activity.rs
+++ b/crates/runtime/src/server/activity.rs
@@ -7,6 +7,9 @@
 
 use super::head::Head;
 
+/// Times are kept in whole milliseconds, rounded down.
+const RESOLUTION: time::Duration = time::Duration::from_millis(1);
+
 /// A request that makes no progress for this long may lose its connection when room is short.
 const STALLED_AFTER: time::Duration = time::Duration::from_secs(1);
 
@@ -77,7 +80,9 @@
         let (began_ms, timeout) = self.head.limited()?;
         let last_end = self.at(self.last_end_ms.load(atomic::Ordering::Relaxed));
         let began_at = self.at(began_ms).into_std();
-        head_limits::due(began_at, last_end.into_std(), timeout).map(tokio_time::Instant::from_std)
+        let due = head_limits::due(began_at, last_end.into_std(), timeout)?;
+        due.checked_add(RESOLUTION)
+            .map(tokio_time::Instant::from_std)
     }
 
     /// Returns whether the client may still send parts of a body that has not ended.
