Name the connection of each refusal, and why a response is not believed

Cause of this change: of the three hypotheses of docs/incidents/2026-12-06-copied-refusal.md none could be told from another by the lines: no line named the connection of a send, nor whether it had carried the request's id before.

No decision changes; the 421 or 503 of a copy is believed as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 //!
 //! * [`routes`]: which service a request goes to, and how it may be handled.
 //! * [`at_most_once`]: whether a request may be sent again, or be said not to have run.
+//! * [`carried_ids`]: which requests a connection has carried.
 //! * [`configuration_check`]: what is wrong with a configuration, and what it would change.
 //! * [`configuration_history`]: which configurations that were in force lately a process knows.
 //! * [`regions`]: where a request may be served.
@@ -70,6 +71,7 @@
 pub mod ask_order;
 pub mod at_most_once;
 pub mod burst;
+pub mod carried_ids;
 pub mod carryover;
 pub mod clock;
 pub mod cold;
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -17,13 +17,14 @@
 use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
 use hyper_util::{client::legacy, rt::TokioExecutor};
+use pimentohook_core::carried_ids;
 use serde::{Serialize, de};
 use snafu::{ResultExt, ensure};
 use tokio::time as tokio_time;
 
 pub use crate::client_error::ClientError;
 use crate::{
-    body,
+    body, carriers,
     client_error::{BuildSnafu, CodecSnafu, JoinedSnafu, JsonSnafu, StatusSnafu, TimeoutSnafu},
     connector, short_reads,
 };
@@ -46,6 +47,16 @@
     pub body: time::Duration,
 }
 
+/// A response whose head has come, and what its connection had carried.
+#[derive(Debug)]
+pub struct IdentifiedResponse {
+    /// The response.
+    pub response: Response<Incoming>,
+    /// The proof that the connection had carried no request with the same id; without it the response
+    /// may answer an earlier one.
+    pub first_send: Option<carried_ids::FirstSend>,
+}
+
 type Pool = legacy::Client<connector::Connector, Full<Bytes>>;
 
 /// An HTTP client with a connection pool.
@@ -55,6 +66,7 @@
     idle_max: atomic::AtomicUsize,
     unpooled: Pool,
     connector: connector::Connector,
+    carriers: sync::Arc<carriers::Carriers>,
 }
 
 fn new_pool(idle_max: usize, connector: &connector::Connector) -> Pool {
@@ -97,12 +109,14 @@
 
     fn with_reads(local_address: net::IpAddr, idle_max: usize, read_max_bytes: u64) -> Self {
         let local_address = Some(local_address).filter(|address| !address.is_unspecified());
-        let connector = connector::Connector::new(local_address, read_max_bytes);
+        let carriers = sync::Arc::new(carriers::Carriers::default());
+        let connector = connector::Connector::new(local_address, read_max_bytes, carriers.clone());
         Self {
             pool: ArcSwap::from_pointee(new_pool(idle_max, &connector)),
             idle_max: atomic::AtomicUsize::new(idle_max),
             unpooled: new_pool(0, &connector),
             connector,
+            carriers,
         }
     }
 
@@ -138,6 +152,36 @@
         send_on(&pool, address, request, timeout).await
     }
 
+    /// Like [`Client::send`], for a request with an id that the response has to echo.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if no response was received. [`ClientError::is_unsent`] says whether
+    /// it is certain that nothing was sent.
+    pub async fn send_identified(
+        &self,
+        address: net::SocketAddr,
+        request: Request<Full<Bytes>>,
+        id: &[u8],
+        timeout: time::Duration,
+    ) -> Result<IdentifiedResponse, ClientError> {
+        let id = self.carriers.hash(id);
+        let response = self.send(address, request, timeout).await?;
+        let carrier = carrier(&response);
+        let first_send = carrier.and_then(|carrier| carrier.ids.record(id));
+        Ok(IdentifiedResponse {
+            response,
+            first_send,
+        })
+    }
+
+    /// Returns whether the connection of a response has carried a request with an id.
+    #[must_use]
+    pub fn has_carried<B>(&self, response: &Response<B>, id: &[u8]) -> bool {
+        let id = self.carriers.hash(id);
+        carrier(response).is_some_and(|carrier| carrier.ids.has_carried(id))
+    }
+
     /// Like [`Client::send`], but on a new connection.
     ///
     /// # Errors
@@ -306,6 +350,18 @@
     }
 }
 
+/// Returns the number that tells the connection of a response from the others of its client; `None` if
+/// it is not known.
+#[must_use]
+pub fn connection_number<B>(response: &Response<B>) -> Option<u64> {
+    Some(carrier(response)?.number)
+}
+
+fn carrier<B>(response: &Response<B>) -> Option<carriers::Carrier> {
+    let connection: &connector::RequestConnection = response.extensions().get()?;
+    connection.carrier()
+}
+
 /// Returns whether the request was canceled, which happens only before it has been written.
 fn is_canceled(error: &legacy::Error) -> bool {
     let source = std::error::Error::source(error);
--- a/crates/runtime/src/connector.rs
+++ b/crates/runtime/src/connector.rs
@@ -18,7 +18,10 @@
 };
 use tower_service::Service;
 
-use crate::short_reads::ShortReads;
+use crate::{
+    carriers::{Carrier, Carriers},
+    short_reads::ShortReads,
+};
 
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -31,13 +34,18 @@
 pub struct Connector {
     http: HttpConnector,
     read_max_bytes: u64,
+    carriers: sync::Arc<Carriers>,
 }
 
 impl Connector {
     /// Creates a connector whose connections use `local_address` as their source address, if given,
     /// and read at most so many bytes at once.
     #[must_use]
-    pub fn new(local_address: Option<net::IpAddr>, read_max_bytes: u64) -> Self {
+    pub(crate) fn new(
+        local_address: Option<net::IpAddr>,
+        read_max_bytes: u64,
+        carriers: sync::Arc<Carriers>,
+    ) -> Self {
         let mut http = HttpConnector::new();
         http.set_local_address(local_address);
         http.set_nodelay(true);
@@ -49,6 +57,7 @@
         Self {
             http,
             read_max_bytes,
+            carriers,
         }
     }
 }
@@ -68,11 +77,16 @@
     fn call(&mut self, destination: Uri) -> Self::Future {
         let connecting = self.http.call(destination);
         let read_max_bytes = self.read_max_bytes;
+        let carriers = self.carriers.clone();
         Box::pin(async move {
             let stream = connecting.await?.into_inner();
+            let carrier = Some(carriers.register());
             let io = TokioIo::new(ShortReads::new(stream, read_max_bytes));
-            let is_cut_off = CutOff::default();
-            Ok(CutOffStream { io, is_cut_off })
+            Ok(CutOffStream {
+                io,
+                is_cut_off: CutOff::default(),
+                carrier,
+            })
         })
     }
 }
@@ -106,15 +120,16 @@
 pub struct CutOffStream {
     io: TokioIo<ShortReads>,
     is_cut_off: CutOff,
+    /// `None` if the connection was gone before it could be recorded.
+    carrier: Option<Carrier>,
 }
 
 impl Connection for CutOffStream {
     fn connected(&self) -> Connected {
-        self.io
-            .inner()
-            .stream()
-            .connected()
+        let connected = self.io.inner().stream().connected();
+        connected
             .extra(self.is_cut_off.clone())
+            .extra(self.carrier.clone())
     }
 }
 
@@ -176,17 +191,34 @@
     /// Cuts off the connection, and keeps it from other requests at once: its task may not have run
     /// yet when the next one is sent.
     pub fn cut_off(&self) {
-        let metadata = self.0.connection_metadata();
-        let mut extensions = http::Extensions::new();
-        if let Some(connected) = metadata.as_ref() {
-            connected.poison();
-            connected.get_extras(&mut extensions);
-        }
-        match extensions.get::<CutOff>() {
+        self.retire();
+        match self.extras().get::<CutOff>() {
             Some(cut_off) => cut_off.set(),
             None => log::warn!("client: event=connection_not_cut_off reason=unknown_connection"),
         }
     }
+
+    /// Keeps the connection from further requests; what is under way on it goes on.
+    pub(crate) fn retire(&self) {
+        if let Some(connected) = self.0.connection_metadata().as_ref() {
+            connected.poison();
+        }
+    }
+
+    /// Returns what the connection has carried; `None` if it is not known.
+    pub(crate) fn carrier(&self) -> Option<Carrier> {
+        let extras = self.extras();
+        let carrier: &Option<Carrier> = extras.get()?;
+        carrier.clone()
+    }
+
+    fn extras(&self) -> http::Extensions {
+        let mut extensions = http::Extensions::new();
+        if let Some(connected) = self.0.connection_metadata().as_ref() {
+            connected.get_extras(&mut extensions);
+        }
+        extensions
+    }
 }
 
 /// Cuts off the connection of a request once it has got more than `informational_max` informational
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod acceptance;
 pub mod announcements;
 pub mod body;
+mod carriers;
 pub mod client;
 mod client_error;
 mod connector;
