Believe a response only for the send that it answers

Cause: a response names a request by its id, not the send that it answers. A request goes to no instance twice, but the connection pool knows addresses only: two instances listed at one address (one started again under a new id, the old one still listed), a caller that sends an id again, and a resumed stream send it on a connection that has carried it. A copy of its earlier refusal there bears its id, and was taken for the answer.

Evidence: the tests of copied_refusals failed on the logic before, 3 of 3 runs: two instances of one address, refused with 503, 429 or 421, ran 2 times each with status 200; a stream that resumes met the copy.

Change: each connection records the ids that it has carried (at most 512, then it is replaced). A request whose id an open connection to the address has carried goes on a new connection. core::carried_ids makes the proof that an id was new on its connection, and at_most_once takes a refusal as evidence only with it: without it nothing compiles. What a head says of its upstream (limit, leaving, back-off, 421, crash evidence, signs of life) counts under the same proof; else the connection ends and the outcome is in doubt.

--- a/crates/core/src/at_most_once.rs
+++ b/crates/core/src/at_most_once.rs
@@ -5,15 +5,18 @@
 //! [`NotRunPromise`], without which no caller is told so. A record is followed through one request:
 //!
 //! ```
-//! use pimentohook_core::{at_most_once, routes};
+//! use pimentohook_core::{at_most_once, carried_ids, routes};
 //!
+//! let connection = carried_ids::CarriedIds::default();
+//! let first_send = connection.record(carried_ids::IdHash::new(7)).unwrap();
 //! let once = at_most_once::RepeatRule {
 //!     policy: routes::RepeatPolicy::AtMostOnce,
 //!     attempts_max: 1,
 //! };
 //! let mut record = at_most_once::RunRecord::begin();
 //! let under_way = record.permit("runner-1", once).unwrap().send();
-//! let _ = under_way.not_run(at_most_once::NotRunEvidence::Marked);
+//! let refusal = at_most_once::Refusal::Marked;
+//! let _ = under_way.not_run(at_most_once::NotRunProof::refused(refusal, first_send));
 //! let under_way = record.permit("runner-2", once).unwrap().send();
 //! // The connection breaks, or the caller leaves.
 //! drop(under_way);
@@ -97,12 +100,25 @@
 //! # use pimentohook_core::at_most_once;
 //! let promise = at_most_once::NotRunPromise { sent_to: Vec::new() };
 //! ```
+//!
+//! A refusal proves nothing without the proof that its connection had not carried the request:
+//!
+//! ```compile_fail,E0061
+//! # use pimentohook_core::at_most_once;
+//! let proof = at_most_once::NotRunProof::refused(at_most_once::Refusal::Marked);
+//! ```
+//!
+//! ```compile_fail,E0451
+//! # use pimentohook_core::at_most_once;
+//! let evidence = at_most_once::NotRunEvidence::Marked;
+//! let proof = at_most_once::NotRunProof { evidence };
+//! ```
 
 mod evidence;
 
 use snafu::Snafu;
 
-pub use self::evidence::{Fault, NotRunEvidence};
+pub use self::evidence::{Fault, NotRunEvidence, NotRunProof, Refusal, Unsent};
 use crate::routes;
 
 /// What is known of a request, over all upstreams that it was sent to.
@@ -287,13 +303,15 @@
     /// Records that the request could not be built.
     #[must_use]
     pub fn not_built(self) -> Fault {
-        self.send().not_run(NotRunEvidence::NotBuilt)
+        self.send()
+            .not_run(NotRunProof::local(NotRunEvidence::NotBuilt))
     }
 
     /// Records that the request is not sent after all.
     #[must_use]
     pub fn withdraw(self) -> Fault {
-        self.send().not_run(NotRunEvidence::Withdrawn)
+        self.send()
+            .not_run(NotRunProof::local(NotRunEvidence::Withdrawn))
     }
 }
 
@@ -316,7 +334,8 @@
 impl UnderWay<'_> {
     /// Records that the upstream certainly does not run the request.
     #[must_use]
-    pub fn not_run(mut self, evidence: NotRunEvidence) -> Fault {
+    pub fn not_run(mut self, proof: NotRunProof) -> Fault {
+        let evidence = proof.into_evidence();
         self.end = End::NotRun(evidence);
         Fault::NotRun(evidence)
     }
--- a/crates/core/tests/at_most_once.rs
+++ b/crates/core/tests/at_most_once.rs
@@ -1,7 +1,8 @@
 //! Checks all orders of up to three sends against a model that knows what each upstream ran.
 
 use pimentohook_core::{
-    at_most_once::{self, NotRunEvidence},
+    at_most_once::{self, NotRunEvidence, NotRunProof, Refusal},
+    carried_ids::{CarriedIds, IdHash},
     routes::RepeatPolicy,
 };
 use rstest::rstest;
@@ -86,10 +87,16 @@
             Self::NotUsed => return,
             Self::NotBuilt => permit.not_built(),
             Self::Withdrawn => permit.withdraw(),
-            Self::NotConnected => permit.send().not_run(NotRunEvidence::NotConnected),
-            Self::Unsent => permit.send().not_run(NotRunEvidence::ClosedBeforeWrite),
-            Self::MarkedRefusal => permit.send().not_run(NotRunEvidence::Marked),
-            Self::OtherInstance => permit.send().not_run(NotRunEvidence::OtherInstance),
+            Self::NotConnected => {
+                let proof = NotRunProof::unsent(at_most_once::Unsent::NotConnected);
+                permit.send().not_run(proof)
+            }
+            Self::Unsent => {
+                let proof = NotRunProof::unsent(at_most_once::Unsent::ClosedBeforeWrite);
+                permit.send().not_run(proof)
+            }
+            Self::MarkedRefusal => permit.send().not_run(refused(Refusal::Marked)),
+            Self::OtherInstance => permit.send().not_run(refused(Refusal::OtherInstance)),
             Self::Answer => return permit.send().answered(),
             Self::ServerError | Self::Broken | Self::Foreign | Self::TimedOut => {
                 permit.send().in_doubt()
@@ -100,6 +107,12 @@
     }
 }
 
+/// Returns the proof of a refusal on a new connection.
+fn refused(refusal: Refusal) -> NotRunProof {
+    let first_send = CarriedIds::default().record(IdHash::new(1));
+    NotRunProof::refused(refusal, first_send.expect("a new connection"))
+}
+
 /// One step of a request: a send under the rule that is in force then.
 #[derive(Clone, Copy, Debug)]
 struct Step {
--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response, Uri, http};
 use pimentohook_core::{
-    at_most_once::{self, Fault, NotRunEvidence},
+    at_most_once::{self, Fault, NotRunProof, Unsent},
     rank,
 };
 use pimentohook_platform::request;
@@ -89,17 +89,17 @@
             };
             response.receive(app, request, placement).await
         }
-        Err(error) => Outcome::Fault(send_failed(app, request, placement, &error)),
+        Err(error) => send_failed(app, request, placement, &error),
     };
     match outcome {
-        Outcome::Fault(Fault::NotRun(evidence)) => Outcome::Fault(under_way.not_run(evidence)),
-        Outcome::Fault(Fault::MayHaveRun) => Outcome::Fault(under_way.in_doubt()),
-        Outcome::Complete(response) => {
+        Err(proof) => Outcome::Fault(under_way.not_run(proof)),
+        Ok(Outcome::Fault(_)) => Outcome::Fault(under_way.in_doubt()),
+        Ok(Outcome::Complete(response)) => {
             under_way.answered();
             Outcome::Complete(response)
         }
         // It may be sent again if it may repeat.
-        Outcome::ServerError(_) | Outcome::Stream(_) => outcome,
+        Ok(outcome @ (Outcome::ServerError(_) | Outcome::Stream(_))) => outcome,
     }
 }
 
@@ -109,16 +109,20 @@
     engine_silence::log_change(app, &candidate.upstream.instance, change);
 }
 
-/// Records that there is no response; returns what that says of the request.
+/// Records that there is no response.
+///
+/// # Errors
+///
+/// Returns the proof that the request was not run, if the client says that nothing was sent.
 fn send_failed(
     app: &app::App,
     request: &proxy::ProxiedRequest,
     placement: &placement::Placement,
     error: &client::ClientError,
-) -> Fault {
+) -> Result<Outcome, NotRunProof> {
     if placement.is_withdrawn() {
         app.count("withdrawn");
-        return Fault::MayHaveRun;
+        return Ok(Outcome::Fault(Fault::MayHaveRun));
     }
     let candidate = &placement.candidate;
     let progress = crash_evidence::Progress::NoResponse;
@@ -130,9 +134,9 @@
     );
     candidate.state.stats.record_failure(app.now_ms());
     match error {
-        client::ClientError::Connect { .. } => Fault::NotRun(NotRunEvidence::NotConnected),
-        error if error.is_unsent() => Fault::NotRun(NotRunEvidence::ClosedBeforeWrite),
-        _ => Fault::MayHaveRun,
+        client::ClientError::Connect { .. } => Err(NotRunProof::unsent(Unsent::NotConnected)),
+        error if error.is_unsent() => Err(NotRunProof::unsent(Unsent::ClosedBeforeWrite)),
+        _ => Ok(Outcome::Fault(Fault::MayHaveRun)),
     }
 }
 
--- a/crates/entry/src/direct/attempt/response.rs
+++ b/crates/entry/src/direct/attempt/response.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Response, StatusCode, body::Incoming, header};
 use pimentohook_core::{
-    at_most_once::{Fault, NotRunEvidence},
+    at_most_once::{Fault, NotRunProof, Refusal},
     event_stream,
 };
 use pimentohook_platform::request;
@@ -59,33 +59,34 @@
 
 impl UpstreamResponse {
     /// Classifies the response, and reads it if it is the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the proof that the upstream did not run the request.
     pub(super) async fn receive(
-        self,
+        mut self,
         app: &app::App,
         request: &proxy::ProxiedRequest,
         placement: &placement::Placement,
-    ) -> Outcome {
-        let (candidate, response) = (&placement.candidate, &self.identified.response);
+    ) -> Result<Outcome, NotRunProof> {
+        let candidate = &placement.candidate;
+        let response = &self.identified.response;
         let (status, headers) = (response.status(), response.headers());
         let class = request::classify_response(status, headers, &request.headers);
-        if class == request::ResponseClass::Foreign {
-            return self.discard(app, request, candidate);
-        }
-        record_sign(app, candidate);
-        let instance = &candidate.upstream.instance;
-        upstream_limits::record_head(app, instance, class, headers, self.started_at);
-        let statement = request::upstream_statement(status, headers, class);
-        upstream_notices::record_response(app, request.id(), &candidate.upstream, &statement);
-        if crash_evidence::shows_life(class) {
-            crash_evidence::record_alive(app, candidate, self.started_at);
-        }
+        let first_send = self.identified.first_send.take();
+        let Some(first_send) = first_send.filter(|_| class != request::ResponseClass::Foreign)
+        else {
+            return Ok(self.discard(app, request, candidate));
+        };
+        self.record_statements(app, request, candidate, class);
         match class {
             request::ResponseClass::Answer if self.is_resumed && !self.may_go_on() => {
-                self.leave(app, request, placement)
+                Ok(self.leave(app, request, placement))
             }
-            request::ResponseClass::Answer => self.read(app, request, placement).await,
+            request::ResponseClass::Answer => Ok(self.read(app, request, placement).await),
             request::ResponseClass::NotRun => {
-                self.refused(request, candidate, NotRunEvidence::Marked)
+                self.log_refusal(request, candidate, Refusal::Marked);
+                Err(NotRunProof::refused(Refusal::Marked, first_send))
             }
             request::ResponseClass::OtherInstance => {
                 // An upstream that doesn't serve the expected version responds in the same way, so
@@ -94,20 +95,42 @@
                     let is_replaced = &candidate.state.is_replaced;
                     is_replaced.store(true, atomic::Ordering::Relaxed);
                 }
-                self.refused(request, candidate, NotRunEvidence::OtherInstance)
+                self.log_refusal(request, candidate, Refusal::OtherInstance);
+                Err(NotRunProof::refused(Refusal::OtherInstance, first_send))
             }
             request::ResponseClass::Invalid | request::ResponseClass::Foreign => {
                 candidate.state.stats.record_failure(app.now_ms());
                 log::info!(
-                    "attempt: event=invalid_response request={} instance={instance} status={}",
+                    "attempt: event=invalid_response request={} instance={} status={}",
                     request.id(),
+                    candidate.upstream.instance,
                     status.as_u16()
                 );
-                Outcome::Fault(Fault::MayHaveRun)
+                Ok(Outcome::Fault(Fault::MayHaveRun))
             }
         }
     }
 
+    /// Records what the response says of its upstream.
+    fn record_statements(
+        &self,
+        app: &app::App,
+        request: &proxy::ProxiedRequest,
+        candidate: &app::Candidate,
+        class: request::ResponseClass,
+    ) {
+        let response = &self.identified.response;
+        let (status, headers) = (response.status(), response.headers());
+        record_sign(app, candidate);
+        let instance = &candidate.upstream.instance;
+        upstream_limits::record_head(app, instance, class, headers, self.started_at);
+        let statement = request::upstream_statement(status, headers, class);
+        upstream_notices::record_response(app, request.id(), &candidate.upstream, &statement);
+        if crash_evidence::shows_life(class) {
+            crash_evidence::record_alive(app, candidate, self.started_at);
+        }
+    }
+
     /// Discards a response that does not certainly belong to the request, which may be running.
     fn discard(
         self,
@@ -132,24 +155,21 @@
         Outcome::Fault(Fault::MayHaveRun)
     }
 
-    /// Ends an attempt that the upstream refused.
-    fn refused(
-        self,
+    fn log_refusal(
+        &self,
         request: &proxy::ProxiedRequest,
         candidate: &app::Candidate,
-        evidence: NotRunEvidence,
-    ) -> Outcome {
+        refusal: Refusal,
+    ) {
         let response = &self.identified.response;
         log::info!(
-            "attempt: event=refused request={} instance={} status={} evidence={evidence} \
-             connection={:?} is_first_send={}",
+            "attempt: event=refused request={} instance={} status={} evidence={} connection={:?}",
             request.id(),
             candidate.upstream.instance,
             response.status().as_u16(),
-            client::connection_number(response),
-            self.identified.first_send.is_some()
+            refusal.evidence(),
+            client::connection_number(response)
         );
-        Outcome::Fault(Fault::NotRun(evidence))
     }
 
     fn is_event_stream(&self) -> bool {
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -154,6 +154,9 @@
 
     /// Like [`Client::send`], for a request with an id that the response has to echo.
     ///
+    /// If an open connection to the address has carried a request with this id, this one is sent on a
+    /// new connection, so that it can't meet a copy of the earlier response.
+    ///
     /// # Errors
     ///
     /// Returns [`ClientError`] if no response was received. [`ClientError::is_unsent`] says whether
@@ -166,9 +169,13 @@
         timeout: time::Duration,
     ) -> Result<IdentifiedResponse, ClientError> {
         let id = self.carriers.hash(id);
-        let response = self.send(address, request, timeout).await?;
-        let carrier = carrier(&response);
-        let first_send = carrier.and_then(|carrier| carrier.ids.record(id));
+        let response = if self.carriers.has_carried(address, id) {
+            self.send_on_new_connection(address, request, timeout).await
+        } else {
+            self.send(address, request, timeout).await
+        };
+        let response = response?;
+        let first_send = record_carried(&response, id);
         Ok(IdentifiedResponse {
             response,
             first_send,
@@ -362,6 +369,21 @@
     connection.carrier()
 }
 
+/// Records that the connection of a response has carried a request; a connection that has carried as
+/// many as it may gets no more.
+fn record_carried<B>(
+    response: &Response<B>,
+    id: carried_ids::IdHash,
+) -> Option<carried_ids::FirstSend> {
+    let connection: &connector::RequestConnection = response.extensions().get()?;
+    let carrier = connection.carrier()?;
+    let first_send = carrier.ids.record(id);
+    if carrier.ids.is_full() {
+        connection.retire();
+    }
+    first_send
+}
+
 /// Returns whether the request was canceled, which happens only before it has been written.
 fn is_canceled(error: &legacy::Error) -> bool {
     let source = std::error::Error::source(error);
--- a/crates/runtime/src/connector.rs
+++ b/crates/runtime/src/connector.rs
@@ -80,7 +80,8 @@
         let carriers = self.carriers.clone();
         Box::pin(async move {
             let stream = connecting.await?.into_inner();
-            let carrier = Some(carriers.register());
+            let carrier = stream.peer_addr().ok();
+            let carrier = carrier.map(|address| carriers.register(address));
             let io = TokioIo::new(ShortReads::new(stream, read_max_bytes));
             Ok(CutOffStream {
                 io,
