Send nothing to the earlier of two instances at one address

Cause: an instance that started again under a new id has its old address, while the entry of the old one is listed for three intervals of silence, longer while the store is away; both were candidates until a 421 showed that one is replaced.

Change: core::upstreams::successors names for each instance the one that started at its address after it, by the starts that both name. The earlier gets nothing, unless the later one was itself found replaced: starts are dated by clocks that may jump. Instances of which one names no start are asked as before, each refusal on a connection of its own. Candidates move to a file.

--- a/crates/core/src/upstreams.rs
+++ b/crates/core/src/upstreams.rs
@@ -51,6 +51,31 @@
     }
 }
 
+/// Returns for each upstream the instance that started at its address after it, if one is listed: of two
+/// instances at one address only the later one can live.
+///
+/// Instances whose start is not known are neither earlier nor later than others.
+#[must_use]
+pub fn successors(listed: &[Upstream]) -> IndexMap<String, String> {
+    let mut latest: IndexMap<net::SocketAddr, &Upstream> = IndexMap::new();
+    for upstream in listed {
+        let known = latest.entry(upstream.address).or_insert(upstream);
+        if known.started_unix_ms < upstream.started_unix_ms {
+            *known = upstream;
+        }
+    }
+    let is_earlier = |upstream: &&Upstream| {
+        let started = upstream.started_unix_ms;
+        started.is_some() && started < latest[&upstream.address].started_unix_ms
+    };
+    let earlier = listed.iter().filter(is_earlier);
+    let named = earlier.map(|upstream| {
+        let successor = latest[&upstream.address].instance.clone();
+        (upstream.instance.clone(), successor)
+    });
+    named.collect()
+}
+
 /// Returns the listed upstreams and those that a restored store has lost.
 ///
 /// An upstream that was draining before the restore is still draining, even if the copy is from
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -53,6 +53,31 @@
     assert_eq!(found, upstreams::ServiceVms::default());
 }
 
+/// A request went to the earlier of two instances at one address, and was refused there for nothing.
+#[rstest]
+#[case::later(&[("a", 1, Some(5)), ("b", 1, Some(7))], &[("a", "b")])]
+#[case::listed_first(&[("b", 1, Some(7)), ("a", 1, Some(5))], &[("a", "b")])]
+#[case::three(&[("a", 1, Some(5)), ("b", 1, Some(7)), ("c", 1, Some(6))], &[("a", "b"), ("c", "b")])]
+#[case::elsewhere(&[("a", 1, Some(5)), ("b", 2, Some(7))], &[])]
+#[case::at_once(&[("a", 1, Some(5)), ("b", 1, Some(5))], &[])]
+#[case::earlier_unknown(&[("a", 1, None), ("b", 1, Some(7))], &[])]
+#[case::later_unknown(&[("a", 1, Some(5)), ("b", 1, None)], &[])]
+fn the_earlier_of_two_instances_at_one_address_has_a_successor(
+    #[case] listed: &[(&str, u8, Option<u64>)],
+    #[case] expected: &[(&str, &str)],
+) {
+    let listed = listed
+        .iter()
+        .map(|(instance, host, started_unix_ms)| upstreams::Upstream {
+            started_unix_ms: *started_unix_ms,
+            ..upstream(instance, *host, Ready)
+        });
+    let listed: Vec<_> = listed.collect();
+    let successors = upstreams::successors(&listed);
+    let pairs = successors.iter().map(|(a, b)| (a.as_str(), b.as_str()));
+    assert_eq!(pairs.collect::<Vec<_>>(), expected);
+}
+
 /// An instance continues to count the connections of entries that lost power, so idle connections
 /// must leave room for those of their replacements.
 #[rstest]
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -6,9 +6,8 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 use pimentohook_core::{
-    ask_order, clock, configuration_history, engine_contact, evacuation, id, idle_limit,
-    leaving as leaving_policy, refusal_rate, replaced_routes, routes, routing::score, shutdown,
-    upstreams,
+    clock, configuration_history, evacuation, id, idle_limit, leaving as leaving_policy,
+    refusal_rate, replaced_routes, routes, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{announcements, client, metrics, standstill};
@@ -16,51 +15,12 @@
 
 use strum::IntoEnumIterator as _;
 
+pub use super::candidate::{Candidate, Candidates, UpstreamState};
 use super::{
-    cache, crash_evidence, holdings, leaving, peers, restored, retries, settings, shutdown_state,
-    upstream_limits, upstream_notices,
+    cache, candidate, crash_evidence, holdings, leaving, peers, restored, retries, settings,
+    shutdown_state, upstream_limits, upstream_notices,
 };
 
-/// State of an upstream that the entry tracks itself, in addition to the listed data.
-#[derive(Debug, Default)]
-pub struct UpstreamState {
-    /// Latencies, failures and ejection.
-    pub stats: score::UpstreamStats,
-    /// Requests of this entry in flight at the upstream.
-    pub in_flight: atomic::AtomicU32,
-    /// Whether a response showed that another instance now has the address.
-    pub is_replaced: atomic::AtomicBool,
-    /// Whether its agent and it itself respond.
-    pub contact: engine_contact::EngineContact,
-    /// Until when its agent is assumed to refuse requests, in milliseconds since the entry started.
-    pub refusing: ask_order::Refusing,
-    /// The engine state last reported by its agent; newer than the listed data.
-    pub engine_state: ArcSwapOption<direct::EngineState>,
-}
-
-/// An upstream that may be selected.
-#[derive(Clone, Debug)]
-pub struct Candidate {
-    /// The upstream as listed by the store.
-    pub upstream: upstreams::Upstream,
-    /// The state that the entry tracks itself.
-    pub state: sync::Arc<UpstreamState>,
-}
-
-impl Candidate {
-    /// Returns the version of a model that the upstream serves.
-    #[must_use]
-    pub fn served_version(&self, model: &str) -> Option<u64> {
-        match self.state.engine_state.load().as_deref() {
-            Some(engine_state) => engine_state.weights.get(model).copied(),
-            None => self.upstream.weights.get(model).copied(),
-        }
-    }
-}
-
-/// The upstreams, by service.
-pub type Candidates = IndexMap<id::ServiceName, Vec<Candidate>>;
-
 /// Another entry.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -372,14 +332,7 @@
                 .filter(|candidate| !candidate.upstream.is_other_incarnation(upstream))
                 .map_or_else(sync::Arc::default, |candidate| candidate.state.clone())
         };
-        let mut candidates = Candidates::new();
-        for upstream in listed {
-            let state = state_of(&upstream);
-            state.stats.record_slot_count(upstream.slot_count);
-            let service = upstream.service.clone();
-            let candidate = Candidate { upstream, state };
-            candidates.entry(service).or_default().push(candidate);
-        }
+        let candidates = candidate::candidates(listed, state_of);
         self.candidates.store(sync::Arc::new(candidates));
     }
 
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -36,6 +36,7 @@
 pub mod attempt;
 pub mod cache;
 pub mod caller_connections;
+mod candidate;
 pub mod cold_upstreams;
 pub mod crash_evidence;
 pub mod directory;
--- a/crates/entry/src/direct/placement.rs
+++ b/crates/entry/src/direct/placement.rs
@@ -251,7 +251,7 @@
             .evacuations
             .load()
             .allows(&candidate.upstream.failure_domain)
-        && !candidate.state.is_replaced.load(atomic::Ordering::Relaxed)
+        && !candidate.is_replaced()
 }
 
 /// Returns when the first back-off ends if all upstreams that could take the request back off.
