Take a status that is none for no response

Cause: hyper parses any three digits as a status, and nothing looked at the range.

Change: the client of all calls (upstreams, store, origin, agents, entries) takes responses with a status of 200 to 599 alone; any other ends the connection and is the error OddStatus, after which a request is in doubt. It counts in response_not_believed.

--- a/crates/entry/src/direct/attempt.rs
+++ b/crates/entry/src/direct/attempt.rs
@@ -133,6 +133,9 @@
         candidate.upstream.instance
     );
     candidate.state.stats.record_failure(app.now_ms());
+    if matches!(error, client::ClientError::OddStatus { .. }) {
+        app.count("response_not_believed");
+    }
     match error {
         client::ClientError::Connect { .. } => Err(NotRunProof::unsent(Unsent::NotConnected)),
         error if error.is_unsent() => Err(NotRunProof::unsent(Unsent::ClosedBeforeWrite)),
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -10,7 +10,7 @@
 
 mod joined;
 
-use std::{net, sync, sync::atomic, time};
+use std::{net, ops, sync, sync::atomic, time};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -25,7 +25,9 @@
 pub use crate::client_error::ClientError;
 use crate::{
     body, carriers,
-    client_error::{BuildSnafu, CodecSnafu, JoinedSnafu, JsonSnafu, StatusSnafu, TimeoutSnafu},
+    client_error::{
+        BuildSnafu, CodecSnafu, JoinedSnafu, JsonSnafu, OddStatusSnafu, StatusSnafu, TimeoutSnafu,
+    },
     connector, short_reads,
 };
 
@@ -38,6 +40,9 @@
 /// The maximum number of informational responses, with a status below 200, before a response.
 const INFORMATIONAL_MAX: u32 = 16;
 
+/// The statuses of final responses. 101 is none, as no request asks for another protocol.
+const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
+
 /// The timeouts for the two phases of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
@@ -346,6 +351,11 @@
         close_connection(&response);
         return JoinedSnafu { address }.fail();
     }
+    let status = response.status();
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        close_connection(&response);
+        return OddStatusSnafu { address, status }.fail();
+    }
     Ok(response)
 }
 
--- a/crates/runtime/src/client_error.rs
+++ b/crates/runtime/src/client_error.rs
@@ -35,6 +35,14 @@
         /// The address.
         address: net::SocketAddr,
     },
+    /// The response has a status that no final response has, so it is none.
+    #[snafu(display("{address} sent the status {status}, which is none of a response"))]
+    OddStatus {
+        /// The address.
+        address: net::SocketAddr,
+        /// The status code.
+        status: StatusCode,
+    },
     /// The timeout passed before the response was received.
     #[snafu(display("{address} did not answer within {timeout:?}"))]
     Timeout {
