Record an id when its request is handed to a connection

Cause: the id was recorded when the response was taken. A send that was dropped after its response had come left its connection in the pool without the id; the connection was back in the pool before the id was recorded, so that another thread could use it in between; and the request after the last that a connection may carry was answered without proof. A new address could be forgotten before its first connection was added.

Change: the id is recorded in the poll that hands the request to its connection, before a response can come or another request can get the connection, and the last request that it may carry retires it there. The address and its first connection are added in one step. A connection carries 256 requests, which halves its memory to 4 KiB.

--- a/crates/core/src/carried_ids.rs
+++ b/crates/core/src/carried_ids.rs
@@ -38,7 +38,7 @@
 };
 
 /// The number of requests that a connection carries before it is replaced, which bounds its memory.
-pub const CARRIED_MAX: usize = 512;
+pub const CARRIED_MAX: usize = 256;
 /// Twice the number of requests, so that few hashes share a place.
 const PLACE_COUNT: usize = 2 * CARRIED_MAX;
 
@@ -61,8 +61,8 @@
     }
 }
 
-/// The proof that a connection has carried no other request with the id of the one whose response
-/// has come.
+/// The proof that a connection had carried no other request with the id of the one that was handed to
+/// it.
 #[derive(Debug)]
 #[must_use]
 pub struct FirstSend(());
@@ -76,14 +76,10 @@
 }
 
 impl CarriedIds {
-    /// Records the id of a request whose response has come on the connection; returns the proof that
-    /// it is the first one with this id, `None` if it is not or the connection should have been
-    /// replaced.
+    /// Records the id of a request that is handed to the connection; returns the proof that it is the
+    /// first one with this id, `None` if it is not or there is no place left.
     pub fn record(&self, id: IdHash) -> Option<FirstSend> {
-        let count = self.count.fetch_add(1, atomic::Ordering::AcqRel);
-        if count >= CARRIED_MAX {
-            return None;
-        }
+        self.count.fetch_add(1, atomic::Ordering::AcqRel);
         let places = self.places.get_or_init(|| {
             let free = || atomic::AtomicU64::new(0);
             std::iter::repeat_with(free).take(PLACE_COUNT).collect()
--- a/crates/core/tests/carried_ids.rs
+++ b/crates/core/tests/carried_ids.rs
@@ -27,14 +27,17 @@
     RunsBehindCopy,
     /// It runs, and the connection is closed.
     RunsAndCloses,
+    /// It is refused and the connection kept, but nobody waits for the response any more.
+    RefusesUnheard,
 }
 
-const DEEDS: [Deed; 5] = [
+const DEEDS: [Deed; 6] = [
     Deed::Answers,
     Deed::Refuses,
     Deed::RefusesAndCloses,
     Deed::RunsBehindCopy,
     Deed::RunsAndCloses,
+    Deed::RefusesUnheard,
 ];
 
 #[derive(Clone, Copy, Debug)]
@@ -67,14 +70,23 @@
         let kept = kept.filter(|kept| step.is_careless || !kept.ids.has_carried(ID));
         let mut connection = kept.unwrap_or_default();
         let is_copied = step.deed == Deed::RunsBehindCopy && connection.has_refused;
-        let is_refused = matches!(step.deed, Deed::Refuses | Deed::RefusesAndCloses);
+        let is_refused = matches!(
+            step.deed,
+            Deed::Refuses | Deed::RefusesAndCloses | Deed::RefusesUnheard
+        );
         if !is_refused {
             self.run_count += 1;
         }
         if step.deed == Deed::RunsAndCloses {
             return drop(under_way);
         }
-        let Some(first_send) = connection.ids.record(ID) else {
+        let first_send = connection.ids.record(ID);
+        if step.deed == Deed::RefusesUnheard {
+            connection.has_refused = true;
+            self.kept[step.address] = Some(connection);
+            return drop(under_way);
+        }
+        let Some(first_send) = first_send else {
             // A response that may be a copy ends its connection.
             let _ = under_way.in_doubt();
             return;
@@ -140,7 +152,7 @@
 }
 
 #[test]
-fn a_connection_that_has_carried_as_many_requests_as_it_may_proves_nothing_more() {
+fn a_connection_knows_all_requests_that_it_may_carry() {
     let connection = CarriedIds::default();
     let hash =
         |number: usize| IdHash::new(u64::try_from(number).unwrap().wrapping_mul(0x9e37_79b9));
@@ -149,11 +161,6 @@
         assert!(connection.record(hash(number)).is_some(), "{number}");
     }
     assert!(connection.is_full());
-    assert!(
-        connection
-            .record(hash(carried_ids::CARRIED_MAX + 1))
-            .is_none()
-    );
     for number in 1..=carried_ids::CARRIED_MAX {
         assert!(connection.has_carried(hash(number)), "{number}");
     }
--- a/crates/runtime/src/carriers.rs
+++ b/crates/runtime/src/carriers.rs
@@ -18,12 +18,12 @@
     pub(crate) ids: sync::Arc<CarriedIds>,
 }
 
-type OfAddress = ArcSwap<Vec<sync::Weak<CarriedIds>>>;
+type OfAddress = sync::Arc<Vec<sync::Weak<CarriedIds>>>;
 
 /// The open connections of a client, by address.
 #[derive(Debug, Default)]
 pub(crate) struct Carriers {
-    by_address: ArcSwap<IndexMap<net::SocketAddr, sync::Arc<OfAddress>>>,
+    by_address: ArcSwap<IndexMap<net::SocketAddr, OfAddress>>,
     connection_count: atomic::AtomicU64,
     hash_state: hash::RandomState,
 }
@@ -34,17 +34,20 @@
         IdHash::new(self.hash_state.hash_one(id))
     }
 
-    /// Records a new connection.
+    /// Records a new connection, and forgets those that are closed.
     pub(crate) fn register(&self, address: net::SocketAddr) -> Carrier {
         let number = self
             .connection_count
             .fetch_add(1, atomic::Ordering::Relaxed);
         let ids = sync::Arc::new(CarriedIds::default());
-        self.of_address(address).rcu(|connections| {
-            let open = connections.iter().filter(|ids| ids.strong_count() > 0);
-            let mut open: Vec<_> = open.cloned().collect();
-            open.push(sync::Arc::downgrade(&ids));
-            open
+        self.by_address.rcu(|by_address| {
+            let mut by_address = IndexMap::clone(by_address);
+            by_address.retain(|_, connections| connections.iter().any(is_open));
+            let known = by_address.entry(address).or_default();
+            let open = known.iter().filter(|ids| is_open(ids)).cloned();
+            let added = std::iter::once(sync::Arc::downgrade(&ids));
+            *known = sync::Arc::new(open.chain(added).collect());
+            by_address
         });
         Carrier { number, ids }
     }
@@ -55,28 +58,11 @@
         let Some(connections) = by_address.get(&address) else {
             return false;
         };
-        let connections = connections.load();
         let mut open = connections.iter().filter_map(sync::Weak::upgrade);
         open.any(|ids| ids.has_carried(id))
     }
-
-    /// Returns the connections to an address, and forgets addresses that have none.
-    fn of_address(&self, address: net::SocketAddr) -> sync::Arc<OfAddress> {
-        if let Some(known) = self.by_address.load().get(&address) {
-            return known.clone();
-        }
-        self.by_address.rcu(|by_address| {
-            let mut by_address = IndexMap::clone(by_address);
-            by_address.retain(|_, connections| is_any_open(connections));
-            by_address.entry(address).or_default();
-            by_address
-        });
-        let by_address = self.by_address.load();
-        by_address.get(&address).cloned().unwrap_or_default()
-    }
 }
 
-fn is_any_open(connections: &OfAddress) -> bool {
-    let connections = connections.load();
-    connections.iter().any(|ids| ids.strong_count() > 0)
+fn is_open(ids: &sync::Weak<CarriedIds>) -> bool {
+    ids.strong_count() > 0
 }
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -10,7 +10,7 @@
 
 mod joined;
 
-use std::{net, ops, sync, sync::atomic, time};
+use std::{future, net, ops, pin, sync, sync::atomic, time};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -174,13 +174,19 @@
         timeout: time::Duration,
     ) -> Result<IdentifiedResponse, ClientError> {
         let id = self.carriers.hash(id);
-        let response = if self.carriers.has_carried(address, id) {
-            self.send_on_new_connection(address, request, timeout).await
+        let mut first_send = None;
+        let record = |connection: &connector::RequestConnection| {
+            let is_known = connection.carrier().is_some();
+            first_send = record_carried(connection, id);
+            is_known
+        };
+        let pool = self.pool.load_full();
+        let pool = if self.carriers.has_carried(address, id) {
+            &self.unpooled
         } else {
-            self.send(address, request, timeout).await
+            &*pool
         };
-        let response = response?;
-        let first_send = record_carried(&response, id);
+        let response = send_recorded(pool, address, request, timeout, record).await?;
         Ok(IdentifiedResponse {
             response,
             first_send,
@@ -329,12 +335,34 @@
 async fn send_on(
     pool: &Pool,
     address: net::SocketAddr,
-    mut request: Request<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
     timeout: time::Duration,
 ) -> Result<Response<Incoming>, ClientError> {
+    send_recorded(pool, address, request, timeout, |_| true).await
+}
+
+/// Sends a request, and calls `record` until it returns true with the connection that the request is
+/// handed to. That is before its response can come and before another request gets the connection.
+async fn send_recorded<R>(
+    pool: &Pool,
+    address: net::SocketAddr,
+    mut request: Request<Full<Bytes>>,
+    timeout: time::Duration,
+    mut record: R,
+) -> Result<Response<Incoming>, ClientError>
+where
+    R: FnMut(&connector::RequestConnection) -> bool,
+{
     let connection = connector::cut_off_after(&mut request, INFORMATIONAL_MAX);
     let call = async {
-        let response = pool.request(request).await;
+        let mut sending = pin::pin!(pool.request(request));
+        let mut is_recorded = false;
+        let recorded = future::poll_fn(|context| {
+            let polled = sending.as_mut().poll(context);
+            is_recorded = is_recorded || record(&connection);
+            polled
+        });
+        let response = recorded.await;
         response.map_err(|error| {
             if error.is_connect() {
                 ClientError::Connect { address }
@@ -379,13 +407,12 @@
     connection.carrier()
 }
 
-/// Records that the connection of a response has carried a request; a connection that has carried as
-/// many as it may gets no more.
-fn record_carried<B>(
-    response: &Response<B>,
+/// Records that a connection carries a request; a connection that carries as many as it may gets no
+/// more.
+fn record_carried(
+    connection: &connector::RequestConnection,
     id: carried_ids::IdHash,
 ) -> Option<carried_ids::FirstSend> {
-    let connection: &connector::RequestConnection = response.extensions().get()?;
     let carrier = connection.carrier()?;
     let first_send = carrier.ids.record(id);
     if carrier.ids.is_full() {
--- a/crates/runtime/tests/carried_requests.rs
+++ b/crates/runtime/tests/carried_requests.rs
@@ -2,10 +2,11 @@
 //! bound.
 
 use std::{
+    future,
     io::{Read as _, Write as _},
     net,
     sync::{self, atomic},
-    thread, time,
+    task, thread, time,
 };
 
 use bytes::Bytes;
@@ -17,6 +18,8 @@
 const TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// The time within which a connection is back in the pool.
 const IDLE_DELAY: time::Duration = time::Duration::from_millis(20);
+const SENDER_COUNT: usize = 32;
+const REQUEST_COUNT: usize = 40_000;
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 struct Server {
@@ -42,7 +45,9 @@
             connections.fetch_add(1, atomic::Ordering::SeqCst);
             thread::spawn(move || {
                 while socket.read(&mut [0; 4096]).is_ok_and(|read| read > 0) {
-                    socket.write_all(RESPONSE).expect("a client that reads");
+                    if socket.write_all(RESPONSE).is_err() {
+                        break;
+                    }
                 }
             });
         }
@@ -53,11 +58,14 @@
     }
 }
 
-/// Sends a request with an id; returns whether its response is that of a first send.
-async fn send(client: &client::Client, address: net::SocketAddr, id: &str) -> bool {
+fn request(address: net::SocketAddr) -> Request<Full<Bytes>> {
     let request = Request::builder().uri(format!("http://{address}/"));
-    let request = request.body(Full::new(Bytes::new())).expect("a request");
-    let sent = client.send_identified(address, request, id.as_bytes(), TIMEOUT);
+    request.body(Full::new(Bytes::new())).expect("a request")
+}
+
+/// Sends a request with an id; returns whether it was the first one with it on its connection.
+async fn send(client: &client::Client, address: net::SocketAddr, id: &str) -> bool {
+    let sent = client.send_identified(address, request(address), id.as_bytes(), TIMEOUT);
     let identified = sent.await.expect("a response");
     let body = identified.response.into_body();
     body.collect().await.expect("a body");
@@ -85,3 +93,48 @@
     }
     assert!(server.connection_count() >= 3);
 }
+
+/// A caller that left as its refusal came let the connection carry its id again.
+#[tokio::test]
+async fn an_id_whose_response_nobody_took_goes_on_another_connection() {
+    let server = start_server();
+    let client = client::Client::new(net::Ipv4Addr::LOCALHOST.into());
+    assert!(send(&client, server.address, "id-0").await);
+    tokio::time::sleep(IDLE_DELAY).await;
+    let sent = client.send_identified(server.address, request(server.address), b"id-1", TIMEOUT);
+    let mut sent = Box::pin(sent);
+    let is_pending =
+        future::poll_fn(|context| task::Poll::Ready(sent.as_mut().poll(context).is_pending()));
+    assert!(is_pending.await);
+    tokio::time::sleep(IDLE_DELAY).await;
+    drop(sent);
+    tokio::time::sleep(IDLE_DELAY).await;
+    assert!(send(&client, server.address, "id-1").await);
+    assert_eq!(server.connection_count(), 2);
+}
+
+/// The request after the last that a connection may carry was answered, and not believed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn each_request_with_an_id_of_its_own_is_a_first_send() {
+    let server = start_server();
+    let client = sync::Arc::new(client::Client::new(net::Ipv4Addr::LOCALHOST.into()));
+    let next = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let mut senders = tokio::task::JoinSet::new();
+    for _ in 0..SENDER_COUNT {
+        let (client, next) = (client.clone(), next.clone());
+        senders.spawn(async move {
+            let mut unproved_count = 0;
+            loop {
+                let number = next.fetch_add(1, atomic::Ordering::SeqCst);
+                if number >= REQUEST_COUNT {
+                    return unproved_count;
+                }
+                let is_first = send(&client, server.address, &format!("id-{number}")).await;
+                unproved_count += usize::from(!is_first);
+            }
+        });
+    }
+    let unproved_counts = senders.join_all().await;
+    assert_eq!(unproved_counts.iter().sum::<usize>(), 0);
+    assert!(server.connection_count() > SENDER_COUNT);
+}
