Download no weights before an engine's first report

Cause: an agent began to download as soon as it knew of a version. Its engine's first report, which may say that the engine leaves, is asked for 50 ms after the start and may take up to a second; until it came the engine counted as one that stays.

Change: no set is opened and no manifest asked for before the first report has come or failed; that wakes the loop of downloads at once. Whether the engine leaves is recorded wherever a report is read, before whoever waits for that goes on.

--- a/crates/agent/src/direct/app.rs
+++ b/crates/agent/src/direct/app.rs
@@ -110,6 +110,8 @@
     pub leaving_vms: ArcSwap<IndexSet<id::VmId>>,
     /// Whether the engine said in its last report that it is leaving.
     pub is_engine_leaving: atomic::AtomicBool,
+    /// Whether the engine's first report was received, or not in time.
+    pub is_first_report_over: atomic::AtomicBool,
     /// The registered entries.
     pub entries: ArcSwap<Vec<direct::PeerState>>,
     /// The manifests of the versions that are held or being downloaded.
@@ -220,6 +222,7 @@
             peers: ArcSwap::default(),
             leaving_vms: ArcSwap::default(),
             is_engine_leaving: atomic::AtomicBool::new(false),
+            is_first_report_over: atomic::AtomicBool::new(false),
             entries: ArcSwap::default(),
             manifests: sync::Mutex::new(IndexMap::new()),
             calls_in_flight: sync::Mutex::new(IndexSet::new()),
--- a/crates/agent/src/direct/engine_report.rs
+++ b/crates/agent/src/direct/engine_report.rs
@@ -33,6 +33,7 @@
                 .record_answer(requested_at, now);
             record_heard(app, now);
             record_order_count(app, boot_requested_at, report);
+            record_leaving(app, report);
             starting::record_report(app, report, requested_at);
         }
         Err(runner::RunnerError::BackingOff { .. }) => {
@@ -40,9 +41,20 @@
         }
         Err(_) => {}
     }
+    end_first_report(app);
     result
 }
 
+/// Lets downloads begin: whether the engine leaves is known, or the engine does not say it.
+fn end_first_report(app: &app::App) {
+    if !app
+        .is_first_report_over
+        .swap(true, atomic::Ordering::Release)
+    {
+        app.swarm_changed.notify_one();
+    }
+}
+
 /// Records the number of accepted orders; an engine that has accepted one gets no requests until the
 /// load is vouched for.
 fn record_order_count(app: &app::App, requested_at: clock::BootInstant, report: &runner::Report) {
@@ -107,7 +119,6 @@
     let requested_at = app.clock.now();
     match ask(app, requested_at).await {
         Ok(report) => {
-            record_leaving(app, &report);
             let changed = lock(&app.admission).record_report(requested_at, for_admission(&report));
             if changed {
                 app.engine_state_changed.notify_one();
@@ -134,7 +145,7 @@
 
 /// Records whether the engine says that it is leaving; while it does, it is admitted no requests and
 /// gets no weights.
-pub fn record_leaving(app: &app::App, report: &runner::Report) {
+fn record_leaving(app: &app::App, report: &runner::Report) {
     let is_leaving = report.is_leaving;
     let ordering = atomic::Ordering::Relaxed;
     if app.is_engine_leaving.swap(is_leaving, ordering) != is_leaving {
--- a/crates/agent/src/direct/loader.rs
+++ b/crates/agent/src/direct/loader.rs
@@ -86,7 +86,6 @@
             );
             self.pace = report.pace;
         }
-        engine_report::record_leaving(app, report);
         let is_usable =
             !report.busy && self.is_loaded(report) && self.doubts.record_report(app, report);
         let mut admission = lock(&app.admission);
--- a/crates/agent/src/direct/swarm.rs
+++ b/crates/agent/src/direct/swarm.rs
@@ -68,6 +68,10 @@
     let selected = version_to_download(app, &newest);
     let target = selected.map_or(newest.clone(), sync::Arc::new);
     call_earlier_grantors(app, &target, &mut schedule.earlier_grantors_called_at);
+    // The first report may say that the engine leaves.
+    if !app.is_first_report_over.load(atomic::Ordering::Acquire) {
+        return SHORT_ROUND_INTERVAL;
+    }
     // An engine whose VM is being taken away needs no more weights.
     if app.is_leaving(&app.own_vm) || is_complete(app, &target) {
         app.transfers.drop_superseded();
