Let an entry be ready only once it knows the upstreams

Cause: readiness asked for a configuration and the evacuations, not for the upstreams, which are fetched beside them. Without them each request is refused.

Evidence: an_entry_that_starts_is_not_ready_before_it_can_serve. With a store that lists the upstreams 0.7 s late the entry was ready after 67 ms and answered 503 (1 of 1 before). With the configuration or the entries listed late it held before too.

Change: an entry is ready once it has read the upstreams, from the store or another entry, an empty list included. It stays so when the store is restored or forgets its history.

--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -88,6 +88,8 @@
     pub table: ArcSwapOption<routes::RouteTable>,
     /// The upstreams that may be selected.
     pub candidates: ArcSwap<Candidates>,
+    /// Whether the upstreams were read once, from the store or another entry.
+    are_upstreams_known: atomic::AtomicBool,
     /// The evacuated failure domains.
     pub evacuations: ArcSwap<evacuation::Evacuations>,
     /// The announced versions of weights.
@@ -160,6 +162,7 @@
             internal: client::Client::new(local_ip),
             table: ArcSwapOption::empty(),
             candidates: ArcSwap::default(),
+            are_upstreams_known: atomic::AtomicBool::new(false),
             evacuations: ArcSwap::from_pointee(evacuation::Evacuations::at_start(
                 settings.evacuation_grace.is_some(),
             )),
@@ -288,8 +291,10 @@
     /// Returns whether the entry knows where requests may go, and is not shutting down.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let is_informed = self.table.load().is_some() && self.evacuations.load().is_known();
-        is_informed && !self.is_shutting_down()
+        self.table.load().is_some()
+            && self.are_upstreams_known.load(atomic::Ordering::Acquire)
+            && self.evacuations.load().is_known()
+            && !self.is_shutting_down()
     }
 
     /// Starts the graceful shutdown.
@@ -381,6 +386,8 @@
             candidates.entry(service).or_default().push(candidate);
         }
         self.candidates.store(sync::Arc::new(candidates));
+        self.are_upstreams_known
+            .store(true, atomic::Ordering::Release);
     }
 
     /// Returns the address of the agent beside an upstream.
