--- a/crates/core/tests/module_circles.rs
+++ b/crates/core/tests/module_circles.rs
@@ -172,6 +172,7 @@
 #[case::agent("crates/agent", "direct::", AGENT)]
 #[case::standin("crates/standin", "", &[])]
 #[case::cli("crates/cli", "", &[])]
+#[case::holes("tools/holes", "", &[])]
 fn no_crate_has_a_new_circle_of_modules(
     #[case] folder: &str,
     #[case] prefix: &str,
