--- a/tools/holes/src/hole.rs
+++ b/tools/holes/src/hole.rs
@@ -44,7 +44,7 @@
 ///     "windows": [{
 ///         "name": "4", "n": 12, "in_aim": 6, "late": 1, "refused": 3, "failed": 0, "not_owed": 2
 ///     }],
-///     "events": [{"at_s": 1.0, "to_s": 2.5, "kind": "kill", "planned": false}]
+///     "events": [{"at_s": 1.0, "to_s": 2.5, "kind": "kill", "what": "", "planned": false}]
 /// }"#;
 /// let report = report::decode(text).unwrap();
 /// let holes = hole::find(&report, &hole::Rule::default());
--- a/tools/holes/src/report.rs
+++ b/tools/holes/src/report.rs
@@ -61,6 +61,8 @@
 pub struct Event {
     /// The kind, with its variant.
     pub kind: String,
+    /// What it concerns, such as a number of upstreams; empty if nothing is said.
+    pub subject: String,
     /// The start, since the start of traffic.
     pub start: time::Duration,
     /// The end; `None` if it lasts to the end of the day.
@@ -126,6 +128,7 @@
     at_s: f64,
     to_s: Option<f64>,
     kind: String,
+    what: String,
     planned: bool,
 }
 
@@ -193,6 +196,7 @@
 fn decode_event(event: BenchEvent) -> Result<Event, ReportError> {
     Ok(Event {
         kind: event.kind,
+        subject: event.what,
         start: decode_time(event.at_s)?,
         end: event.to_s.map(decode_time).transpose()?,
         is_planned: event.planned,
--- a/tools/holes/src/table.rs
+++ b/tools/holes/src/table.rs
@@ -26,7 +26,7 @@
     let events = if events.is_empty() {
         String::from("none")
     } else {
-        events.join(", ")
+        events.join("; ")
     };
     let served = span.served().unwrap_or_default();
     format!(
@@ -40,9 +40,14 @@
     )
 }
 
-/// Returns an event with its times in seconds; what was planned and what was over are marked.
+/// Returns an event with its subject and its times in seconds; what was planned and what was over
+/// are marked.
 fn name(event: &report::Event, span: &report::Span) -> String {
-    let mut text = format!("{} {}", event.kind, seconds(event.start));
+    let mut text = event.kind.clone();
+    if !event.subject.is_empty() {
+        write!(text, " of {}", event.subject).expect("a string takes any text");
+    }
+    write!(text, " {}", seconds(event.start)).expect("a string takes any text");
     if let Some(end) = event.end {
         write!(text, "-{}", seconds(end)).expect("a string takes any text");
     }
--- a/tools/holes/tests/holes.rs
+++ b/tools/holes/tests/holes.rs
@@ -21,6 +21,7 @@
         {"at_s": 4.0, "to_s": 6.5, "kind": "store_away", "what": "", "planned": false},
         {"at_s": -1.0, "to_s": 1.0, "kind": "start", "what": "2", "planned": true},
         {"at_s": 11.5, "to_s": null, "kind": "kill (all)", "what": "", "planned": false},
+        {"at_s": 11.9, "to_s": 12.5, "kind": "cut", "what": "a, b", "planned": false},
         {"at_s": 12.0, "to_s": 13.0, "kind": "later", "what": "", "planned": false}
     ]
 }"#;
@@ -63,14 +64,14 @@
         });
         names.collect::<Vec<_>>()
     };
-    assert_eq!(events_of(0), ["", "store_away", "kill (all)"]);
-    assert_eq!(events_of(3), ["start", "store_away", "kill (all)"]);
+    assert_eq!(events_of(0), ["", "store_away", "kill (all), cut"]);
+    assert_eq!(events_of(3), ["start", "store_away", "kill (all), cut"]);
     assert_eq!(
         events_of(9),
         [
             "start",
             "start, store_away",
-            "start, store_away, kill (all)"
+            "start, store_away, kill (all), cut"
         ]
     );
 }
@@ -79,7 +80,7 @@
 fn times_at_the_end_of_their_range_are_compared() {
     let text = r#"{
         "windows": [{"name": "18446744073709551615", "n": 1, "in_aim": 0, "late": 0, "refused": 1, "failed": 0, "not_owed": 0}],
-        "events": [{"at_s": 1.0, "to_s": 1.8e19, "kind": "kill", "planned": false}]
+        "events": [{"at_s": 1.0, "to_s": 1.8e19, "kind": "kill", "what": "", "planned": false}]
     }"#;
     let report = report::decode(text).expect("a report");
     let holes = hole::find(&report, &hole::Rule::default());
@@ -93,9 +94,9 @@
     let expected = "\
 | day | second | served | asked | late | refused | failed | not owed | faults and planned work |
 | --- | --- | --- | --- | --- | --- | --- | --- | --- |
-| a day | 2 | 0.60 | 15 | 1 | 2 | 1 | 5 | start 0.0-1.0 planned over |
+| a day | 2 | 0.60 | 15 | 1 | 2 | 1 | 5 | start of 2 0.0-1.0 planned over |
 | a day | 6 | 0.00 | 8 | 0 | 8 | 0 | 0 | store_away 4.0-6.5 |
-| a day | 10 | 0.12 | 8 | 5 | 0 | 2 | 0 | kill (all) 11.5 |
+| a day | 10 | 0.12 | 8 | 5 | 0 | 2 | 0 | kill (all) 11.5; cut of a, b 11.9-12.5 |
 ";
     let days = [
         (String::from("without holes"), Vec::new()),
@@ -118,7 +119,7 @@
     "the window at 2 s has 2 outcomes of 1 requests"
 )]
 #[case::endless_time(
-    r#"{"windows": [], "events": [{"at_s": 1e300, "to_s": null, "kind": "kill", "planned": false}]}"#,
+    r#"{"windows": [], "events": [{"at_s": 1e300, "to_s": null, "kind": "kill", "what": "", "planned": false}]}"#,
     "out of range"
 )]
 fn a_report_that_makes_no_sense_is_an_error(#[case] text: &str, #[case] expected: &str) {
