Take a store that has not changed for a read of all announced versions

Cause: only replies about versions said that there was none; the replies about configuration and upstreams carry the store's revision too, and come more often.

Change: a reply that names the position at which all announced versions were read confirms them as of its request. The revision counts every change, so nothing was announced. No bound is loosened: what may have changed, is of another era or was asked for earlier confirms nothing; the model of processes that exchange announcements plays it beside changes of other kinds.

--- a/crates/core/src/announcement/mod.rs
+++ b/crates/core/src/announcement/mod.rs
@@ -23,7 +23,7 @@
 
 use indexmap::IndexMap;
 
-use crate::{clock, standstill};
+use crate::{clock, position, standstill};
 
 mod report;
 mod watch;
@@ -119,6 +119,8 @@
     read_versions: IndexMap<String, u64>,
     /// The last instant for which the process knows what it had read to be complete.
     read_at: Option<clock::BootInstant>,
+    /// The state of the store of which the process has read all announced versions.
+    read_position: Option<position::Position>,
 }
 
 impl Announcements {
@@ -168,6 +170,30 @@
         newest
     }
 
+    /// Like [`Announcements::record_read`], for versions that are all there were at a position of the
+    /// store.
+    pub fn record_read_at<V>(
+        &mut self,
+        announced: V,
+        read: Read,
+        position: position::Position,
+    ) -> Vec<(String, u64)>
+    where
+        V: IntoIterator<Item = (String, u64)>,
+    {
+        self.read_position = self.read_position.max(Some(position));
+        self.record_read(announced, read)
+    }
+
+    /// Records that the store was at a position at this instant or later, whatever was read from it.
+    ///
+    /// A store that is still where all announced versions were read has had no change since.
+    pub fn confirm_position(&mut self, position: position::Position, at: clock::BootInstant) {
+        if self.read_position == Some(position) {
+            self.confirm_read(Read::Fetched(at));
+        }
+    }
+
     /// Records that the process has read that nothing changed.
     pub fn confirm_read(&mut self, read: Read) {
         let (Read::Pushed(at) | Read::PushedSince(at) | Read::Fetched(at)) = read;
--- a/crates/core/tests/announcement/exchanges.rs
+++ b/crates/core/tests/announcement/exchanges.rs
@@ -3,7 +3,7 @@
 use pimentohook_core::announcement::{Announcements, Heard, Moment, Read};
 use proptest::prelude::*;
 
-use super::{LIFETIME, MODEL, announced, at};
+use super::{LIFETIME, MODEL, announced, at, revision};
 
 fn moments() -> impl Strategy<Value = Moment> {
     prop_oneof![
@@ -21,6 +21,11 @@
     Announce { observers: u8 },
     /// A process reads all versions after a gap.
     Fetch { process: usize },
+    /// Something else changes in the store.
+    Change,
+    /// A process reads something else, which tells it the revision of the store; it is held up for a
+    /// while before it records that.
+    ReadOther { process: usize, held_up_ms: u64 },
     /// A process tells another one what it knows.
     Tell { from: usize, to: usize },
     /// A process starts anew and has forgotten everything.
@@ -35,6 +40,11 @@
     prop_oneof![
         any::<u8>().prop_map(|observers| Event::Announce { observers }),
         (0..PROCESSES).prop_map(|process| Event::Fetch { process }),
+        Just(Event::Change),
+        (0..PROCESSES, 0..500_u64).prop_map(|(process, held_up_ms)| Event::ReadOther {
+            process,
+            held_up_ms
+        }),
         (0..PROCESSES, 0..PROCESSES).prop_map(|(from, to)| Event::Tell { from, to }),
         (0..PROCESSES).prop_map(|process| Event::Restart { process }),
         (0..4_000_u64).prop_map(|ms| Event::Wait { ms }),
@@ -44,6 +54,8 @@
 /// The versions as announced, and what each process knows of them.
 struct World {
     now_ms: u64,
+    /// The revision of the store.
+    revision: u64,
     announced_at_ms: Vec<u64>,
     processes: Vec<Announcements>,
     /// Whether each process has watched since it read the newest version.
@@ -60,19 +72,31 @@
         match event {
             Event::Announce { observers } => {
                 self.announced_at_ms.push(self.now_ms);
+                self.revision += 1;
                 let newest = self.newest();
                 for (index, process) in self.processes.iter_mut().enumerate() {
                     self.is_watching[index] &= observers & (1 << index) != 0;
                     if self.is_watching[index] {
-                        process.record_read(announced(newest), Read::Pushed(now));
+                        let position = revision(self.revision);
+                        process.record_read_at(announced(newest), Read::Pushed(now), position);
                     }
                 }
             }
             Event::Fetch { process } => {
                 let newest = self.newest();
-                self.processes[process].record_read(announced(newest), Read::Fetched(now));
+                let position = revision(self.revision);
+                let read = Read::Fetched(now);
+                self.processes[process].record_read_at(announced(newest), read, position);
                 self.is_watching[process] = true;
             }
+            Event::Change => self.revision += 1,
+            Event::ReadOther {
+                process,
+                held_up_ms,
+            } => {
+                self.processes[process].confirm_position(revision(self.revision), now);
+                self.now_ms += held_up_ms;
+            }
             Event::Tell { from, to } => {
                 let report = self.processes[from].report(now);
                 let heard = Heard::InReply {
@@ -119,6 +143,7 @@
     ) {
         let mut world = World {
             now_ms: 0,
+            revision: 40,
             announced_at_ms: Vec::new(),
             processes: vec![Announcements::default(); PROCESSES],
             is_watching: vec![false; PROCESSES],
--- a/crates/core/tests/announcement/main.rs
+++ b/crates/core/tests/announcement/main.rs
@@ -2,6 +2,7 @@
 
 mod exchanges;
 mod messages;
+mod outages;
 mod test_clock;
 mod versions;
 mod watches;
@@ -11,6 +12,7 @@
 use pimentohook_core::{
     announcement::{Announcements, Moment},
     clock::BootInstant,
+    id, position,
 };
 
 const MODEL: &str = "model-1";
@@ -24,6 +26,10 @@
     vec![(String::from(MODEL), version)]
 }
 
+fn revision(revision: u64) -> position::Position {
+    position::Position::new(id::StoreEra::new(1), revision)
+}
+
 fn moment_of(announcements: &Announcements, version: u64) -> Option<Moment> {
     let of_model = announcements.of_model(MODEL);
     let known = of_model.iter().find(|known| known.version == version);
--- a/crates/entry/src/direct/feed/apply.rs
+++ b/crates/entry/src/direct/feed/apply.rs
@@ -13,7 +13,7 @@
     app.holdings.report(&app.metrics);
     if !is_changed {
         if kind == store::Kind::Weights {
-            app.announced.confirm_read(read);
+            record_announced(app, read);
         }
         return;
     }
@@ -23,15 +23,19 @@
         store::Kind::Configuration => apply_configuration(app, objects),
         store::Kind::Upstreams => restored::set_listed_upstreams(app),
         store::Kind::Evacuations => restored::set_evacuations(app),
-        store::Kind::Weights => {
-            let announced = decode::announced_versions(objects, app.store.skipped());
-            weights_versions::record_read(app, &announced, read);
-        }
+        store::Kind::Weights => record_announced(app, read),
         store::Kind::Entries | store::Kind::Grants => {}
     }
     app.report_skipped();
 }
 
+/// Records the announced versions, and at which position of the store they were all.
+fn record_announced(app: &app::App, read: announcement::Read) {
+    let collection = app.cached(store::Kind::Weights).collection();
+    let announced = decode::announced_versions(collection.objects(), app.store.skipped());
+    weights_versions::record_read(app, &announced, read, collection.position());
+}
+
 /// Applies the newest configuration; an older one never replaces it.
 fn apply_configuration(app: &app::App, objects: &IndexMap<String, collection::Object>) {
     for object in objects.values() {
--- a/crates/entry/src/direct/feed/fetch.rs
+++ b/crates/entry/src/direct/feed/fetch.rs
@@ -69,6 +69,8 @@
         listing.cost.transfer.as_millis()
     );
     app.count_read("store", kind, listing.cost.body_bytes);
+    app.announced
+        .confirm_position(listing.position, requested_at);
     let cache = app.cached(kind);
     history::record_list(app, kind, &listing.objects);
     let is_changed =
@@ -97,6 +99,8 @@
     let responded_at = span.responded_at(&*app.clock, &standstills, transfer);
     let read = span.end(&*app.clock, &standstills, transfer);
     app.count_read("store", kind, changes.cost.body_bytes);
+    app.announced
+        .confirm_position(changes.position, requested_at);
     let is_changed = !changes.changes.is_empty();
     if is_changed {
         log::info!(
--- a/crates/entry/src/direct/weights_versions.rs
+++ b/crates/entry/src/direct/weights_versions.rs
@@ -6,18 +6,27 @@
 use std::{fmt, sync, time};
 
 use hyper::http;
-use pimentohook_core::{announcement, rolling_update};
+use pimentohook_core::{announcement, position, rolling_update};
 use pimentohook_platform::request;
 
 use super::{app, placement, proxy};
 
-/// Records the announced versions that this entry has read.
-pub fn record_read<V>(app: &app::App, announced: &V, read: announcement::Read)
-where
+/// Records the announced versions that this entry has read, which are all at a position of the store.
+pub fn record_read<V>(
+    app: &app::App,
+    announced: &V,
+    read: announcement::Read,
+    position: position::Position,
+) where
     V: IntoIterator<Item = (String, u64)> + Clone,
 {
-    for (model, version) in app.announced.record_read(announced, read) {
-        log::info!("feed: event=weights_named model={model} version={version} read={read:?}");
+    let newest = app.announced.record_read_at(announced, read, position);
+    for (model, version) in newest {
+        let known = app.announced.known();
+        let moment = known.of_model(&model).last().map(|known| known.moment);
+        log::info!(
+            "feed: event=weights_named model={model} version={version} read={read:?} moment={moment:?}"
+        );
     }
 }
 
--- a/crates/runtime/src/announcements.rs
+++ b/crates/runtime/src/announcements.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use arc_swap::ArcSwap;
-use pimentohook_core::{announcement, clock, standstill};
+use pimentohook_core::{announcement, clock, position, standstill};
 
 /// The announced versions as a process knows them, which are read without a lock.
 pub struct SharedAnnouncements {
@@ -54,6 +54,25 @@
         self.update(|announcements| announcements.record_read(announced.clone(), read))
     }
 
+    /// Like [`SharedAnnouncements::record_read`], for versions that are all there were at a position
+    /// of the store.
+    pub fn record_read_at<V>(
+        &self,
+        announced: &V,
+        read: announcement::Read,
+        position: position::Position,
+    ) -> Vec<(String, u64)>
+    where
+        V: IntoIterator<Item = (String, u64)> + Clone,
+    {
+        self.update(|announcements| announcements.record_read_at(announced.clone(), read, position))
+    }
+
+    /// Records that the store was at a position at this instant or later.
+    pub fn confirm_position(&self, position: position::Position, at: clock::BootInstant) {
+        self.update(|announcements| announcements.confirm_position(position, at));
+    }
+
     /// Records that the process has read that nothing changed.
     pub fn confirm_read(&self, read: announcement::Read) {
         self.update(|announcements| announcements.confirm_read(read));
