--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -127,16 +127,10 @@
 
     /// Records that a source failed.
     pub fn record_failure(&mut self, source: &Source, now: time::Instant) {
-        self.record_failure_spread(source, now, 0.0);
-    }
-
-    /// Like [`Failures::record_failure`], with a backoff that is shorter by up to a half, at `random`
-    /// from 0 to 1, so that processes that lose a source together don't return to it together.
-    pub fn record_failure_spread(&mut self, source: &Source, now: time::Instant, random: f64) {
         let before = self.by_source.get(source);
         let backoff = before.map_or(BACKOFF_MIN, |before| before.backoff * 2);
         let backoff = backoff.min(self.backoff_max);
-        let until = now + backoff.mul_f64(1.0 - random / 2.0);
+        let until = now + backoff;
         self.entry_failed_last = *source != Source::Store;
         self.by_source
             .insert(source.clone(), Failure { until, backoff });
--- a/crates/entry/src/direct/feed.rs
+++ b/crates/entry/src/direct/feed.rs
@@ -59,7 +59,7 @@
                 }
             }
             Err(error) => {
-                failures.record_failure_spread(source, app.clock.now(), rand::random());
+                failures.record_failure(source, app.clock.now());
                 log::warn!(
                     "feed: event=source_lost kind={kind} source={source:?} error={error:?} \
                      age_ms={:?}",
