--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -9,27 +9,29 @@
 //! [`Client::drop_idle_connections`], since other connections to the same host may be dead too.
 
 mod joined;
+mod messages;
+mod sending;
 
-use std::{future, net, ops, pin, sync, sync::atomic, time};
+use std::{net, sync, sync::atomic, time};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use hyper_util::{client::legacy, rt::TokioExecutor};
 use pimentohook_core::carried_ids;
 use serde::{Serialize, de};
-use snafu::{ResultExt, ensure};
-use tokio::time as tokio_time;
 
-pub use crate::client_error::ClientError;
-use crate::{
-    body, carriers,
-    client_error::{
-        BuildSnafu, CodecSnafu, JoinedSnafu, JsonSnafu, OddStatusSnafu, StatusSnafu, TimeoutSnafu,
-    },
-    connector, short_reads,
+use self::{
+    messages::decode_reply,
+    sending::{Pool, carrier, record_carried, send_on, send_recorded, with_timeout},
+};
+pub use self::{
+    messages::{MESSAGE_MAX_BYTES, json_request, message_request},
+    sending::{close_connection, connection_number},
 };
+pub use crate::client_error::ClientError;
+use crate::{body, carriers, connector, short_reads};
 
 const POOL_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
@@ -37,11 +39,6 @@
 const HEAD_MAX_BYTES: usize = 64 << 10;
 /// The most that one read takes, so that a connection's buffer is as large as a head.
 const READ_MAX_BYTES: u64 = 64 << 10;
-/// The maximum number of informational responses, with a status below 200, before a response.
-const INFORMATIONAL_MAX: u32 = 16;
-
-/// The statuses of final responses. 101 is none, as no request asks for another protocol.
-const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
 
 /// The timeouts for the two phases of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,8 +59,6 @@
     pub first_send: Option<carried_ids::FirstSend>,
 }
 
-type Pool = legacy::Client<connector::Connector, Full<Bytes>>;
-
 /// An HTTP client with a connection pool.
 #[derive(Debug)]
 pub struct Client {
@@ -326,188 +321,3 @@
         with_timeout(address, timeout, call).await
     }
 }
-
-/// The maximum size of a message, in bytes.
-pub const MESSAGE_MAX_BYTES: usize = 4 << 20;
-
-const STATUS_TEXT_MAX_BYTES: usize = 300;
-
-async fn send_on(
-    pool: &Pool,
-    address: net::SocketAddr,
-    request: Request<Full<Bytes>>,
-    timeout: time::Duration,
-) -> Result<Response<Incoming>, ClientError> {
-    send_recorded(pool, address, request, timeout, |_| true).await
-}
-
-/// Sends a request, and calls `record` until it returns true with the connection that the request is
-/// handed to. That is before its response can come and before another request gets the connection.
-async fn send_recorded<R>(
-    pool: &Pool,
-    address: net::SocketAddr,
-    mut request: Request<Full<Bytes>>,
-    timeout: time::Duration,
-    mut record: R,
-) -> Result<Response<Incoming>, ClientError>
-where
-    R: FnMut(&connector::RequestConnection) -> bool,
-{
-    let connection = connector::cut_off_after(&mut request, INFORMATIONAL_MAX);
-    let call = async {
-        let mut sending = pin::pin!(pool.request(request));
-        let mut is_recorded = false;
-        let recorded = future::poll_fn(|context| {
-            let polled = sending.as_mut().poll(context);
-            is_recorded = is_recorded || record(&connection);
-            polled
-        });
-        let response = recorded.await;
-        response.map_err(|error| {
-            if error.is_connect() {
-                ClientError::Connect { address }
-            } else if is_canceled(&error) {
-                ClientError::Unsent { address }
-            } else {
-                ClientError::Broken { address }
-            }
-        })
-    };
-    let mut response = with_timeout(address, timeout, call).await?;
-    response.extensions_mut().insert(connection);
-    if joined::is_joined(&response) {
-        close_connection(&response);
-        return JoinedSnafu { address }.fail();
-    }
-    let status = response.status();
-    if !FINAL_STATUSES.contains(&status.as_u16()) {
-        close_connection(&response);
-        return OddStatusSnafu { address, status }.fail();
-    }
-    Ok(response)
-}
-
-/// Closes the connection on which a response came, so that no other request is sent on it.
-pub fn close_connection<B>(response: &Response<B>) {
-    let connection: Option<&connector::RequestConnection> = response.extensions().get();
-    if let Some(connection) = connection {
-        connection.cut_off();
-    }
-}
-
-/// Returns the number that tells the connection of a response from the others of its client; `None` if
-/// it is not known.
-#[must_use]
-pub fn connection_number<B>(response: &Response<B>) -> Option<u64> {
-    Some(carrier(response)?.number)
-}
-
-fn carrier<B>(response: &Response<B>) -> Option<carriers::Carrier> {
-    let connection: &connector::RequestConnection = response.extensions().get()?;
-    connection.carrier()
-}
-
-/// Records that a connection carries a request; a connection that carries as many as it may gets no
-/// more.
-fn record_carried(
-    connection: &connector::RequestConnection,
-    id: carried_ids::IdHash,
-) -> Option<carried_ids::FirstSend> {
-    let carrier = connection.carrier()?;
-    let first_send = carrier.ids.record(id);
-    if carrier.ids.is_full() {
-        connection.retire();
-    }
-    first_send
-}
-
-/// Returns whether the request was canceled, which happens only before it has been written.
-fn is_canceled(error: &legacy::Error) -> bool {
-    let source = std::error::Error::source(error);
-    let source = source.and_then(|source| source.downcast_ref::<hyper::Error>());
-    source.is_some_and(hyper::Error::is_canceled)
-}
-
-async fn with_timeout<F, T>(
-    address: net::SocketAddr,
-    timeout: time::Duration,
-    future: F,
-) -> Result<T, ClientError>
-where
-    F: Future<Output = Result<T, ClientError>>,
-{
-    match tokio_time::timeout(timeout, future).await {
-        Ok(result) => result,
-        Err(_) => TimeoutSnafu { address, timeout }.fail(),
-    }
-}
-
-async fn decode_reply<A>(
-    address: net::SocketAddr,
-    response: Response<Incoming>,
-) -> Result<A, ClientError>
-where
-    A: de::DeserializeOwned,
-{
-    let status = response.status();
-    let body = body::read_body(address, response, MESSAGE_MAX_BYTES).await?;
-    let text =
-        || String::from_utf8_lossy(&body[..body.len().min(STATUS_TEXT_MAX_BYTES)]).into_owned();
-    ensure!(
-        status.is_success(),
-        StatusSnafu {
-            address,
-            status,
-            text: text(),
-        }
-    );
-    pimentohook_wire::from_bytes(&body).context(CodecSnafu)
-}
-
-/// Builds a request with a `MessagePack` message as its body.
-///
-/// # Errors
-///
-/// Returns [`ClientError`] if the message can't be encoded.
-pub fn message_request<Q>(
-    address: net::SocketAddr,
-    path: &str,
-    message: &Q,
-) -> Result<Request<Full<Bytes>>, ClientError>
-where
-    Q: Serialize,
-{
-    let body = pimentohook_wire::to_bytes(message).context(CodecSnafu)?;
-    Request::builder()
-        .method(Method::POST)
-        .uri(format!("http://{address}{path}"))
-        .header(header::CONTENT_TYPE, pimentohook_wire::CONTENT_TYPE)
-        .body(Full::new(Bytes::from(body)))
-        .context(BuildSnafu)
-}
-
-/// Builds a request with a JSON body, or without a body.
-///
-/// # Errors
-///
-/// Returns [`ClientError`] if the body can't be encoded.
-pub fn json_request<Q>(
-    method: Method,
-    address: net::SocketAddr,
-    path: &str,
-    body: Option<&Q>,
-) -> Result<Request<Full<Bytes>>, ClientError>
-where
-    Q: Serialize,
-{
-    let bytes = match body {
-        Some(body) => serde_json::to_vec(body).context(JsonSnafu { address })?,
-        None => Vec::new(),
-    };
-    Request::builder()
-        .method(method)
-        .uri(format!("http://{address}{path}"))
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(bytes)))
-        .context(BuildSnafu)
-}
