Look up the connection of a request once

send_identified asked twice what the connection of a request has carried, which copies the connection's data each time, for each request. It is asked once and passed on; no behaviour changes.

--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -171,9 +171,11 @@
         let id = self.carriers.hash(id);
         let mut first_send = None;
         let record = |connection: &connector::RequestConnection| {
-            let is_known = connection.carrier().is_some();
-            first_send = record_carried(connection, id);
-            is_known
+            let Some(carrier) = connection.carrier() else {
+                return false;
+            };
+            first_send = record_carried(connection, &carrier, id);
+            true
         };
         let pool = self.pool.load_full();
         let pool = if self.carriers.has_carried(address, id) {
--- a/crates/runtime/src/client/sending.rs
+++ b/crates/runtime/src/client/sending.rs
@@ -104,9 +104,9 @@
 /// more.
 pub(super) fn record_carried(
     connection: &connector::RequestConnection,
+    carrier: &carriers::Carrier,
     id: carried_ids::IdHash,
 ) -> Option<carried_ids::FirstSend> {
-    let carrier = connection.carrier()?;
     let first_send = carrier.ids.record(id);
     if carrier.ids.is_full() {
         connection.retire();
