Say how old the copy was, and who knew, when a configuration comes into force

The newest version that others have in force is kept with the moment of its first report and with an entry of the same region (core::reported_version), where it was a number. A read comes into force before it is confirmed, so that the age of the copy before it can be told; so the older table does not pass for confirmed in between either. Nothing else decides otherwise.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -65,6 +65,7 @@
 //! * [`position`]: positions in the history of the platform's store, which may be restored.
 //! * [`carryover`]: objects that a restored store has lost and that will be written again.
 //! * [`relay`]: the sources that an entry follows for these objects.
+//! * [`reported_version`]: the newest configuration that other entries have in force.
 
 pub mod admission;
 pub mod announcement;
@@ -110,6 +111,7 @@
 pub mod reload;
 pub mod replaced_routes;
 pub mod report;
+pub mod reported_version;
 pub mod response;
 pub mod retry_budget;
 pub mod rolling_update;
--- a/crates/entry/src/direct/app.rs
+++ b/crates/entry/src/direct/app.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use pimentohook_core::{
     clock, configuration_history, evacuation, id, idle_limit, leaving as leaving_policy,
-    refusal_rate, replaced_routes, routes, shutdown, upstreams,
+    refusal_rate, replaced_routes, reported_version, routes, shutdown, upstreams,
 };
 use pimentohook_platform::store;
 use pimentohook_runtime::{announcements, client, metrics, standstill};
@@ -70,7 +70,7 @@
     /// What a restored store has lost.
     pub lost: restored::LostObjects,
     /// The newest version of the configuration that another entry reported in force.
-    peer_configuration: atomic::AtomicU64,
+    peer_configuration: ArcSwap<reported_version::ReportedVersion>,
     /// The client that records metrics.
     pub metrics: sync::Arc<StatsdClient>,
     /// The registry that metrics are served from.
@@ -140,7 +140,7 @@
                 .map(|kind| (kind, cache::CachedCollection::default()))
                 .collect(),
             lost: restored::LostObjects::default(),
-            peer_configuration: atomic::AtomicU64::new(0),
+            peer_configuration: ArcSwap::default(),
             longest_timeouts_ms: ArcSwap::default(),
             refusal_rates: ArcSwap::default(),
             retries: retries::Retries::new(
@@ -192,9 +192,18 @@
     }
 
     /// Records the version of the configuration that another entry has in force.
-    pub fn record_peer_configuration(&self, version: u64) {
-        let ordering = atomic::Ordering::Relaxed;
-        self.peer_configuration.fetch_max(version, ordering);
+    pub fn record_peer_configuration(&self, peer: &direct::PeerState, version: u64) {
+        let now = self.clock.boot_now();
+        let is_neighbour = peer.region == self.settings.region;
+        let neighbour = is_neighbour.then_some(peer.entry.as_str());
+        self.peer_configuration
+            .rcu(|reported| reported.after(version, now, neighbour));
+    }
+
+    /// Returns the newest configuration that another entry reported in force.
+    #[must_use]
+    pub fn peer_configuration(&self) -> sync::Arc<reported_version::ReportedVersion> {
+        self.peer_configuration.load_full()
     }
 
     /// Returns the cache of a kind of objects.
@@ -220,8 +229,7 @@
     /// Returns whether another entry has reported a newer configuration in force.
     #[must_use]
     pub fn is_newer_in_force(&self) -> bool {
-        let reported = self.peer_configuration.load(atomic::Ordering::Relaxed);
-        reported > self.configuration_version()
+        self.peer_configuration.load().version() > self.configuration_version()
     }
 
     /// Returns whether the configuration may be older than the one in force.
--- a/crates/entry/src/direct/feed/apply.rs
+++ b/crates/entry/src/direct/feed/apply.rs
@@ -1,9 +1,10 @@
 //! Puts what was fetched into force.
 
-use std::sync;
+use std::{sync, time};
 
+use cadence::Timed as _;
 use indexmap::IndexMap;
-use pimentohook_core::{announcement, collection, routes};
+use pimentohook_core::{announcement, collection, id, routes};
 use pimentohook_platform::{decode, skipped, store};
 
 use crate::direct::{app, caller_connections, restored, retries, weights_versions};
@@ -64,12 +65,16 @@
         return;
     }
     log::info!(
-        "feed: event=configuration_in_force version={} before={} position={} bytes={}",
+        "feed: event=configuration_in_force version={} before={} position={} bytes={} \
+         unconfirmed_ms={:?} reported_ms={:?}",
         table.version,
         current.unwrap_or_default(),
         object.position,
-        object.content.len()
+        object.content.len(),
+        app.configuration_age().map(|age| age.as_millis()),
+        reported_ago(app, table.version).map(|ago| ago.as_millis())
     );
+    record_latency(app, &table);
     if let Some(idle_timeout) = table.idle_timeout {
         caller_connections::set_idle_timeout(app, idle_timeout);
     }
@@ -78,6 +83,28 @@
     app.table.store(Some(sync::Arc::new(table)));
 }
 
+/// Returns how long ago another entry first reported a configuration in force that is as new as
+/// `version`; `None` if none has.
+fn reported_ago(app: &app::App, version: id::ConfigVersion) -> Option<time::Duration> {
+    let reported = app.peer_configuration();
+    let is_reported = reported.version() >= version.get();
+    let reported_at = reported.reported_at().filter(|_| is_reported)?;
+    Some(app.clock.boot_now().saturating_duration_since(reported_at))
+}
+
+/// Records for how long the store had confirmed nothing when a version came into force.
+fn record_latency(app: &app::App, table: &routes::RouteTable) {
+    let Some(age) = app.configuration_age() else {
+        return;
+    };
+    if let Err(error) = app.metrics.time("configuration_unconfirmed", age) {
+        log::debug!(
+            "metrics: event=not_kept name=configuration_unconfirmed version={} error={error:?}",
+            table.version
+        );
+    }
+}
+
 /// Logs how urgent the requests to services with engines are, if that has changed.
 fn log_urgencies(app: &app::App, table: &routes::RouteTable) {
     let current = app.table.load();
--- a/crates/entry/src/direct/feed/fetch.rs
+++ b/crates/entry/src/direct/feed/fetch.rs
@@ -75,8 +75,8 @@
     history::record_list(app, kind, &listing.objects);
     let is_changed =
         cache.update(|collection| collection.replace(listing.position, listing.objects));
-    cache.confirm(requested_at);
     apply::apply(app, kind, is_changed, read);
+    cache.confirm(requested_at);
     Ok(is_changed)
 }
 
@@ -113,8 +113,8 @@
     }
     history::record_changes(app, kind, &changes.changes);
     cache.update(|collection| collection.apply(changes.position, changes.changes) && is_changed);
-    cache.confirm(responded_at.max(requested_at));
     apply::apply(app, kind, is_changed, read);
+    cache.confirm(responded_at.max(requested_at));
     if kind == store::Kind::Weights {
         app.announced.confirm_watch(span, &standstills, transfer);
     }
--- a/crates/entry/src/direct/peers.rs
+++ b/crates/entry/src/direct/peers.rs
@@ -223,7 +223,7 @@
     record_peer(&app, &reply.peer, time::Duration::ZERO);
     let now = app.clock.now();
     app.leaving.record_response(&reply.peer.entry, sent_at, now);
-    app.record_peer_configuration(reply.configuration);
+    app.record_peer_configuration(&reply.peer, reply.configuration);
     let heard = announcement::Heard::InReply {
         requested_at,
         now: app.clock.boot_now(),
@@ -305,7 +305,7 @@
         Err(error) => return server::respond_text(error.status(), &error.to_string()),
     };
     record_peer(&app, &request.peer, time::Duration::ZERO);
-    app.record_peer_configuration(request.configuration);
+    app.record_peer_configuration(&request.peer, request.configuration);
     let now = app.clock.boot_now();
     let heard = announcement::Heard::InRequest { now };
     weights_versions::merge(&app, &request.peer.entry, &request.announced, heard);
