Ask other sources beside the one that is followed once a copy grows old

What callers saw: requests were handled by a configuration that had been replaced for more than ConfigMs (CONFIG), at single followers in regions far from the store.

Cause: sources were asked one after the other, and each wait was a share of the grace period, not their sum. A relay that had lost the store passed for young until 60%, and the poll then waited for another 20%; a lost confirmation cost 40% more. Sources that failed were out of their backoff again before others had been tried, so that an entry asked its two relays and the store in turn for nine seconds, and never the neighbours that had the version and said so in their heartbeats.

Change: each process watches the age of its own copy, whatever it follows. From 35% on it asks others beside it: relays, which say at once if they have nothing younger, then the store, then other entries; followers spread their questions to the store over 10%. While a newer state is being received (StoreClient::transfer_since) it waits until 60%, so that a slow transfer does not bring about another one. A neighbour that has reported a newer version is asked for it after 10%. A watch waits 25% in place of 40%. The time until a process is told of a change is one sum now, whatever the hops between it and the store: 80% of the grace with any one answer lost, 100% with two (core::follow_timing, summed by a test for each place and loss). The same holds for lists of upstreams (DrainMs) and evacuations, which had the same division.

The test that the answer to a watch may be late by no more than half of its wait is replaced: what it guarded, that a copy which has just been confirmed waits for the next change, is asked of watch_wait_at with the latest answer.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -65,6 +65,7 @@
 //! * [`position`]: positions in the history of the platform's store, which may be restored.
 //! * [`carryover`]: objects that a restored store has lost and that will be written again.
 //! * [`relay`]: the sources that an entry follows for these objects.
+//! * [`hedge`]: when an entry asks other sources beside the one that it follows.
 //! * [`reported_version`]: the newest configuration that other entries have in force.
 
 pub mod admission;
@@ -89,6 +90,7 @@
 pub mod fingerprint;
 pub mod follow_timing;
 pub mod head_limits;
+pub mod hedge;
 pub mod id;
 pub mod idle_limit;
 pub mod intent;
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -29,7 +29,8 @@
 const RELAY_COUNT: usize = 2;
 /// The number of other entries that are tried when neither the relays nor the store respond.
 const FALLBACK_ENTRIES_MAX: usize = 4;
-const BACKOFF_MIN: time::Duration = time::Duration::from_millis(150);
+/// The first backoff of a source, unless what is read from it has to be noticed sooner.
+pub const BACKOFF_MIN: time::Duration = time::Duration::from_millis(150);
 /// The longest backoff of a source, unless what is read from it has to be noticed sooner.
 pub const BACKOFF_MAX: time::Duration = time::Duration::from_millis(2_400);
 
@@ -105,33 +106,40 @@
 pub struct Failures {
     by_source: IndexMap<Source, Failure>,
     entry_failed_last: bool,
+    backoff_min: time::Duration,
     backoff_max: time::Duration,
 }
 
 impl Default for Failures {
     fn default() -> Self {
-        Self::with_backoff_max(BACKOFF_MAX)
+        Self::with_backoffs(BACKOFF_MIN, BACKOFF_MAX)
     }
 }
 
 impl Failures {
-    /// Creates an empty record whose backoffs are at most `backoff_max`.
+    /// Creates an empty record whose backoffs are between `backoff_min` and `backoff_max`.
     #[must_use]
-    pub fn with_backoff_max(backoff_max: time::Duration) -> Self {
+    pub fn with_backoffs(backoff_min: time::Duration, backoff_max: time::Duration) -> Self {
         Self {
             by_source: IndexMap::new(),
             entry_failed_last: false,
+            backoff_min,
             backoff_max,
         }
     }
 
-    /// Records that a source failed.
+    /// Records that a source failed after some time.
     pub fn record_failure(&mut self, source: &Source, now: time::Instant) {
+        self.entry_failed_last = *source != Source::Store;
+        self.record_useless(source, now);
+    }
+
+    /// Records that a source has nothing to tell, and said so at once or was asked beside others.
+    pub fn record_useless(&mut self, source: &Source, now: time::Instant) {
         let before = self.by_source.get(source);
-        let backoff = before.map_or(BACKOFF_MIN, |before| before.backoff * 2);
+        let backoff = before.map_or(self.backoff_min, |before| before.backoff * 2);
         let backoff = backoff.min(self.backoff_max);
         let until = now + backoff;
-        self.entry_failed_last = *source != Source::Store;
         self.by_source
             .insert(source.clone(), Failure { until, backoff });
     }
@@ -146,14 +154,49 @@
     /// the store comes first, because time was lost and the next entry may fail too.
     #[must_use]
     pub fn choose<'a>(&self, sources: &'a [Source], now: time::Instant) -> Option<&'a Source> {
-        let is_usable = |source: &&Source| {
-            let failure = self.by_source.get(*source);
-            failure.is_none_or(|failure| failure.until <= now)
-        };
         let store = sources.iter().find(|source| **source == Source::Store);
         let store = store.filter(|_| self.entry_failed_last);
         store
-            .filter(is_usable)
-            .or_else(|| sources.iter().find(is_usable))
+            .filter(|store| self.is_usable(store, now))
+            .or_else(|| self.first_usable(sources, now))
+    }
+
+    /// Returns the first source of an order that is not in backoff.
+    #[must_use]
+    pub fn first_usable<'a>(
+        &self,
+        sources: &'a [Source],
+        now: time::Instant,
+    ) -> Option<&'a Source> {
+        sources.iter().find(|source| self.is_usable(source, now))
+    }
+
+    fn is_usable(&self, source: &Source, now: time::Instant) -> bool {
+        let failure = self.by_source.get(source);
+        failure.is_none_or(|failure| failure.until <= now)
+    }
+}
+
+/// A source that is followed, which is asked again and again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Followed {
+    /// The source.
+    pub source: Source,
+    /// When it was asked last.
+    pub asked_at: time::Instant,
+}
+
+impl Followed {
+    /// Returns whether the answer of `source` may still be on its way to whoever follows this one, so
+    /// that it need not be asked beside it: for an entry always, and for the store within `timeout`.
+    #[must_use]
+    pub fn may_still_answer(
+        &self,
+        source: &Source,
+        timeout: time::Duration,
+        now: time::Instant,
+    ) -> bool {
+        let is_recent = now.saturating_duration_since(self.asked_at) < timeout;
+        self.source == *source && (is_recent || *source != Source::Store)
     }
 }
--- a/crates/entry/src/direct/feed/fetch.rs
+++ b/crates/entry/src/direct/feed/fetch.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use pimentohook_core::{announcement, carryover, clock, id, position, relay};
+use pimentohook_core::{announcement, carryover, clock, follow_timing, id, position, relay};
 use pimentohook_platform::store;
 use pimentohook_runtime::client;
 use pimentohook_wire::direct;
@@ -13,10 +13,6 @@
 use crate::direct::app;
 
 const CONFIRMATION_WAIT: time::Duration = time::Duration::from_millis(1);
-/// How long another entry may take to reply beyond the requested wait.
-const REPLY_MARGIN: time::Duration = time::Duration::from_millis(450);
-/// How long a large reply from another entry may take from its head to its end.
-const REPLY_BODY_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 /// How much each entry adds to the time over which all list the announced versions again.
 const LIST_SPREAD_PER_ENTRY: time::Duration = time::Duration::from_millis(2);
 
@@ -41,25 +37,58 @@
     Old { name: String, age_ms: Option<u64> },
 }
 
+impl FeedError {
+    /// Returns whether the source said at once that it has nothing to tell, so that no time was lost.
+    pub(super) const fn is_immediate(&self) -> bool {
+        matches!(
+            self,
+            Self::Lost { .. } | Self::Outdated { .. } | Self::Old { .. }
+        )
+    }
+}
+
+/// For what a source is asked.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Purpose {
+    /// To be told of the next change.
+    Follow,
+    /// To be told at once of changes that have been made.
+    Hedge(follow_timing::HedgeTiming),
+}
+
 /// Fetches changes from a source; returns whether there were any.
 pub(super) async fn fetch_changes(
     app: &app::App,
     kind: store::Kind,
     source: &relay::Source,
+    purpose: Purpose,
 ) -> Result<bool, FeedError> {
     match source {
         relay::Source::Store if app.cached(kind).collection().position().is_start() => {
-            list(app, kind).await
+            list(app, kind, list_timeout(app, kind, purpose)).await
         }
-        relay::Source::Store => watch(app, kind).await,
-        relay::Source::Entry(name) => fetch_from_entry(app, kind, name).await,
+        relay::Source::Store => watch(app, kind, purpose).await,
+        relay::Source::Entry(name) => fetch_from_entry(app, kind, name, purpose).await,
     }
 }
 
-async fn list(app: &app::App, kind: store::Kind) -> Result<bool, FeedError> {
+/// Returns how long the store may take until the head of a page of a list.
+fn list_timeout(app: &app::App, kind: store::Kind, purpose: Purpose) -> time::Duration {
+    match purpose {
+        Purpose::Follow => timing::follow_timing(app, kind).confirmation_timeout,
+        Purpose::Hedge(timing) => timing.store_timeout,
+    }
+}
+
+async fn list(
+    app: &app::App,
+    kind: store::Kind,
+    head_timeout: time::Duration,
+) -> Result<bool, FeedError> {
     let requested_at = app.clock.boot_now();
     let read = announcement::Read::Fetched(requested_at);
-    let response = app.store.list(kind, store::Freshness::Current).await;
+    let freshness = store::Freshness::Current;
+    let response = app.store.list_within(kind, freshness, head_timeout).await;
     let listing = response.context(StoreSnafu)?;
     log::info!(
         "feed: event=listed kind={kind} position={} objects={} bytes={} transfer_ms={}",
@@ -72,7 +101,9 @@
     app.announced
         .confirm_position(listing.position, requested_at);
     let cache = app.cached(kind);
-    history::record_list(app, kind, &listing.objects);
+    if listing.position >= cache.collection().position() {
+        history::record_list(app, kind, &listing.objects);
+    }
     let is_changed =
         cache.update(|collection| collection.replace(listing.position, listing.objects));
     apply::apply(app, kind, is_changed, read);
@@ -80,20 +111,30 @@
     Ok(is_changed)
 }
 
-async fn watch(app: &app::App, kind: store::Kind) -> Result<bool, FeedError> {
+async fn watch(app: &app::App, kind: store::Kind, purpose: Purpose) -> Result<bool, FeedError> {
     let cache = app.cached(kind);
     let position = cache.collection().position();
-    let timing = watch_timing(app, kind);
+    let timing = match purpose {
+        Purpose::Follow => watch_timing(app, kind),
+        Purpose::Hedge(timing) => store::WatchTiming {
+            wait: CONFIRMATION_WAIT,
+            answer_timeout: timing.store_timeout,
+        },
+    };
     let requested_at = app.clock.boot_now();
     let span = app.announced.start_watch();
     let changes = match app.store.watch(kind, position, timing).await {
         Err(store::StoreError::Compacted { .. }) => {
             log::info!("feed: event=history_gone kind={kind} position={position}");
             spread_list(app, kind, position.era).await;
-            return list(app, kind).await;
+            return list(app, kind, list_timeout(app, kind, purpose)).await;
         }
         result => result.context(StoreSnafu)?,
     };
+    if cache.collection().position() != position {
+        // Another source was faster; the changes since its state are still to be read.
+        return Ok(false);
+    }
     let standstills = app.standstills.monitor();
     let transfer = changes.cost.transfer;
     let responded_at = span.responded_at(&*app.clock, &standstills, transfer);
@@ -130,42 +171,61 @@
     }
 }
 
-/// Returns how long a watch may wait; if the cache is old, the watch returns almost immediately to
-/// confirm it.
+/// Returns how long a watch may wait, so that the cache is confirmed in time; if it is old already, the
+/// watch returns almost immediately.
 fn watch_timing(app: &app::App, kind: store::Kind) -> store::WatchTiming {
     let timing = timing::follow_timing(app, kind);
     let age = app.cached(kind).age(app.clock.boot_now());
-    if age.is_some_and(|age| age <= timing.watch_wait / 2) {
-        store::WatchTiming {
-            wait: timing.watch_wait,
+    match timing.watch_wait_at(age) {
+        Some(wait) => store::WatchTiming {
+            wait,
             answer_timeout: timing.answer_timeout,
-        }
-    } else {
-        store::WatchTiming {
+        },
+        None => store::WatchTiming {
             wait: CONFIRMATION_WAIT,
             answer_timeout: timing.confirmation_timeout,
-        }
+        },
     }
 }
 
+/// Returns how long another entry may wait for a change, and take to reply.
+fn entry_timing(
+    app: &app::App,
+    kind: store::Kind,
+    purpose: Purpose,
+) -> (time::Duration, client::Timeouts) {
+    let timing = timing::follow_timing(app, kind);
+    let (wait, head) = match purpose {
+        Purpose::Follow => {
+            let age = app.cached(kind).age(app.clock.boot_now());
+            let wait = timing.follow_wait_at(age);
+            (wait, wait + timing.reply_margin)
+        }
+        Purpose::Hedge(hedge) => {
+            let head = hedge.entry_timeout;
+            (head.saturating_sub(timing.reply_margin), head)
+        }
+    };
+    let body = timing.reply_body_timeout;
+    (wait, client::Timeouts { head, body })
+}
+
 async fn fetch_from_entry(
     app: &app::App,
     kind: store::Kind,
     name: &str,
+    purpose: Purpose,
 ) -> Result<bool, FeedError> {
     let peers = app.peers.load_full();
     let peer = peers.get(name).context(LostSnafu { name })?;
     let cache = app.cached(kind);
     let timing = timing::follow_timing(app, kind);
+    let (wait, timeouts) = entry_timing(app, kind, purpose);
     let request = direct::FollowRequest {
         kind: kind.to_string(),
         position: cache.collection().position(),
         era: app.store.era(),
-        wait_ms: u32::try_from(timing.follow_wait.as_millis()).unwrap_or(u32::MAX),
-    };
-    let timeouts = client::Timeouts {
-        head: timing.follow_wait + REPLY_MARGIN,
-        body: REPLY_BODY_TIMEOUT,
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
     };
     let requested_at = app.clock.boot_now();
     let call =
--- a/crates/entry/src/direct/feed/followers.rs
+++ b/crates/entry/src/direct/feed/followers.rs
@@ -4,6 +4,7 @@
 
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
+use pimentohook_platform::store;
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
 
@@ -16,6 +17,17 @@
 /// How long a reply to a follower is delayed while this entry lists a restored store.
 const LIST_WAIT: time::Duration = time::Duration::from_millis(300);
 
+/// Returns whether the followers of a kind may wait for its changes here: this entry has been told by the
+/// store lately, or is being told.
+fn can_help(app: &app::App, kind: store::Kind) -> bool {
+    let Some(hedge) = timing::follow_timing(app, kind).hedge else {
+        return true;
+    };
+    let age = app.cached(kind).age(app.clock.boot_now());
+    let is_young = age.is_some_and(|age| age <= hedge.after);
+    is_young || app.store.transfer_since(kind).is_some()
+}
+
 /// Handles a request for changes from a follower: another entry or an agent.
 pub async fn handle_follow(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
     let request: direct::FollowRequest = match call.read_message(REQUEST_MAX_BYTES).await {
@@ -30,6 +42,11 @@
     let wait = time::Duration::from_millis(u64::from(request.wait_ms)).min(FOLLOW_WAIT_MAX);
     app.store.record_era(request.era);
     let cache = app.cached(kind);
+    let wait = if can_help(&app, kind) {
+        wait
+    } else {
+        time::Duration::ZERO
+    };
     let mut delta = cache.wait_since(request.position, wait).await;
     if delta.position.era < app.store.era() {
         // The list of the new era is under way, and the follower would not accept an earlier one.
