Count how long a reply was on its way into the age of a copy

Cause: a copy that another entry or the store confirmed counted as young from the reading of the reply, whatever time the reply had been on its way. So no source failed, and the age, which decides when others are asked and when routes and keys are denied, was too small by as much as a reply is delayed.

Change: the age in a reply counts to the arrival of the request, and whoever asked counts from the sending of its request, so that nothing on the way can make a copy younger. An answer of the store without changes holds at the end of its wait, one with changes from the request on (core::hedge::WatchAnswer). Other kinds than the configuration, upstreams and evacuations keep their reckoning of the store's answers.

--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -16,6 +16,8 @@
 //! assert_eq!(knowledge.reason(&timing, later), Some(hedge::Reason::OldCopy));
 //! ```
 
+use std::time;
+
 use crate::{clock::BootInstant, follow_timing::HedgeTiming, reported_version::Neighbour};
 
 /// What a process knows of its copy.
@@ -58,3 +60,30 @@
         (now >= confirmed_at + age_max).then_some(Reason::OldCopy)
     }
 }
+
+/// The answer to a watch of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchAnswer {
+    /// When it was requested.
+    pub requested_at: BootInstant,
+    /// How long the store was to wait for a change.
+    pub wait: time::Duration,
+    /// Whether there were changes.
+    pub is_changed: bool,
+    /// When it had been read.
+    pub read_at: BootInstant,
+}
+
+impl WatchAnswer {
+    /// Returns the latest instant at which the answer held for sure: one without changes is given after
+    /// the wait, and any other may have been on its way since the request.
+    #[must_use]
+    pub fn held_at(&self) -> BootInstant {
+        let end = self.requested_at + self.wait;
+        if self.is_changed || self.read_at < end {
+            self.requested_at
+        } else {
+            end
+        }
+    }
+}
--- a/crates/core/tests/hedge.rs
+++ b/crates/core/tests/hedge.rs
@@ -5,7 +5,7 @@
 use pimentohook_core::{
     clock::BootInstant,
     follow_timing::HedgeTiming,
-    hedge::{Knowledge, Reason},
+    hedge::{Knowledge, Reason, WatchAnswer},
     relay::{Failures, Followed, Source},
     reported_version::Neighbour,
 };
@@ -106,3 +106,25 @@
     failures.record_failure(&order[0], now);
     assert_eq!(failures.choose(&order, now), Some(&order[2]));
 }
+
+/// An answer that a full link held back for seconds passed for the store's latest word.
+#[rstest]
+#[case::without_changes(false, 500, 500)]
+#[case::without_changes_and_late(false, 3_000, 500)]
+#[case::cut_short(false, 300, 0)]
+#[case::with_changes(true, 300, 0)]
+#[case::with_changes_and_late(true, 3_000, 0)]
+fn an_answer_of_the_store_holds_for_no_longer_than_it_says(
+    #[case] is_changed: bool,
+    #[case] read_after_ms: u64,
+    #[case] held_after_ms: u64,
+) {
+    let after = |millis| start() + Duration::from_millis(millis);
+    let answer = WatchAnswer {
+        requested_at: start(),
+        wait: Duration::from_millis(500),
+        is_changed,
+        read_at: after(read_after_ms),
+    };
+    assert_eq!(answer.held_at(), after(held_after_ms));
+}
--- a/crates/entry/src/direct/feed/fetch.rs
+++ b/crates/entry/src/direct/feed/fetch.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use pimentohook_core::{announcement, carryover, clock, follow_timing, id, position, relay};
+use pimentohook_core::{announcement, carryover, follow_timing, hedge, id, position, relay};
 use pimentohook_platform::store;
 use pimentohook_runtime::client;
 use pimentohook_wire::direct;
@@ -155,7 +155,19 @@
     history::record_changes(app, kind, &changes.changes);
     cache.update(|collection| collection.apply(changes.position, changes.changes) && is_changed);
     apply::apply(app, kind, is_changed, read);
-    cache.confirm(responded_at.max(requested_at));
+    let confirmed_at = match timing::follow_timing(app, kind).hedge {
+        Some(_) => {
+            let answer = hedge::WatchAnswer {
+                requested_at,
+                wait: timing.wait,
+                is_changed,
+                read_at: app.clock.boot_now(),
+            };
+            answer.held_at()
+        }
+        None => responded_at.max(requested_at),
+    };
+    cache.confirm(confirmed_at);
     if kind == store::Kind::Weights {
         app.announced.confirm_watch(span, &standstills, transfer);
     }
@@ -243,20 +255,12 @@
     let age_ms = reply.age_ms;
     let is_changed = merge_reply(app, kind, name, reply, read);
     let age = age.filter(|age| *age <= timing.age_max);
-    let replied_at = replied_at(app, requested_at);
-    let confirmed_at = age.map(|age| replied_at.saturating_sub(age));
+    // The reply may have been held or on its way for any time since the request.
+    let confirmed_at = age.map(|age| requested_at.saturating_sub(age));
     cache.confirm(confirmed_at.context(OldSnafu { name, age_ms })?);
     Ok(is_changed)
 }
 
-/// Returns the instant at which a reply that was just read was sent at the earliest: it may have waited
-/// while this process stood still.
-fn replied_at(app: &app::App, requested_at: clock::BootInstant) -> clock::BootInstant {
-    let now = app.clock.boot_now();
-    let backlog_since = app.standstills.monitor().backlog_since(now);
-    backlog_since.unwrap_or(now).max(requested_at)
-}
-
 fn merge_reply(
     app: &app::App,
     kind: store::Kind,
--- a/crates/entry/src/direct/feed/followers.rs
+++ b/crates/entry/src/direct/feed/followers.rs
@@ -4,6 +4,7 @@
 
 use gotham::helpers::http::Body;
 use hyper::{Response, StatusCode};
+use pimentohook_core::clock;
 use pimentohook_platform::store;
 use pimentohook_runtime::server;
 use pimentohook_wire::direct;
@@ -28,12 +29,20 @@
     is_young || app.store.transfer_since(kind).is_some()
 }
 
+/// Returns the age that a state confirmed at `confirmed_at` had at `received_at`, in whole milliseconds
+/// that are not less.
+fn age_at(received_at: clock::BootInstant, confirmed_at: clock::BootInstant) -> u64 {
+    let age = received_at.saturating_duration_since(confirmed_at);
+    u64::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+}
+
 /// Handles a request for changes from a follower: another entry or an agent.
 pub async fn handle_follow(app: sync::Arc<app::App>, call: server::Call) -> Response<Body> {
     let request: direct::FollowRequest = match call.read_message(REQUEST_MAX_BYTES).await {
         Ok(request) => request,
         Err(error) => return server::respond_text(error.status(), &error.to_string()),
     };
+    let received_at = app.clock.boot_now();
     let mut followed = cache::followed(&app.settings);
     let kind = followed.find(|kind| kind.to_string() == request.kind);
     let Some(kind) = kind else {
@@ -53,7 +62,9 @@
         cache.wait_for_era(app.store.era(), LIST_WAIT).await;
         delta = cache.collection().since(request.position);
     }
-    let age_ms = timing::age_ms(&app, kind);
+    let age_ms = cache
+        .confirmed_at()
+        .map(|confirmed_at| age_at(received_at, confirmed_at));
     let history = history::statement(&app, kind, request.position, &delta);
     server::respond_message(&direct::FollowReply {
         delta,
--- a/crates/wire/src/direct.rs
+++ b/crates/wire/src/direct.rs
@@ -115,8 +115,9 @@
     /// The changes since the position in the request; empty if nothing changed in time, or if the
     /// sender of the reply has only an earlier position.
     pub delta: collection::Delta,
-    /// The time since the platform's store confirmed this state, in milliseconds; `None` if it has
-    /// not done so yet.
+    /// The time from the platform's store's confirmation of this state to the arrival of the request, in
+    /// milliseconds, and 0 if it was confirmed after that; `None` if it has not been yet. So the sender
+    /// of the request can count from its sending, however long the reply was held or on its way.
     pub age_ms: Option<u64>,
     /// What the sender of the reply knows of the versions before, if this is the configuration.
     /// Older processes can't read it, so it is left out of all other replies.
