Compare the routes of two configurations in one pass, not each with all others for each

What callers saw: requests were handled by a configuration that had been replaced for more than ConfigMs.

A change after the configuration had grown by 920 routes of one host took seconds of processor time at every entry, which has a quarter of a processor, and everything else there waited: replies to followers, heartbeats, the next change, callers. The class: work on all of a configuration that grows faster than it, on the path of a change; our tests and micro-benchmarks had as many hosts as routes.

Evidence: entries took 0.3 to 0.37 of a processor on average from 18.6 s on (sampled; 0.04 before the routes were added), relays 0.9; of 2,204 samples of entries between 20.6 and 21.4 s 82% were in RouteTable::select and the memcmp that it calls. On the code before, a_change_of_one_of_many_routes_is_recorded_at_ once failed: 7.6 s of processor time for one change of 1,640 routes.

Change: an index of the routes of a host by prefix (core::route_index) finds the route of a path by binary search, and each route now is looked up once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,6 +66,7 @@
 //! * [`carryover`]: objects that a restored store has lost and that will be written again.
 //! * [`relay`]: the sources that an entry follows for these objects.
 //! * [`hedge`]: when an entry asks other sources beside the one that it follows.
+//! * [`route_index`]: the routes of a host by prefix, for work on all of them at once.
 //! * [`reported_version`]: the newest configuration that other entries have in force.
 
 pub mod admission;
@@ -117,6 +118,7 @@
 pub mod response;
 pub mod retry_budget;
 pub mod rolling_update;
+pub mod route_index;
 pub mod routes;
 pub mod routing;
 pub mod scheduling;
--- a/crates/core/src/replaced_routes.rs
+++ b/crates/core/src/replaced_routes.rs
@@ -8,7 +8,9 @@
 
 use std::time;
 
-use crate::routes;
+use indexmap::IndexSet;
+
+use crate::{route_index, routes};
 
 /// How long a replaced route is kept; no request lasts longer.
 const RETENTION: time::Duration = time::Duration::from_mins(1);
@@ -55,13 +57,13 @@
         self.routes
             .retain(|replaced| now < replaced.replaced_at + RETENTION);
         for (host, routes) in &before.hosts {
-            let binding = routes
-                .iter()
-                .filter(|route| binds_more(host, route, before, after));
+            let before = route_index::RouteIndex::new(routes);
+            let after = after.hosts.get(host).map_or(&[][..], Vec::as_slice);
+            let binding = binding_routes(&before, after);
             self.routes.extend(binding.map(|route| ReplacedRoute {
                 host: host.clone(),
                 path_prefix: route.path_prefix.clone(),
-                inner_prefixes: inner_prefixes(route, routes),
+                inner_prefixes: inner_prefixes(&before, route),
                 timeout: route.timeout,
                 may_repeat: route.may_repeat(),
                 attempts_max: route.attempts_max,
@@ -117,38 +119,44 @@
     }
 }
 
-/// Returns whether a request that a route took may be on one now that allows less time or more runs, or
-/// on none.
-fn binds_more(
-    host: &str,
-    route: &routes::Route,
-    before: &routes::RouteTable,
-    after: &routes::RouteTable,
-) -> bool {
-    let Some(now) = after.select(host, &route.path_prefix) else {
-        return true;
-    };
-    let allows_other = |now: &routes::Route| {
-        let is_lowered = now.timeout < route.timeout;
-        let repeats_only_now = now.may_repeat() && !route.may_repeat();
-        let has_more_attempts = now.attempts_max > route.attempts_max;
-        is_lowered || repeats_only_now || has_more_attempts
-    };
-    let had_path = |inner: &routes::Route| {
-        let earlier = before.select(host, &inner.path_prefix);
-        inner.path_prefix.starts_with(&route.path_prefix)
-            && earlier.is_some_and(|earlier| earlier.path_prefix == route.path_prefix)
-    };
-    let routes = after.hosts.get(host).into_iter().flatten();
-    let mut inner = routes.filter(|inner| had_path(inner));
-    allows_other(now) || inner.any(allows_other)
+/// Returns the routes of a host whose requests may be on one now that allows less time or more runs, or on
+/// none.
+fn binding_routes<'a>(
+    before: &'a route_index::RouteIndex<'a>,
+    after: &'a [routes::Route],
+) -> impl Iterator<Item = &'a routes::Route> {
+    let index = route_index::RouteIndex::new(after);
+    let split_off = routes_split_into_others(before, after);
+    before.routes().filter(move |route| {
+        let now = index.select(&route.path_prefix);
+        now.is_none_or(|now| allows_other(route, now))
+            || split_off.contains(route.path_prefix.as_str())
+    })
 }
 
-/// Returns the prefixes of the routes of a host that are below a route.
-fn inner_prefixes(route: &routes::Route, routes: &[routes::Route]) -> Vec<String> {
-    let prefixes = routes.iter().map(|other| &other.path_prefix);
-    let inner = prefixes.filter(|prefix| {
-        prefix.len() > route.path_prefix.len() && prefix.starts_with(&route.path_prefix)
+/// Returns the prefixes of the routes that took some path which has a route now that allows less time or
+/// more runs.
+fn routes_split_into_others<'a>(
+    before: &route_index::RouteIndex<'a>,
+    after: &[routes::Route],
+) -> IndexSet<&'a str> {
+    let split = after.iter().filter_map(|inner| {
+        let earlier = before.select(&inner.path_prefix)?;
+        allows_other(earlier, inner).then_some(earlier.path_prefix.as_str())
     });
-    inner.cloned().collect()
+    split.collect()
+}
+
+/// Returns whether `now` allows less time or more runs than `route`.
+fn allows_other(route: &routes::Route, now: &routes::Route) -> bool {
+    let is_lowered = now.timeout < route.timeout;
+    let repeats_only_now = now.may_repeat() && !route.may_repeat();
+    let has_more_attempts = now.attempts_max > route.attempts_max;
+    is_lowered || repeats_only_now || has_more_attempts
+}
+
+/// Returns the prefixes of the routes of a host that are below a route.
+fn inner_prefixes(routes: &route_index::RouteIndex<'_>, route: &routes::Route) -> Vec<String> {
+    let inner = routes.below(&route.path_prefix);
+    inner.map(|inner| inner.path_prefix.clone()).collect()
 }
--- a/crates/core/tests/replaced_routes.rs
+++ b/crates/core/tests/replaced_routes.rs
@@ -2,7 +2,8 @@
 
 use std::time;
 
-use pimentohook_core::{rank, regions, replaced_routes, routes};
+use pimentohook_core::{rank, regions, replaced_routes, route_index, routes};
+use proptest::{collection, prelude::ProptestConfig, prop_assert_eq, proptest, sample};
 
 const HOST: &str = "drafts.example";
 
@@ -184,3 +185,99 @@
     assert_eq!(least(start), Some(2));
     assert_eq!(least(start + second * 2), None);
 }
+
+/// The routes that a large configuration has for one host.
+const MANY_ROUTES: usize = 1_640;
+/// An entry with a quarter of a processor has a configuration in force within a tenth of 2 s then.
+const RECORD_TIME_MAX: time::Duration = time::Duration::from_millis(50);
+
+/// Each change of a configuration with many routes for one host took entries seconds of processor time, in
+/// which they did nothing else: comparisons grew with the cube of the routes.
+#[test]
+fn a_change_of_one_of_many_routes_is_recorded_at_once() {
+    let table = |timeout_s| {
+        let mut table = table(timeout_s);
+        for number in 0..MANY_ROUTES {
+            let prefix = format!("/notes/{number}/");
+            table.insert(String::from(HOST), route(&prefix, 4));
+        }
+        table
+    };
+    let (before, after) = (table(6), table(3));
+    let record = || {
+        let started = time::Instant::now();
+        let mut replaced = replaced_routes::ReplacedRoutes::default();
+        replaced.record(started, &before, &after);
+        started.elapsed()
+    };
+    let shortest = (0..3).map(|_| record()).min();
+    assert!(shortest < Some(RECORD_TIME_MAX), "{shortest:?}");
+}
+
+fn table_of(routes: &[(String, u64)]) -> routes::RouteTable {
+    let mut table = routes::RouteTable::default();
+    for (path_prefix, timeout_s) in routes {
+        table.insert(String::from(HOST), route(path_prefix, *timeout_s));
+    }
+    table
+}
+
+/// Returns the longest replaced timeout for a path, by comparing each route with each other.
+fn longest_timeout(
+    before: &routes::RouteTable,
+    after: &routes::RouteTable,
+    path: &str,
+) -> Option<time::Duration> {
+    let route = before.select(HOST, path)?;
+    let is_lower = |other: &routes::Route| other.timeout < route.timeout;
+    let is_inner = |inner: &&routes::Route| {
+        let earlier = before.select(HOST, &inner.path_prefix);
+        earlier.is_some_and(|earlier| earlier.path_prefix == route.path_prefix)
+    };
+    let mut inner = after.hosts.values().flatten().filter(is_inner);
+    let is_bound = match after.select(HOST, &route.path_prefix) {
+        Some(now) => is_lower(now) || inner.any(is_lower),
+        None => true,
+    };
+    is_bound.then_some(route.timeout)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn routes_are_replaced_as_if_each_were_compared_with_each_other(
+        before in collection::vec(("(/[ab]{0,2}){0,3}", 1_u64..4), 0..8),
+        after in collection::vec(("(/[ab]{0,2}){0,3}", 1_u64..4), 0..8),
+        path in "(/[ab]{0,2}){0,4}",
+    ) {
+        let (before, after) = (table_of(&before), table_of(&after));
+        let mut replaced = replaced_routes::ReplacedRoutes::default();
+        let start = time::Instant::now();
+        replaced.record(start + time::Duration::from_secs(1), &before, &after);
+        let longest = replaced.longest_timeout_since(start, HOST, &path);
+        prop_assert_eq!(longest, longest_timeout(&before, &after, &path));
+    }
+
+    #[test]
+    fn an_index_selects_the_route_that_a_request_gets(
+        prefixes in collection::vec("(/[abcä]{0,2}){0,3}", 0..12),
+        path in "(/[abcä]{0,2}){0,4}",
+        below in sample::select(vec!["", "/", "/a", "/a/", "/b/ä"]),
+    ) {
+        let routes: Vec<(String, u64)> = prefixes.into_iter().zip(1..).collect();
+        let table = table_of(&routes);
+        let routes = table.hosts.get(HOST).map(Vec::as_slice).unwrap_or_default();
+        let index = route_index::RouteIndex::new(routes);
+        prop_assert_eq!(index.select(&path), table.select(HOST, &path));
+        let mut expected: Vec<&str> = routes
+            .iter()
+            .map(|route| route.path_prefix.as_str())
+            .filter(|prefix| prefix.starts_with(below) && *prefix != below)
+            .collect();
+        expected.sort_unstable();
+        expected.dedup();
+        let found: Vec<&str> = index.below(below).map(|route| route.path_prefix.as_str()).collect();
+        prop_assert_eq!(found, expected);
+    }
+}
