Open the connection of a load order first, then check and write

What callers could meet: weights loaded with chunks that had been bad for over 3 s (WHOLE).

What was read back was checked, and then the connection was opened, which waits; an agent that stood still there for 4 s wrote the order on what it had read before.

Change: client::Client::open gives a connection that has carried nothing; OpenedConnection::send_if asks whether the order may still be sent and writes it in the same poll, so that nothing is waited for in between. An order that may not be sent any more is Withheld, and the chunks are read back again. What remains is a suspension between two instructions, and an order that the engine reads late, for which loads are vouched (core::load_vouching).

--- a/crates/agent/src/direct/load_order.rs
+++ b/crates/agent/src/direct/load_order.rs
@@ -28,16 +28,16 @@
         if !is_unchanged(app, report).await {
             return true;
         }
-        let now = app.clock.boot_now();
-        if read_back.may_order(now) {
-            send(app, manifest, report, layers).await;
+        let may_order = || read_back.may_order(app.clock.boot_now());
+        let ordered = send(app, manifest, report, layers, may_order).await;
+        if ordered != Some(runner::OrderOutcome::Withheld) {
             return true;
         }
         app.count("check_aged");
         log::warn!(
             "loader: event=check_aged version={} age_ms={}",
             manifest.version,
-            read_back.age(now).as_millis()
+            read_back.age(app.clock.boot_now()).as_millis()
         );
     }
     true
@@ -54,21 +54,28 @@
     }
 }
 
-/// Orders the engine to load the staged chunks, or to hold some layers only; returns the outcome, if
-/// there was one.
-pub async fn send(
+/// Orders the engine to load the staged chunks, or to hold some layers only, if `may_order` allows it
+/// once a connection is open; returns the outcome, if there was one.
+pub async fn send<F>(
     app: &app::App,
     manifest: &origin::Manifest,
     report: &runner::Report,
     layers: Option<&ops::Range<u32>>,
-) -> Option<runner::OrderOutcome> {
+    may_order: F,
+) -> Option<runner::OrderOutcome>
+where
+    F: FnOnce() -> bool + Send,
+{
     let (model, version) = (&manifest.model, manifest.version);
     let order_count = report.order_count;
     let sent_at = app.clock.boot_now();
     let load = app
         .runner
-        .load(model, version, layers.cloned(), order_count);
+        .load(model, version, layers.cloned(), order_count, may_order);
     let ordered = load.await;
+    if matches!(ordered, Ok(runner::OrderOutcome::Withheld)) {
+        return Some(runner::OrderOutcome::Withheld);
+    }
     app.count("ordered");
     match ordered {
         Ok(outcome) => {
--- a/crates/agent/src/direct/reloading.rs
+++ b/crates/agent/src/direct/reloading.rs
@@ -94,7 +94,7 @@
                 staging::stage(app, manifest).await;
             }
         } else {
-            load_order::send(app, manifest, report, Some(&order)).await;
+            load_order::send(app, manifest, report, Some(&order), || true).await;
         }
     }
 
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -10,6 +10,7 @@
 
 mod joined;
 mod messages;
+mod opened;
 mod sending;
 
 use std::{net, sync, sync::atomic, time};
@@ -28,6 +29,7 @@
 };
 pub use self::{
     messages::{MESSAGE_MAX_BYTES, json_request, message_request},
+    opened::OpenedConnection,
     sending::{close_connection, connection_number},
 };
 pub use crate::client_error::ClientError;
--- a/crates/runtime/src/client/sending.rs
+++ b/crates/runtime/src/client/sending.rs
@@ -17,9 +17,9 @@
 };
 
 /// The maximum number of informational responses, with a status below 200, before a response.
-const INFORMATIONAL_MAX: u32 = 16;
+pub(super) const INFORMATIONAL_MAX: u32 = 16;
 /// The statuses of final responses. 101 is none, as no request asks for another protocol.
-const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
+pub(super) const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
 
 /// A pool of connections.
 pub(super) type Pool = legacy::Client<connector::Connector, Full<Bytes>>;
