--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -33,25 +33,25 @@
 }
 
 /// Why other sources are asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reason<'a> {
-    /// A neighbour has a newer version.
-    NewerAt(&'a str),
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The neighbour of this name has a newer version.
+    NewerAt(String),
     /// The copy has not been confirmed for long.
     OldCopy,
 }
 
-impl<'a> Knowledge<'a> {
+impl Knowledge<'_> {
     /// Returns why other sources are to be asked at `now`; `None` if they are not.
     #[must_use]
-    pub fn reason(&self, timing: &HedgeTiming, now: BootInstant) -> Option<Reason<'a>> {
+    pub fn reason(&self, timing: &HedgeTiming, now: BootInstant) -> Option<Reason> {
         let confirmed_at = self.confirmed_at?;
         let is_late = |neighbour: &&Neighbour| {
             let since = self.transfer_since.unwrap_or(neighbour.since);
             now >= since.max(neighbour.since) + timing.neighbour_delay
         };
         if let Some(neighbour) = self.newer_at.filter(is_late) {
-            return Some(Reason::NewerAt(&neighbour.entry));
+            return Some(Reason::NewerAt(neighbour.entry.clone()));
         }
         let age_max = match self.transfer_since {
             Some(_) => timing.transfer_max,
--- a/crates/core/tests/hedge.rs
+++ b/crates/core/tests/hedge.rs
@@ -67,7 +67,7 @@
     let before = due.saturating_sub(Duration::from_millis(1));
     assert_eq!(knowledge.reason(&timing(), before), None);
     let reason = knowledge.reason(&timing(), due);
-    assert_eq!(reason, Some(Reason::NewerAt("entry-1")));
+    assert_eq!(reason, Some(Reason::NewerAt(String::from("entry-1"))));
 }
 
 #[test]
