--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -779,7 +779,7 @@
 #[derive(Default)]
 struct Crashes {
     /// When such a request reached a runner that began to work on it, and from which address.
-    arrivals: Vec<(Instant, IpAddr)>,
+    arrivals: Vec<(Instant, String)>,
     /// When a runner crashed.
     at: Vec<Instant>,
 }
@@ -1068,9 +1068,10 @@
             .header("X-Pimentohook-Prompt-Prefix")
             .unwrap_or_default();
         if self.is_engine && prompt.contains(CRASHING_PART) {
-            let from = stream
-                .peer_addr()
-                .map_or(IpAddr::from([0, 0, 0, 0]), |peer| peer.ip());
+            let from = stream.peer_addr().map_or_else(
+                |_| String::from("an ended connection"),
+                |peer| peer.ip().to_string(),
+            );
             self.record.write(&format!(
                 "{own_id}: begins {attempt}, which crashes it, from {from}"
             ));
